--- /dev/null
+++ b/internal/fsm/api.go
@@ -0,0 +1,64 @@
+// Package fsm folds the records of the platform's log into the state that all instances agree on.
+//
+// The fold is a pure function of the records and their places: two readers that read the same
+// records reach the same state and the same verdict on each record. It does no I/O. A record that
+// is invalid at its place changes nothing.
+package fsm
+
+import (
+	"ragwortstile/internal/id"
+	"ragwortstile/internal/record"
+)
+
+// Place is the position of a record: the offset of its batch and its index in the batch.
+type Place struct {
+	Offset uint64
+	Index  int
+}
+
+// Verdict tells what the fold made of a record.
+type Verdict uint8
+
+// Verdicts.
+const (
+	Valid         Verdict = iota + 1
+	Duplicate             // batch already seen
+	StaleEpoch            // the writer does not hold the slot at this epoch
+	WrongExpected         // another claim or publication came first
+	OutOfOrder            // sequence number or state does not fit
+	Ignored               // refresh of something already known
+)
+
+// String returns the verdict as used in logs.
+func (v Verdict) String() string {
+	switch v {
+	case Valid:
+		return "valid"
+	case Duplicate:
+		return "duplicate"
+	case StaleEpoch:
+		return "stale_epoch"
+	case WrongExpected:
+		return "wrong_expected"
+	case OutOfOrder:
+		return "out_of_order"
+	case Ignored:
+		return "ignored"
+	default:
+		return "none"
+	}
+}
+
+// Effect is the result of folding one record.
+type Effect struct {
+	Place   Place
+	Writer  id.Session
+	Record  record.Record
+	Verdict Verdict
+}
+
+// SlotState is the current claim of a slot.
+type SlotState struct {
+	Holder id.Session
+	Epoch  id.Epoch
+}
--- /dev/null
+++ b/internal/record/batch_test.go
@@ -0,0 +1,20 @@
+package record
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against a format change that an older reader would misread instead of refusing.
+func TestDecodeRefusesUnknownVersion(t *testing.T) {
+	data, err := Encode(Batch{Session: "a.1", Seq: 1, Records: []Record{Claim{Slot: 3, Prev: 4, Session: "a.1"}}})
+	must.NoError(t, err)
+	got, err := Decode(data)
+	must.NoError(t, err)
+	must.Eq(t, Record(Claim{Slot: 3, Prev: 4, Session: "a.1"}), got.Records[0])
+	data[bytes.IndexByte(data, 'v')+2] = Version + 1 // the value follows its key and a uint8 marker
+	_, err = Decode(data)
+	must.ErrorIs(t, err, ErrVersion)
+}
