api: serve the paths of the design as events of the owner core

Cause: callers need one HTTP front on every instance that keeps no state of programs. Change: the front authenticates bearer keys by digest, checks bodies, names and header fields, and submits typed events through a small Backend interface. The ID of a program follows from its idempotency key, so a repeated key reaches the same owner from any instance.

--- /dev/null
+++ b/internal/api/auth.go
@@ -0,0 +1,115 @@
+package api
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strings"
+	"sync/atomic"
+
+	"ragwortstile/internal/manifest"
+	"ragwortstile/internal/program"
+)
+
+// KeyDigest returns the form in which the manifest lists a bearer key.
+func KeyDigest(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// keyIndex maps key digests to tenants. It is built once for each manifest.
+type keyIndex struct {
+	current atomic.Pointer[keyTable]
+}
+
+type keyTable struct {
+	of      *manifest.Manifest
+	tenants map[string]*manifest.Tenant
+}
+
+func (x *keyIndex) tenant(m *manifest.Manifest, digest string) *manifest.Tenant {
+	t := x.current.Load()
+	if t == nil || t.of != m {
+		t = newKeyTable(m)
+		x.current.Store(t)
+	}
+	return t.tenants[digest]
+}
+
+func newKeyTable(m *manifest.Manifest) *keyTable {
+	t := &keyTable{of: m, tenants: map[string]*manifest.Tenant{}}
+	for i := range m.Tenants {
+		for _, d := range m.Tenants[i].KeyDigests {
+			t.tenants[strings.ToLower(d)] = &m.Tenants[i]
+		}
+	}
+	return t
+}
+
+// caller is the authenticated sender of a request. Tenant is nil for the operator.
+type caller struct {
+	tenant   *manifest.Tenant
+	manifest *manifest.Manifest
+}
+
+func (c caller) name() string {
+	if c.tenant == nil {
+		return ""
+	}
+	return c.tenant.Name
+}
+
+type handler func(w http.ResponseWriter, r *http.Request, c caller)
+
+// tenant registers a handler for requests that carry a tenant's key.
+func (f *Front) tenant(pattern string, h handler) {
+	f.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+		c, p := f.authenticate(r)
+		if p == nil && c.tenant == nil {
+			p = ptr(refuse(http.StatusForbidden, "operator_key", "this path needs the key of a tenant", "header Authorization"))
+		}
+		f.serve(w, r, c, p, h)
+	})
+}
+
+// tenantOrOperator registers a handler that the operator's key opens too.
+func (f *Front) tenantOrOperator(pattern string, h handler) {
+	f.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+		c, p := f.authenticate(r)
+		f.serve(w, r, c, p, h)
+	})
+}
+
+func (f *Front) serve(w http.ResponseWriter, r *http.Request, c caller, p *program.Problem, h handler) {
+	if p != nil {
+		if p.Status == http.StatusUnauthorized {
+			w.Header().Set("WWW-Authenticate", "Bearer")
+		}
+		writeProblem(w, *p, 0)
+		return
+	}
+	r.Body = http.MaxBytesReader(w, r.Body, MaxBodyBytes)
+	h(w, r, c)
+}
+
+func (f *Front) authenticate(r *http.Request) (caller, *program.Problem) {
+	scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "Bearer") || key == "" {
+		return caller{}, ptr(refuse(http.StatusUnauthorized, "no_key", "a bearer key is required", "header Authorization"))
+	}
+	digest := KeyDigest(strings.TrimSpace(key))
+	m := f.backend.Manifest()
+	if f.operator != "" && digest == f.operator {
+		return caller{manifest: m}, nil
+	}
+	if m == nil {
+		return caller{}, ptr(refuse(http.StatusServiceUnavailable, "no_manifest", "no manifest is in force yet", ""))
+	}
+	t := f.keys.tenant(m, digest)
+	if t == nil {
+		return caller{}, ptr(refuse(http.StatusUnauthorized, "unknown_key", "the key belongs to no tenant", "header Authorization"))
+	}
+	return caller{tenant: t, manifest: m}, nil
+}
+
+func ptr[T any](v T) *T { return &v }
--- /dev/null
+++ b/internal/api/calls.go
@@ -0,0 +1,109 @@
+package api
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+
+	"ragwortstile/internal/id"
+	"ragwortstile/internal/program"
+	"ragwortstile/internal/record"
+)
+
+// serviceCall serves POST .../services/{service}/{operation}. The body is passed on unread; it must
+// be JSON or empty.
+func (f *Front) serviceCall(w http.ResponseWriter, r *http.Request, c caller) {
+	prog, p := readProgramID(r.PathValue("id"), "path id")
+	var branch string
+	if p == nil {
+		branch, p = readBranch(r)
+	}
+	service, operation := r.PathValue("service"), r.PathValue("operation")
+	if p == nil {
+		p = checkName(service, "path service")
+	}
+	if p == nil {
+		p = checkName(operation, "path operation")
+	}
+	var head callHeaders
+	if p == nil {
+		head, p = readCallHeaders(r)
+	}
+	var body []byte
+	if p == nil {
+		body, p = readBody(r)
+	}
+	if p == nil && len(bytes.TrimSpace(body)) > 0 && !json.Valid(body) {
+		p = ptr(refuse(http.StatusBadRequest, "bad_json", "the body is not valid JSON", "body"))
+	}
+	if p != nil {
+		writeProblem(w, *p, 0)
+		return
+	}
+	if head.key == "" {
+		head.key = newKey()
+	}
+	w.Header().Set("X-Program", string(prog))
+	f.answer(w, r, program.ServiceCall{
+		Tenant:    c.name(),
+		Program:   prog,
+		Branch:    branch,
+		Key:       head.key,
+		Seq:       head.seq,
+		Digest:    digest([]byte(service), []byte(operation), body),
+		Service:   service,
+		Operation: operation,
+		Body:      body,
+		TimeLimit: head.timeLimit,
+	}, head.key)
+}
+
+// joinCall serves the recorded answer of a key or the rest of its stream.
+func (f *Front) joinCall(w http.ResponseWriter, r *http.Request, c caller) {
+	key := r.PathValue("key")
+	p := checkKey(key)
+	var from int64
+	if p == nil {
+		from, p = readFromByte(r)
+	}
+	if p != nil {
+		writeProblem(w, *p, 0)
+		return
+	}
+	withProgram(w, r, func(prog id.Program) {
+		w.Header().Set("X-Program", string(prog))
+		f.answer(w, r, program.JoinCall{Tenant: c.name(), Program: prog, Key: key, FromByte: from}, key)
+	})
+}
+
+// settleRequest is the body of POST .../calls/{key}/settle.
+type settleRequest struct {
+	Executed string          `json:"executed"`
+	Body     json.RawMessage `json:"body"`
+}
+
+func (f *Front) settleCall(w http.ResponseWriter, r *http.Request, c caller) {
+	key := r.PathValue("key")
+	p := checkKey(key)
+	var body settleRequest
+	if p == nil {
+		p = decodeStrict(r, &body)
+	}
+	executed := record.ExecutedNo
+	switch body.Executed {
+	case "yes":
+		executed = record.ExecutedYes
+	case "no":
+	default:
+		if p == nil {
+			p = ptr(refuse(http.StatusBadRequest, "bad_member", "want yes or no", "body.executed"))
+		}
+	}
+	if p != nil {
+		writeProblem(w, *p, 0)
+		return
+	}
+	withProgram(w, r, func(prog id.Program) {
+		f.answer(w, r, program.SettleCall{Tenant: c.name(), Program: prog, Key: key, Executed: executed, Body: body.Body}, key)
+	})
+}
--- /dev/null
+++ b/internal/api/implicit.go
@@ -0,0 +1,131 @@
+package api
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strings"
+	"time"
+
+	"ragwortstile/internal/id"
+	"ragwortstile/internal/manifest"
+	"ragwortstile/internal/program"
+	"ragwortstile/internal/record"
+)
+
+// ProgramForKey returns the program ID that an idempotency key of a tenant leads to. It follows from
+// the key alone, so a repeated key reaches the same owner and the same program from any instance.
+func ProgramForKey(tenant, key string) id.Program {
+	sum := sha256.Sum256([]byte(tenant + "\x00" + key))
+	return id.NewProgram(id.Slot(sum[0]%id.Slots), hex.EncodeToString(sum[1:17]))
+}
+
+// newProgram chooses the ID of a new program: by its key when the caller sent one, otherwise in a
+// slot of this instance, which saves the way to another owner.
+func (f *Front) newProgram(tenant, key string, generated bool) id.Program {
+	if generated {
+		if slot, ok := f.backend.LocalSlot(); ok {
+			sum := sha256.Sum256([]byte(key))
+			return id.NewProgram(slot, hex.EncodeToString(sum[:16]))
+		}
+	}
+	return ProgramForKey(tenant, key)
+}
+
+// implicitChat serves a model call without a program: it opens a program of the tenant's default
+// duty, makes the call and ends the program when the call has been answered.
+func (f *Front) implicitChat(w http.ResponseWriter, r *http.Request, c caller) {
+	call, p := readModelCall(r, c)
+	if p != nil {
+		writeProblem(w, *p, 0)
+		return
+	}
+	duty := findDuty(c.manifest, c.tenant.DefaultDuty)
+	if duty == nil {
+		writeProblem(w, refuse(http.StatusBadRequest, "no_default_duty",
+			"the tenant has no default duty; open a program and name it in X-Program", "header X-Program"), 0)
+		return
+	}
+	if !f.backend.AcceptsPrograms() {
+		writeProblem(w, draining(), time.Second)
+		return
+	}
+	generated := strings.HasPrefix(call.Key, "auto-")
+	call.Program = f.newProgram(call.Tenant, "implicit:"+call.Key, generated)
+	call.Branch = id.MainBranch
+	reply, ok := f.ask(r.Context(), program.OpenProgram{
+		Program: call.Program,
+		Tenant:  call.Tenant,
+		Duty:    duty.Name,
+		Key:     "implicit:" + call.Key,
+		Limits:  record.Limits{WallTime: ImplicitWallTime},
+		Now:     time.Now(),
+	})
+	if !ok {
+		return
+	}
+	if reply.Problem != nil {
+		writeReply(w, reply)
+		return
+	}
+	if reply.Call.Program != "" {
+		call.Program = reply.Call.Program
+	}
+	w.Header().Set("X-Program", string(call.Program))
+	box := newMailbox()
+	end := program.EndProgram{Tenant: call.Tenant, Program: call.Program}
+	sink := &endingSink{mailbox: box, keepRefused: !generated, end: func() { f.backend.Submit(end, discard{}) }}
+	gone := f.backend.Submit(call, sink)
+	if !copyAnswer(r.Context(), w, box, call.Key) {
+		gone()
+	}
+}
+
+// endingSink ends an implicit program when its call has ended. The call goes on after its caller
+// left, and so does the sink. A call that was refused unrun under the caller's own key keeps its
+// program, so that the caller can repeat it.
+type endingSink struct {
+	*mailbox
+	keepRefused bool
+	end         func()
+}
+
+// Reply implements Sink.
+func (s *endingSink) Reply(r program.Reply) {
+	s.mailbox.Reply(r)
+	s.finish(answer{reply: &r})
+}
+
+// StreamEnd implements Sink.
+func (s *endingSink) StreamEnd(e program.StreamEnd) {
+	s.mailbox.StreamEnd(e)
+	s.finish(answer{end: &e})
+}
+
+func (s *endingSink) finish(a answer) {
+	if _, executed := executedOf(a); executed == record.ExecutedNo && s.keepRefused {
+		return
+	}
+	// The backend calls sinks from its own loop and must not be called back from there.
+	go s.end()
+}
+
+// discard is a Sink for requests whose answer nobody waits for.
+type discard struct{}
+
+func (discard) Reply(program.Reply)           {}
+func (discard) StreamData(program.StreamData) {}
+func (discard) StreamEnd(program.StreamEnd)   {}
+
+func findDuty(m *manifest.Manifest, name string) *manifest.Duty {
+	for i := range m.Duties {
+		if m.Duties[i].Name == name {
+			return &m.Duties[i]
+		}
+	}
+	return nil
+}
+
+func draining() program.Problem {
+	return refuse(http.StatusServiceUnavailable, "draining", "this instance is shutting down", "")
+}
--- /dev/null
+++ b/internal/api/ops.go
@@ -0,0 +1,77 @@
+package api
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+
+	"ragwortstile/internal/manifest"
+)
+
+func (f *Front) healthz(w http.ResponseWriter, _ *http.Request) {
+	writeText(w, http.StatusOK, "ok\n")
+}
+
+func (f *Front) readyz(w http.ResponseWriter, _ *http.Request) {
+	if err := f.backend.Ready(); err != nil {
+		writeText(w, http.StatusServiceUnavailable, err.Error()+"\n")
+		return
+	}
+	writeText(w, http.StatusOK, "ready\n")
+}
+
+func (f *Front) metrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	f.backend.WriteMetrics(w)
+}
+
+func (f *Front) status(w http.ResponseWriter, _ *http.Request, _ caller) {
+	writeJSON(w, f.backend.Status())
+}
+
+// modelEntry and modelList have the form in which client libraries list models.
+type modelEntry struct {
+	ID     string `json:"id"`
+	Object string `json:"object"`
+}
+
+type modelList struct {
+	Object string       `json:"object"`
+	Data   []modelEntry `json:"data"`
+}
+
+// models lists the models that the tenant's duties may use.
+func (f *Front) models(w http.ResponseWriter, _ *http.Request, c caller) {
+	list := modelList{Object: "list", Data: []modelEntry{}}
+	for _, p := range c.manifest.Pools {
+		if p.Kind == manifest.PoolModel && mayUse(c, p.Name) {
+			list.Data = append(list.Data, modelEntry{ID: p.Name, Object: "model"})
+		}
+	}
+	writeJSON(w, list)
+}
+
+func mayUse(c caller, pool string) bool {
+	for _, d := range c.manifest.Duties {
+		if slices.Contains(d.Tenants, c.tenant.Name) && slices.Contains(d.Pools, pool) {
+			return true
+		}
+	}
+	return false
+}
+
+func writeText(w http.ResponseWriter, status int, text string) {
+	w.Header().Set("Content-Type", "text/plain")
+	w.WriteHeader(status)
+	_, _ = w.Write([]byte(text))
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(append(body, '\n'))
+}
