--- a/internal/sched/api.go
+++ b/internal/sched/api.go
@@ -60,6 +60,7 @@
 	WeightCache   float64
 	Duties        []Duty
 	Endpoints     []Endpoint
+	Options       Options // the zero value is the full policy
 }
 
 // Event is an input of Step. The concrete types are listed below.
