sched: policy with cost model, shares, admission and cache placement

The thin version serves calls in arrival order without regard to programs. This adds the mechanisms of the policy, each with a switch in Options.

--- /dev/null
+++ b/internal/sched/admit.go
@@ -0,0 +1,144 @@
+package sched
+
+import "time"
+
+// Admission constants.
+const (
+	cacheFill      = 0.9             // part of the pool's prefix memory that started programs may need
+	freshPenalty   = 5 * time.Second // a new program waits behind started ones that came up to 5 s later
+	freshWaitLimit = 8 * time.Second // predicted wait above which a new program is refused
+	startBacklog   = 50 * time.Millisecond
+	minRetryAfter  = time.Second
+	maxRetryAfter  = 60 * time.Second
+	retryDeposit   = 0.1  // retries earned by a successful call
+	retryReserve   = 20.0 // retries that a pool without successes allows
+	tenantPart     = 4    // a duty and tenant may use this fraction (1/n) of the queue
+)
+
+// resize sets the working set of a program.
+func (s *Scheduler) resize(p *program, tokens int64) {
+	p.duty.workingSet += tokens - p.workingSet
+	s.workingSet += tokens - p.workingSet
+	p.workingSet = tokens
+}
+
+// admits tells whether a new program of the duty may start: the working set of the started programs
+// with one more must fit the prefix memory. A duty within its owed part of the memory may start
+// programs even when others have borrowed that part.
+func (s *Scheduler) admits(d *duty) bool {
+	if s.opt.NoAdmission || s.cacheBudget == 0 {
+		return true
+	}
+	need := int64(s.endedSet)
+	// Programs that have just started will grow to the mean size.
+	reserved := max(s.workingSet, int64(float64(s.startedPrograms)*s.endedSet))
+	if reserved+need <= s.cacheBudget || s.startedPrograms == 0 {
+		return true
+	}
+	return !s.opt.NoShares && d.workingSet+need <= int64(d.Share*float64(s.cacheBudget))
+}
+
+// start counts a program as started. The interval between starts is learned only from programs that
+// had to wait: without a backlog it would measure the arrivals, not the capacity.
+func (s *Scheduler) start(c *call) {
+	p := c.program
+	if p.started {
+		return
+	}
+	p.started = true
+	s.startedPrograms++
+	if s.now-c.submitted > startBacklog {
+		dt := min(s.now-s.lastStart, maxRetryAfter)
+		s.startInterval += 0.05 * (dt.Seconds() - s.startInterval)
+	} else {
+		s.startInterval *= 0.95
+	}
+	s.lastStart = s.now
+}
+
+// refusal returns the reason to refuse a call at submission and the time after which a retry makes
+// sense, or an empty reason.
+func (s *Scheduler) refusal(c *call) (Reason, time.Duration) {
+	r := &c.req
+	if s.cfg.QueueLimit > 0 {
+		if s.waiting >= s.cfg.QueueLimit {
+			return ReasonQueueFull, s.retryAfter(s.waiting, r.ProgramAge)
+		}
+		if !s.opt.NoTenantFairness && c.tenant.waiting >= max(s.cfg.QueueLimit/tenantPart, 1) {
+			return ReasonTenantQueue, s.retryAfter(c.tenant.waiting, r.ProgramAge)
+		}
+	}
+	if r.Retry > 0 && !s.opt.NoRetryBudget {
+		if s.retries < 1 {
+			return ReasonRetryBudget, s.retryAfter(s.waiting, r.ProgramAge)
+		}
+		s.retries--
+	}
+	if s.opt.NoEarlyRefusal {
+		return "", 0
+	}
+	return s.earlyRefusal(c)
+}
+
+// earlyRefusal refuses what cannot be served in time.
+func (s *Scheduler) earlyRefusal(c *call) (Reason, time.Duration) {
+	r := &c.req
+	if !c.fresh {
+		if r.CallTimeLimit > 0 && r.CallTimeLimit < seconds(s.fastest(c)) {
+			return ReasonWontFit, minRetryAfter
+		}
+		return "", 0
+	}
+	if r.Deadline > 0 && r.Deadline < seconds(c.duty.programTime)/2 {
+		return ReasonDeadline, s.retryAfter(s.waiting, r.ProgramAge)
+	}
+	wait := s.freshWait(c)
+	limit := freshWaitLimit
+	if r.CallTimeLimit > 0 {
+		limit = min(limit, r.CallTimeLimit/2)
+	}
+	if !s.opt.NoAdmission && wait > limit {
+		return ReasonAdmission, s.retryAfter(c.duty.fresh.len(), r.ProgramAge)
+	}
+	return "", 0
+}
+
+// freshWait predicts how long a new program of the duty waits for its start. A duty behind its owed
+// share is served first and waits only for its own calls.
+func (s *Scheduler) freshWait(c *call) time.Duration {
+	d := c.duty
+	ahead := 0
+	for _, o := range s.duties {
+		ahead += o.fresh.len()
+	}
+	if d.behind > 0 && d.Share > 0 && !s.opt.NoShares {
+		ahead = d.fresh.len()
+	}
+	if ahead == 0 {
+		return 0
+	}
+	return seconds(float64(ahead) * s.startInterval)
+}
+
+// fastest is the shortest predicted time of the call over the pool, without any queue.
+func (s *Scheduler) fastest(c *call) float64 {
+	best := -1.0
+	for _, ep := range s.endpoints {
+		if !s.canServe(ep) {
+			continue
+		}
+		t := c.units * ep.cost.unitTime(1) / 2
+		if best < 0 || t < best {
+			best = t
+		}
+	}
+	return max(best, 0)
+}
+
+// retryAfter grows with the queue and with the time that the caller has tried, so that repeated
+// refusals do not add load.
+func (s *Scheduler) retryAfter(ahead int, age time.Duration) time.Duration {
+	t := seconds(float64(ahead+1) * s.startInterval)
+	t = max(t, age/2, minRetryAfter)
+	return min(t, maxRetryAfter)
+}
--- /dev/null
+++ b/internal/sched/cache.go
@@ -0,0 +1,286 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"ragwortstile/internal/id"
+)
+
+// idleProgram is how long a program without calls is remembered when its end was never reported.
+const idleProgram = 15 * time.Minute
+
+// program is what the scheduler knows of a program in this pool.
+type program struct {
+	id         id.Program
+	duty       *duty
+	tenant     *tenant
+	started    bool // a call was granted, here or before
+	calls      int  // waiting and running
+	branches   []*branch
+	workingSet int64 // tokens counted in the duty's working set
+	first      time.Duration
+	seen       time.Duration
+}
+
+// branch is one conversation of a program.
+type branch struct {
+	program *program
+	name    string
+	tokens  int64 // context after the last call
+	copies  []*prefix
+	paused  bool
+}
+
+// prefix is a cached prefix of a branch at an endpoint, as the scheduler believes. The copies of an
+// endpoint form a list in the order of last use, which predicts evictions when cache events are lost.
+type prefix struct {
+	branch     *branch
+	ep         *endpoint
+	tokens     int64
+	unreused   int64 // filled and not read since
+	pinned     int   // calls running on it
+	used       time.Duration
+	prev, next *prefix
+}
+
+// copyList is a list of copies, least recently used first, with the sum of their tokens.
+type copyList struct {
+	oldest, newest *prefix
+	tokens         int64
+	evictedAge     time.Duration // time since last use of the latest evicted copy
+}
+
+func (l *copyList) unlink(p *prefix) {
+	if p.prev != nil {
+		p.prev.next = p.next
+	} else {
+		l.oldest = p.next
+	}
+	if p.next != nil {
+		p.next.prev = p.prev
+	} else {
+		l.newest = p.prev
+	}
+	p.prev, p.next = nil, nil
+}
+
+func (l *copyList) append(p *prefix) {
+	p.prev = l.newest
+	if l.newest != nil {
+		l.newest.next = p
+	} else {
+		l.oldest = p
+	}
+	l.newest = p
+}
+
+func (s *Scheduler) programOf(r *Request) *program {
+	p := s.programs[r.Program]
+	if p == nil {
+		d := s.dutyOf(r.Duty)
+		p = &program{id: r.Program, duty: d, tenant: s.tenantOf(d, r.Tenant), first: s.now - r.ProgramAge}
+		s.programs[r.Program] = p
+	}
+	p.seen = s.now
+	return p
+}
+
+func (p *program) branch(name string) *branch {
+	for _, b := range p.branches {
+		if b.name == name {
+			return b
+		}
+	}
+	return nil
+}
+
+func (p *program) ensure(name string) *branch {
+	b := p.branch(name)
+	if b == nil {
+		b = &branch{program: p, name: name}
+		p.branches = append(p.branches, b)
+	}
+	return b
+}
+
+func (b *branch) at(ep *endpoint) *prefix {
+	for _, p := range b.copies {
+		if p.ep == ep {
+			return p
+		}
+	}
+	return nil
+}
+
+// cachedAt returns the prompt tokens that the endpoint is believed to hold for the call.
+func (c *call) cachedAt(ep *endpoint) int64 {
+	if p := c.branch.at(ep); p != nil {
+		return min(p.tokens, c.req.PromptTokens)
+	}
+	return 0
+}
+
+// store notes that an endpoint holds a prefix of `tokens`, of which `reused` were found there.
+func (s *Scheduler) store(b *branch, ep *endpoint, tokens, reused int64) {
+	p := b.at(ep)
+	if p == nil {
+		p = &prefix{branch: b, ep: ep}
+		b.copies = append(b.copies, p)
+	} else {
+		ep.cache.unlink(p)
+	}
+	ep.cache.tokens += tokens - p.tokens
+	p.unreused = max(tokens-reused, 0)
+	p.tokens, p.used = tokens, s.now
+	ep.cache.append(p)
+	s.predictEvictions(ep)
+}
+
+// predictEvictions drops the oldest copies beyond the endpoint's memory.
+func (s *Scheduler) predictEvictions(ep *endpoint) {
+	for p := ep.cache.oldest; p != nil && ep.CacheTokens > 0 && ep.cache.tokens > ep.CacheTokens; {
+		next := p.next
+		if p.pinned == 0 {
+			ep.cache.evictedAge = s.now - p.used
+			s.drop(p, true)
+		}
+		p = next
+	}
+}
+
+// drop forgets a copy. An evicted or replaced copy counts its unread tokens as wasted.
+func (s *Scheduler) drop(p *prefix, wasted bool) {
+	if wasted {
+		p.branch.program.tenant.account.Wasted += p.unreused
+	}
+	p.ep.cache.unlink(p)
+	p.ep.cache.tokens -= p.tokens
+	b := p.branch
+	for i, q := range b.copies {
+		if q == p {
+			b.copies = append(b.copies[:i], b.copies[i+1:]...)
+			return
+		}
+	}
+}
+
+// dropAll forgets all copies at an endpoint, after its restart or removal.
+func (s *Scheduler) dropAll(ep *endpoint) {
+	for ep.cache.oldest != nil {
+		s.drop(ep.cache.oldest, true)
+	}
+}
+
+func (s *Scheduler) cacheEvent(e CacheEvent) {
+	ep, prog := s.byName[e.Endpoint], s.programs[e.Program]
+	if ep == nil || prog == nil {
+		return
+	}
+	b := prog.branch(e.Branch)
+	if b == nil {
+		return
+	}
+	p := b.at(ep)
+	switch {
+	case e.Kind == CacheEvicted && p != nil && p.pinned == 0:
+		ep.cache.evictedAge = s.now - p.used
+		s.drop(p, true)
+	case e.Kind == CacheStored && p == nil:
+		s.store(b, ep, e.Tokens, 0)
+	}
+}
+
+func (s *Scheduler) loadReport(e LoadReport) {
+	ep := s.byName[e.Endpoint]
+	if ep == nil {
+		return
+	}
+	if ep.generation != 0 && e.Generation != ep.generation {
+		s.dropAll(ep)
+	}
+	ep.generation = e.Generation
+}
+
+// paused decides about the cache of a branch that waits for a tool. The copy is released when the
+// memory is full and the pause is longer than copies survive there: the engine would evict it before
+// the return, after it had pushed out copies that return earlier.
+func (s *Scheduler) paused(e ProgramPaused, out []Action) []Action {
+	prog := s.programs[e.Program]
+	if prog == nil {
+		return out
+	}
+	b := prog.branch(e.Branch)
+	if b == nil {
+		return out
+	}
+	b.paused = true
+	prog.seen = s.now
+	if s.opt.NoPauseRelease {
+		return out
+	}
+	for i := len(b.copies) - 1; i >= 0; i-- {
+		p := b.copies[i]
+		full := p.ep.CacheTokens > 0 && p.ep.cache.tokens > p.ep.CacheTokens*9/10
+		if p.pinned == 0 && full && e.Expected > p.ep.cache.evictedAge && p.ep.cache.evictedAge > 0 {
+			out = append(out, Release{Endpoint: p.ep.Name, Program: prog.id, Branch: b.name, Reason: ReasonLongPause})
+			s.drop(p, true)
+		}
+	}
+	return out
+}
+
+// ended forgets a program and asks its endpoints to drop its cache.
+func (s *Scheduler) ended(pid id.Program, out []Action) []Action {
+	prog := s.programs[pid]
+	if prog == nil {
+		return out
+	}
+	if prog.started {
+		t := (s.now - prog.first).Seconds()
+		prog.duty.programTime += 0.05 * (t - prog.duty.programTime)
+		s.endedSet += 0.05 * (float64(prog.workingSet) - s.endedSet)
+	}
+	return s.forget(prog, out)
+}
+
+func (s *Scheduler) forget(prog *program, out []Action) []Action {
+	s.resize(prog, 0)
+	for _, b := range prog.branches {
+		for len(b.copies) > 0 {
+			p := b.copies[len(b.copies)-1]
+			if !s.opt.NoEndRelease {
+				out = append(out, Release{Endpoint: p.ep.Name, Program: prog.id, Branch: b.name, Reason: ReasonProgramEnd})
+			}
+			s.drop(p, false)
+		}
+	}
+	if prog.started {
+		s.startedPrograms--
+		prog.started = false
+	}
+	if prog.calls == 0 {
+		delete(s.programs, prog.id)
+	}
+	return out
+}
+
+// sweep forgets programs whose end was never reported.
+func (s *Scheduler) sweep(out []Action) []Action {
+	if s.now < s.nextSweep {
+		return out
+	}
+	s.nextSweep = s.now + time.Minute
+	var idle []*program
+	for _, p := range s.programs {
+		if p.calls == 0 && s.now-p.seen > idleProgram {
+			idle = append(idle, p)
+		}
+	}
+	slices.SortFunc(idle, func(a, b *program) int { return cmp.Compare(a.id, b.id) })
+	for _, p := range idle {
+		out = s.forget(p, out)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/sched/cost.go
@@ -0,0 +1,140 @@
+package sched
+
+import "time"
+
+// Priors of the cost model, used until the pool has reported a result.
+const (
+	priorPrefillRate = 4000.0 // tokens/s
+	priorTokenBase   = 0.02   // s per token with no other call
+	priorTokenSlope  = 0.001  // s per token and running call
+	priorServiceTime = 0.2    // s per call of a plain service
+	transferRate     = 40000.0
+	transferSetup    = 20 * time.Millisecond
+)
+
+const (
+	forget           = 0.97 // weight of the older observations in the decode fit
+	prefillLearnRate = 0.1
+	slowLearnRate    = 0.3
+	minPrefillSample = 100 // uncached tokens; shorter prompts measure the network
+	slowThreshold    = 1.5 // observed to predicted time above which an endpoint counts as slow
+)
+
+// costModel predicts the time of a call at one endpoint from the results of earlier calls there.
+// Time per unit (output token of an engine, call of a service) is fitted as base + slope*running by
+// least squares with exponential forgetting.
+type costModel struct {
+	prefillRate     float64 // tokens/s
+	w, n, nn, y, ny float64 // decayed sums of the fit
+	base, slope     float64 // s per unit
+	ratio           float64 // recent observed time / predicted time
+	meanTotal       float64 // s, recent mean of the whole call
+	samples         int
+	prefillSamples  int
+}
+
+func newCostModel(model bool) costModel {
+	m := costModel{prefillRate: priorPrefillRate, base: priorTokenBase, slope: priorTokenSlope, ratio: 1, meanTotal: 5}
+	if !model {
+		m.base, m.slope, m.meanTotal = priorServiceTime, 0, priorServiceTime
+	}
+	return m
+}
+
+// unitTime is the predicted time per output token or per service call with n calls running.
+func (m *costModel) unitTime(n float64) float64 { return m.base + m.slope*n }
+
+// slowdown is the factor by which the endpoint is slower than its own past; 1 if it is not.
+func (m *costModel) slowdown() float64 {
+	if m.ratio > slowThreshold {
+		return m.ratio
+	}
+	return 1
+}
+
+// observePrefill learns from the time to first token. queued is the prefill work, in tokens, that
+// was ahead of the call when it was granted.
+func (m *costModel) observePrefill(uncached, queued float64, first time.Duration) {
+	if uncached < minPrefillSample || first <= 0 {
+		return
+	}
+	rate := (uncached + queued) / first.Seconds()
+	m.prefillSamples++
+	a := max(prefillLearnRate, 1/float64(m.prefillSamples))
+	m.prefillRate += a * (rate - m.prefillRate)
+}
+
+// observeUnits learns from the time per unit with n calls running.
+func (m *costModel) observeUnits(perUnit, n float64) {
+	m.w = m.w*forget + 1
+	m.n = m.n*forget + n
+	m.nn = m.nn*forget + n*n
+	m.y = m.y*forget + perUnit
+	m.ny = m.ny*forget + n*perUnit
+	m.samples++
+	m.fit()
+}
+
+func (m *costModel) fit() {
+	mean, meanN := m.y/m.w, m.n/m.w
+	variance := m.nn/m.w - meanN*meanN
+	slope := m.slope
+	if variance > 0.5 && m.samples >= 8 {
+		slope = (m.ny/m.w - meanN*mean) / variance
+	}
+	slope = min(max(slope, 0), mean/max(meanN, 1))
+	m.base, m.slope = mean-slope*meanN, slope
+}
+
+// observeRatio compares a whole call with its prediction. A slow call moves the ratio at once; the
+// fit itself moves slowly, so that it stands for the endpoint's past.
+func (m *costModel) observeRatio(observed, predicted float64) {
+	if predicted <= 0 {
+		return
+	}
+	r := min(max(observed/predicted, 0.2), 10)
+	m.ratio += slowLearnRate * (r - m.ratio)
+	m.meanTotal += prefillLearnRate * (observed - m.meanTotal)
+}
+
+// learn updates the model of the call's endpoint from its result.
+func (s *Scheduler) learn(c *call, d Done) {
+	ep := c.ep
+	if d.Result != ResultOK {
+		return
+	}
+	n := float64(ep.inFlight+c.runningAtGrant) / 2
+	m := &ep.cost
+	m.observeRatio(d.Total.Seconds(), c.predicted)
+	if m.ratio > slowThreshold && m.samples > 20 && !s.opt.NoSlowCheck {
+		return // a slow phase does not become the endpoint's past
+	}
+	if !s.cfg.Model {
+		m.observeUnits(d.Total.Seconds(), n)
+		return
+	}
+	m.observePrefill(float64(d.PromptTokens-d.CachedTokens), c.prefillQueue*m.prefillRate, d.FirstToken)
+	if d.OutputTokens > 0 {
+		m.observeUnits((d.Total-d.FirstToken).Seconds()/float64(d.OutputTokens), n)
+	}
+}
+
+// estimate predicts the seconds from dispatch to the end of a call with `cached` prefix tokens.
+func (s *Scheduler) estimate(ep *endpoint, c *call, cached int64) float64 {
+	m := &ep.cost
+	t := c.units * m.unitTime(float64(ep.inFlight+1))
+	if s.cfg.Model {
+		t += ep.prefillQueue(s.now) + float64(c.req.PromptTokens-cached)/m.prefillRate
+	}
+	return t
+}
+
+// prefillQueue is the predicted time in seconds until the endpoint has computed the prompts granted so far.
+func (e *endpoint) prefillQueue(now time.Duration) float64 {
+	if e.prefillClear <= now {
+		return 0
+	}
+	return (e.prefillClear - now).Seconds()
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/sched/grant.go
@@ -0,0 +1,211 @@
+package sched
+
+import "time"
+
+// maxBlocked bounds the calls that one Step passes over because only endpoints that they avoid are free.
+const maxBlocked = 8
+
+// grant gives waiting calls to free endpoints until there is no match left.
+func (s *Scheduler) grant(out []Action) []Action {
+	if s.waiting == 0 {
+		return out
+	}
+	for _, ep := range s.endpoints {
+		for ep.parked.len() > 0 && s.free(ep) {
+			out = s.grantParked(ep, out)
+		}
+	}
+	placed := true
+	for s.anyFree() {
+		c, owed := s.pick()
+		if c == nil {
+			break
+		}
+		if out, placed = s.place(c, owed, out); !placed {
+			break
+		}
+	}
+	for _, c := range s.blocked {
+		s.ready(c)
+	}
+	s.blocked = s.blocked[:0]
+	return out
+}
+
+func (s *Scheduler) anyFree() bool {
+	for _, ep := range s.endpoints {
+		if s.free(ep) {
+			return true
+		}
+	}
+	return false
+}
+
+// grantParked gives a free place to the call that waits for the endpoint's prefix, unless another
+// duty is behind its owed share or an earlier call waits; then that call chooses its endpoint first.
+func (s *Scheduler) grantParked(ep *endpoint, out []Action) []Action {
+	c := ep.parked.head()
+	if d := s.owed(); d != nil && d != c.duty {
+		if o := s.next(d); o != nil {
+			before := len(out)
+			out, _ = s.place(o, true, out)
+			if len(out) > before {
+				return out
+			}
+		}
+	}
+	if !s.free(ep) {
+		return out
+	}
+	cached := c.cachedAt(ep)
+	if cached == 0 { // evicted while the call waited
+		s.stopWaiting(c)
+		return out
+	}
+	s.commit(c, placement{ep: ep, reason: ReasonWarmWaited, time: s.estimate(ep, c, cached)})
+	return append(out, s.grantOf(c, ReasonWarmWaited, nil))
+}
+
+// pick returns the call to serve next and whether its duty is owed the place.
+func (s *Scheduler) pick() (*call, bool) {
+	if d := s.owed(); d != nil {
+		return s.next(d), true
+	}
+	return s.first(), false
+}
+
+// place grants a call, parks it at the endpoint that holds its prefix, or sets it aside. It returns
+// false when it could do none of these.
+func (s *Scheduler) place(c *call, owed bool, out []Action) ([]Action, bool) {
+	c.warm = c.branch.largest()
+	p := s.choose(c)
+	switch {
+	case p.ep == nil:
+		if len(s.blocked) >= maxBlocked {
+			return out, false
+		}
+		c.heap.remove(c)
+		s.blocked = append(s.blocked, c)
+		return out, true
+	case p.wait:
+		c.heap.remove(c)
+		c.parkedAt = p.ep
+		p.ep.parked.push(c)
+		s.timers.push(timer{at: s.now + c.parkLimit, call: c, park: true})
+		return out, true
+	}
+	if owed && p.reason != ReasonProbe && p.reason != ReasonMove {
+		p.reason = ReasonOwedShare
+	}
+	s.commit(c, p)
+	return append(out, s.grantOf(c, p.reason, p.from)), true
+}
+
+func (b *branch) largest() *prefix {
+	var best *prefix
+	for _, p := range b.copies {
+		if best == nil || p.tokens > best.tokens {
+			best = p
+		}
+	}
+	return best
+}
+
+func (s *Scheduler) grantOf(c *call, r Reason, from *endpoint) Grant {
+	g := Grant{Request: c.req, Endpoint: c.ep.Name, Reason: r, Waited: s.now - c.submitted}
+	if from != nil {
+		g.MoveFrom = from.Name
+	}
+	return g
+}
+
+// commit books a grant.
+func (s *Scheduler) commit(c *call, p placement) {
+	ep := p.ep
+	s.dequeue(c)
+	c.predicted = p.time
+	if s.cfg.Model {
+		s.reserve(c, p)
+	}
+	s.run(c, ep)
+	c.charged = s.work(c.predicted, c.req.PromptTokens-c.cachedAt(ep), int64(c.units))
+	s.charge(c.duty, c.charged)
+}
+
+// reserve books the prompt's computation and the memory of a call.
+func (s *Scheduler) reserve(c *call, p placement) {
+	ep := p.ep
+	if p.from != nil {
+		if w := c.branch.at(p.from); w != nil {
+			s.store(c.branch, ep, w.tokens, w.tokens-w.unreused)
+		}
+	}
+	c.prefillQueue = ep.prefillQueue(s.now)
+	uncached := c.req.PromptTokens - c.cachedAt(ep)
+	ep.prefillClear = max(ep.prefillClear, s.now) + seconds(float64(uncached)/ep.cost.prefillRate)
+	s.store(c.branch, ep, c.req.PromptTokens, c.cachedAt(ep))
+	c.pinned = c.branch.at(ep)
+	if c.pinned != nil {
+		c.pinned.pinned++
+	}
+	s.resize(c.program, c.program.context(c.branch, c.req.PromptTokens))
+}
+
+// context is the sum of the contexts of the program's branches, with a new size for one of them.
+func (p *program) context(b *branch, tokens int64) int64 {
+	b.tokens = tokens
+	sum := int64(0)
+	for _, o := range p.branches {
+		sum += o.tokens
+	}
+	return sum
+}
+
+// finish takes the result of a running call. A second report, or one of an unknown call, has no effect.
+func (s *Scheduler) finish(d Done) {
+	c := s.calls[d.ID]
+	if c == nil || c.ep == nil {
+		return
+	}
+	ep := c.ep
+	s.learn(c, d)
+	s.stop(c)
+	s.judge(ep, d.Result)
+	if d.Result == ResultOK {
+		s.retries = min(s.retries+retryDeposit, 2*retryReserve)
+		s.drained()
+		s.settle(c, d)
+	} else if p := c.branch.at(ep); p != nil && p.pinned == 0 && d.Result != ResultCanceled {
+		s.drop(p, true)
+	}
+	s.remove(c)
+}
+
+// settle replaces the estimates of a call by its result.
+func (s *Scheduler) settle(c *call, d Done) {
+	uncached := d.PromptTokens - d.CachedTokens
+	work := s.work(d.Total.Seconds(), uncached, d.OutputTokens)
+	s.charge(c.duty, work-c.charged)
+	s.meanWork += 0.05 * (work - s.meanWork)
+	if !s.cfg.Model {
+		return
+	}
+	c.duty.outputTokens += 0.05 * (float64(d.OutputTokens) - c.duty.outputTokens)
+	s.poolPrefill += 0.02 * (c.ep.cost.prefillRate - s.poolPrefill)
+	s.poolUnit += 0.02 * (c.ep.cost.unitTime(float64(c.runningAtGrant)) - s.poolUnit)
+	a := c.tenant.account
+	a.Filled += uncached + d.OutputTokens
+	a.Reused += d.CachedTokens
+	tokens := d.PromptTokens + d.OutputTokens
+	if c.program.started {
+		s.store(c.branch, c.ep, tokens, d.CachedTokens)
+		s.resize(c.program, c.program.context(c.branch, tokens))
+	}
+}
+
+// drained learns the rate at which calls end.
+func (s *Scheduler) drained() {
+	dt := min(s.now-s.lastDone, 5*time.Second)
+	s.drainInterval += 0.05 * (dt.Seconds() - s.drainInterval)
+	s.lastDone = s.now
+}
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -7,39 +7,91 @@
 )
 
 // Scheduler holds the waiting and running calls of one pool. It is not safe for concurrent use.
+//
+// Invariants: a submitted call gets exactly one Grant or Refuse unless it is withdrawn or its owner is
+// lost first; no grant takes an endpoint above its limit; a refused call was never granted.
 type Scheduler struct {
-	cfg       Config
-	now       time.Duration
-	calls     map[id.Attempt]*call
-	queue     []*call
-	endpoints []*endpoint
-	byName    map[string]*endpoint
+	cfg        Config
+	opt        Options
+	now        time.Duration
+	begun      bool
+	started    time.Duration // time of the first Step
+	serial     uint64
+	calls      map[id.Attempt]*call
+	waiting    int
+	timers     timerHeap
+	endpoints  []*endpoint
+	byName     map[string]*endpoint
+	duties     []*duty
+	dutyByName map[string]*duty
+	programs   map[id.Program]*program
+	accounts   map[string]*Account
+	blocked    []*call // scratch of grant
+	nextSweep  time.Duration
+
+	startedPrograms int
+	workingSet      int64   // tokens of the started programs
+	cacheBudget     int64   // tokens that they may need; 0: no limit
+	endedSet        float64 // recent mean working set of ended programs, tokens
+	startInterval   float64 // s, recent mean time between program starts
+	lastStart       time.Duration
+	drainInterval   float64 // s, recent mean time between ends of calls
+	lastDone        time.Duration
+	meanWork        float64 // s
+	poolPrefill     float64 // tokens/s, mean over the pool
+	poolUnit        float64 // s per output token, mean over the pool
+	retries         float64 // retry budget
 }
 
 // call is a waiting or running call.
 type call struct {
 	req       Request
+	serial    uint64
 	submitted time.Duration
 	expires   time.Duration // 0: never
-	ep        *endpoint     // nil while the call waits
-}
+	key       time.Duration
+	duty      *duty
+	tenant    *tenant
+	program   *program
+	branch    *branch
+	fresh     bool    // first call of a new program
+	units     float64 // expected output tokens; 1 for a service call
+	heap      *callHeap
+	index     int
+	parkedAt  *endpoint // waits for this endpoint's prefix
+	parkLimit time.Duration
+	noPark    bool
+	warm      *prefix // largest copy of the branch, set while an endpoint is chosen
 
-// endpoint is the scheduler's view of one endpoint.
-type endpoint struct {
-	Endpoint
-	inFlight int
+	ep             *endpoint // nil while the call waits
+	pinned         *prefix
+	runningAtGrant int
+	prefillQueue   float64 // s
+	predicted      float64 // s
+	charged        float64 // work booked at the grant, s
 }
 
 // New returns a scheduler without calls.
 func New(cfg Config) *Scheduler {
-	s := &Scheduler{calls: map[id.Attempt]*call{}, byName: map[string]*endpoint{}}
+	s := &Scheduler{
+		calls:      map[id.Attempt]*call{},
+		byName:     map[string]*endpoint{},
+		dutyByName: map[string]*duty{},
+		programs:   map[id.Program]*program{},
+		accounts:   map[string]*Account{},
+		meanWork:   5, startInterval: 0.1, drainInterval: 0.1,
+		poolPrefill: priorPrefillRate, poolUnit: priorTokenBase, retries: retryReserve,
+	}
 	s.configure(cfg)
 	return s
 }
 
 // Step applies an event and appends the resulting actions to out.
 func (s *Scheduler) Step(now time.Duration, ev Event, out []Action) []Action {
-	s.now = now
+	s.now = max(s.now, now)
+	if !s.begun {
+		s.begun, s.started = true, s.now
+	}
 	switch e := ev.(type) {
 	case Configure:
 		s.configure(e.Config)
@@ -48,147 +100,252 @@
 	case Withdraw:
 		s.withdraw(e.ID)
 	case Done:
-		s.finish(e.ID)
+		s.finish(e)
 	case Running:
 		s.restore(e)
 	case OwnerLost:
 		s.dropOwner(e.Session)
+	case LoadReport:
+		s.loadReport(e)
+	case CacheEvent:
+		s.cacheEvent(e)
+	case ProgramPaused:
+		out = s.paused(e, out)
+	case ProgramEnded:
+		out = s.ended(e.Program, out)
 	case EndpointLeaving:
 		if ep := s.byName[e.Endpoint]; ep != nil {
 			ep.Leaving = true
+			s.unpark(ep)
+			s.budget()
 		}
+	case Tick:
+		out = s.sweep(out)
 	}
-	out = s.expire(out)
+	out = s.fireTimers(out)
 	return s.grant(out)
 }
 
 func (s *Scheduler) configure(cfg Config) {
 	old := s.byName
-	s.cfg = cfg
+	s.cfg, s.opt = cfg, cfg.Options
+	if cfg.WeightLatency == 0 && cfg.WeightCache == 0 {
+		s.cfg.WeightLatency, s.cfg.WeightCache = 0.5, 0.5
+	}
 	s.endpoints = s.endpoints[:0]
 	s.byName = make(map[string]*endpoint, len(cfg.Endpoints))
 	for _, c := range cfg.Endpoints {
 		ep := old[c.Name]
 		if ep == nil {
-			ep = &endpoint{}
+			ep = &endpoint{cost: newCostModel(cfg.Model)}
 		}
-		ep.Endpoint = c
+		ep.Endpoint, ep.index, ep.gone = c, len(s.endpoints), false
 		s.endpoints = append(s.endpoints, ep)
 		s.byName[c.Name] = ep
+		if ep.Leaving {
+			s.unpark(ep)
+		}
+	}
+	for name, ep := range old {
+		if s.byName[name] == nil {
+			ep.gone = true
+			s.unpark(ep)
+			s.dropAll(ep)
+		}
+	}
+	for _, d := range s.duties {
+		d.Share = 0
+	}
+	for _, d := range cfg.Duties {
+		s.dutyOf(d.Name).Duty = d
+	}
+	s.budget()
+}
+
+// budget computes the prefix memory that started programs may need. One endpoint without a stated
+// size switches the limit off.
+func (s *Scheduler) budget() {
+	s.cacheBudget = 0
+	if !s.cfg.Model {
+		return
+	}
+	total := int64(0)
+	for _, ep := range s.endpoints {
+		if ep.Leaving {
+			continue
+		}
+		if ep.CacheTokens == 0 {
+			return
+		}
+		total += ep.CacheTokens
 	}
+	s.cacheBudget = int64(cacheFill * float64(total))
 }
 
 func (s *Scheduler) submit(r Request, out []Action) []Action {
 	if _, known := s.calls[r.ID]; known {
 		return out
 	}
-	if s.cfg.QueueLimit > 0 && len(s.queue) >= s.cfg.QueueLimit {
-		return append(out, Refuse{Request: r, Reason: ReasonQueueFull, RetryAfter: time.Second})
+	c := s.newCall(r)
+	if reason, after := s.refusal(c); reason != "" {
+		return append(out, Refuse{Request: r, Reason: reason, RetryAfter: after})
 	}
-	c := &call{req: r, submitted: s.now}
 	if r.CallTimeLimit > 0 {
 		c.expires = s.now + r.CallTimeLimit
+		s.timers.push(timer{at: c.expires, call: c})
 	}
+	c.program = s.programOf(&r)
+	c.program.calls++
+	c.branch = c.program.ensure(r.Branch)
 	s.calls[r.ID] = c
-	s.queue = append(s.queue, c)
+	c.key = s.orderKey(c)
+	c.branch.paused = false
+	if c.fresh && !s.opt.NoProgramOrder {
+		c.key += freshPenalty
+	}
+	s.enqueue(c)
 	return out
 }
 
-func (s *Scheduler) withdraw(a id.Attempt) {
-	c := s.calls[a]
-	if c == nil || c.ep != nil {
+func (s *Scheduler) newCall(r Request) *call {
+	s.serial++
+	c := &call{req: r, serial: s.serial, submitted: s.now, duty: s.dutyOf(r.Duty), units: 1}
+	c.tenant = s.tenantOf(c.duty, r.Tenant)
+	prog := s.programs[r.Program]
+	c.fresh = !s.opt.NoAdmission && r.Calls == 0 && r.Retry == 0 && (prog == nil || !prog.started)
+	if s.cfg.Model {
+		c.units = c.duty.outputTokens
+		if r.MaxTokens > 0 {
+			c.units = min(c.units, float64(r.MaxTokens))
+		}
+	}
+	return c
+}
+
+// enqueue puts a waiting call into the queue of its duty.
+func (s *Scheduler) enqueue(c *call) {
+	s.waiting++
+	c.duty.waiting++
+	c.tenant.waiting++
+	s.ready(c)
+}
+
+func (s *Scheduler) ready(c *call) {
+	if c.fresh && !c.program.started {
+		c.duty.fresh.push(c)
 		return
 	}
-	s.dequeue(c)
-	delete(s.calls, a)
+	c.duty.started.push(c)
 }
 
+// dequeue takes a waiting call out of whichever queue holds it.
 func (s *Scheduler) dequeue(c *call) {
-	for i, q := range s.queue {
-		if q == c {
-			s.queue = append(s.queue[:i], s.queue[i+1:]...)
-			return
-		}
+	c.heap.remove(c)
+	c.parkedAt = nil
+	s.waiting--
+	c.duty.waiting--
+	c.tenant.waiting--
+}
+
+// unpark sends the calls that wait for an endpoint back to their duties.
+func (s *Scheduler) unpark(ep *endpoint) {
+	for ep.parked.len() > 0 {
+		s.stopWaiting(ep.parked.head())
 	}
 }
 
-func (s *Scheduler) finish(a id.Attempt) {
+func (s *Scheduler) stopWaiting(c *call) {
+	c.heap.remove(c)
+	c.parkedAt, c.noPark = nil, true
+	s.ready(c)
+}
+
+func (s *Scheduler) withdraw(a id.Attempt) {
 	c := s.calls[a]
-	if c == nil || c.ep == nil {
-		return
+	if c == nil || c.ep != nil {
+		return // a running call counts until its owner reports Done
 	}
-	c.ep.inFlight--
-	delete(s.calls, a)
+	s.dequeue(c)
+	s.remove(c)
 }
 
-func (s *Scheduler) restore(e Running) {
-	if _, known := s.calls[e.Request.ID]; known {
-		return
+// remove forgets a call that neither waits nor runs.
+func (s *Scheduler) remove(c *call) {
+	delete(s.calls, c.req.ID)
+	c.program.calls--
+	if c.program.calls == 0 && !c.program.started && len(c.program.branches) <= 1 {
+		delete(s.programs, c.program.id)
 	}
+}
+
+func (s *Scheduler) restore(e Running) {
 	ep := s.byName[e.Endpoint]
 	if ep == nil {
 		return
 	}
+	if c, known := s.calls[e.Request.ID]; known {
+		if c.ep != nil {
+			return
+		}
+		s.dequeue(c)
+		s.remove(c)
+	}
+	c := s.newCall(e.Request)
+	c.program = s.programOf(&e.Request)
+	c.program.calls++
+	c.branch = c.program.ensure(e.Request.Branch)
+	s.calls[c.req.ID] = c
+	c.predicted = s.estimate(ep, c, 0)
+	s.run(c, ep)
+}
+
+// run counts a call as in flight at an endpoint.
+func (s *Scheduler) run(c *call, ep *endpoint) {
+	c.ep = ep
 	ep.inFlight++
-	s.calls[e.Request.ID] = &call{req: e.Request, submitted: s.now, ep: ep}
+	c.runningAtGrant = ep.inFlight
+	s.start(c)
 }
 
 func (s *Scheduler) dropOwner(session id.Session) {
-	for a, c := range s.calls {
+	for _, c := range s.calls {
 		if c.req.Owner != session {
 			continue
 		}
 		if c.ep == nil {
 			s.dequeue(c)
 		} else {
-			c.ep.inFlight--
+			s.stop(c)
 		}
-		delete(s.calls, a)
+		s.remove(c)
 	}
 }
 
-func (s *Scheduler) expire(out []Action) []Action {
-	kept := s.queue[:0]
-	for _, c := range s.queue {
-		if c.expires == 0 || s.now < c.expires {
-			kept = append(kept, c)
-			continue
-		}
-		delete(s.calls, c.req.ID)
-		out = append(out, Refuse{Request: c.req, Reason: ReasonExpired, RetryAfter: time.Second})
+// stop ends the accounting of a running call.
+func (s *Scheduler) stop(c *call) {
+	c.ep.inFlight--
+	if c.pinned != nil {
+		c.pinned.pinned--
+		c.pinned = nil
 	}
-	s.queue = kept
-	return out
 }
 
-func (s *Scheduler) grant(out []Action) []Action {
-	for len(s.queue) > 0 {
-		c := s.queue[0]
-		ep, reason := s.choose(c)
-		if ep == nil {
-			return out
+func (s *Scheduler) fireTimers(out []Action) []Action {
+	for len(s.timers.items) > 0 && s.timers.items[0].at <= s.now {
+		t := s.timers.pop()
+		c := t.call
+		if s.calls[c.req.ID] != c || c.ep != nil {
+			continue
 		}
-		s.queue = s.queue[1:]
-		ep.inFlight++
-		c.ep = ep
-		out = append(out, Grant{Request: c.req, Endpoint: ep.Name, Reason: reason, Waited: s.now - c.submitted})
-	}
-	return out
-}
-
-func (s *Scheduler) choose(c *call) (*endpoint, Reason) {
-	if ep := s.byName[c.req.LastEndpoint]; ep != nil && ep.free() {
-		return ep, ReasonWarm
-	}
-	var best *endpoint
-	for _, ep := range s.endpoints {
-		if ep.free() && (best == nil || ep.inFlight*best.MaxInFlight < best.inFlight*ep.MaxInFlight) {
-			best = ep
+		if t.park {
+			if c.parkedAt != nil {
+				s.stopWaiting(c)
+			}
+			continue
 		}
+		s.dequeue(c)
+		s.remove(c)
+		out = append(out, Refuse{Request: c.req, Reason: ReasonExpired, RetryAfter: s.retryAfter(s.waiting, c.req.ProgramAge)})
 	}
-	return best, ReasonLeastLoaded
-}
-
-func (e *endpoint) free() bool {
-	return !e.Leaving && e.inFlight < e.MaxInFlight
+	return out
 }
--- /dev/null
+++ b/internal/sched/share.go
@@ -0,0 +1,166 @@
+package sched
+
+import "ragwortstile/internal/id"
+
+// Bounds of the owed-share account, in units of the mean work of a call.
+const (
+	owedThreshold = 1.0  // a duty that is behind by more is served first
+	maxBehind     = 40.0 // what a duty can be owed at most
+	maxAhead      = 2.0  // what borrowing can be held against a duty
+)
+
+// duty is the queue and the share account of one duty over all owners.
+type duty struct {
+	Duty
+	started, fresh callHeap // calls of started programs; first calls of new programs
+	waiting        int      // in the heaps above and parked at endpoints
+	behind         float64  // work in seconds that the duty is owed; negative: it has borrowed
+	workingSet     int64    // tokens of its started programs
+	outputTokens   float64  // recent mean answer length
+	programTime    float64  // s, recent mean time of a program from first submit to end
+	tenants        map[string]*tenant
+}
+
+// tenant is the part of a duty's queue that belongs to one tenant.
+type tenant struct {
+	name    string
+	waiting int
+	account *Account
+}
+
+func (s *Scheduler) dutyOf(name string) *duty {
+	d := s.dutyByName[name]
+	if d == nil {
+		d = &duty{Duty: Duty{Name: name}, tenants: map[string]*tenant{}, outputTokens: 300}
+		s.dutyByName[name] = d
+		s.duties = append(s.duties, d)
+	}
+	return d
+}
+
+func (s *Scheduler) tenantOf(d *duty, name string) *tenant {
+	t := d.tenants[name]
+	if t == nil {
+		t = &tenant{name: name, account: s.accountOf(name)}
+		d.tenants[name] = t
+	}
+	return t
+}
+
+// charge books work of a duty and what the duties with waiting calls are owed of it. An idle duty is
+// owed nothing, which lends its share to the others.
+func (s *Scheduler) charge(served *duty, work float64) {
+	if s.opt.NoShares || work == 0 {
+		return
+	}
+	unit := s.meanWork
+	for _, d := range s.duties {
+		if d.waiting > 0 || d == served {
+			d.behind += d.Share * work
+		} else if d.behind > 0 {
+			d.behind = 0
+		}
+		if d == served {
+			d.behind -= work
+		}
+		d.behind = min(max(d.behind, -maxAhead*unit), maxBehind*unit)
+	}
+}
+
+// owed returns the duty that is furthest behind its owed share and has a call that can run.
+func (s *Scheduler) owed() *duty {
+	if s.opt.NoShares {
+		return nil
+	}
+	var best *duty
+	for _, d := range s.duties {
+		if d.Share <= 0 || d.behind <= owedThreshold*s.meanWork || !s.runnable(d) {
+			continue
+		}
+		if best == nil || d.behind*best.Share > best.behind*d.Share {
+			best = d
+		}
+	}
+	return best
+}
+
+// runnable tells whether the duty has a call that may be granted, apart from calls parked at endpoints.
+func (s *Scheduler) runnable(d *duty) bool {
+	return d.started.len() > 0 || (d.fresh.len() > 0 && s.admits(d))
+}
+
+// next returns the duty's call that is served first.
+func (s *Scheduler) next(d *duty) *call {
+	c := d.started.head()
+	if f := d.fresh.head(); f != nil && (c == nil || before(f, c)) && s.admits(d) {
+		return f
+	}
+	return c
+}
+
+// first returns the call that is served first over all duties.
+func (s *Scheduler) first() *call {
+	var best *call
+	for _, d := range s.duties {
+		if d.waiting == 0 {
+			continue
+		}
+		if c := s.next(d); c != nil && (best == nil || before(c, best)) {
+			best = c
+		}
+	}
+	return best
+}
+
+// work is the charge of a call: the mean of its time at the endpoint and of its tokens at the pool's
+// mean speed. Time alone would charge a duty for slow endpoints, tokens alone would not charge it
+// for places it holds.
+func (s *Scheduler) work(total float64, uncached, output int64) float64 {
+	if !s.cfg.Model {
+		return total
+	}
+	tokens := float64(uncached)/s.poolPrefill + float64(output)*s.poolUnit
+	return (total + tokens) / 2
+}
+
+// Account sums the prefix tokens of one tenant in the pool.
+type Account struct {
+	Tenant string
+	Filled int64 // computed into a cache
+	Reused int64 // found in a cache
+	Wasted int64 // filled, then evicted or released before reuse, as the scheduler knows it
+}
+
+func (s *Scheduler) accountOf(name string) *Account {
+	a := s.accounts[name]
+	if a == nil {
+		a = &Account{Tenant: name}
+		s.accounts[name] = a
+	}
+	return a
+}
+
+// Account returns the account of a tenant.
+func (s *Scheduler) Account(tenant string) Account {
+	if a := s.accounts[tenant]; a != nil {
+		return *a
+	}
+	return Account{Tenant: tenant}
+}
+
+// InFlight returns the number of calls that count against an endpoint's limit.
+func (s *Scheduler) InFlight(endpoint string) int {
+	if e := s.byName[endpoint]; e != nil {
+		return e.inFlight
+	}
+	return 0
+}
+
+// Waiting returns the number of calls that wait.
+func (s *Scheduler) Waiting() int { return s.waiting }
+
+// State tells whether an attempt is known and whether it was granted.
+func (s *Scheduler) State(a id.Attempt) (known, granted bool) {
+	c := s.calls[a]
+	return c != nil, c != nil && c.ep != nil
+}
