Add the peer protocol: frames, messages, connections and authentication

Cause: instances exchange heartbeats, forwarded calls, dispatcher messages and turn copies, and the server part needs the types and the connection handling.

--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,284 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
+
+	"ragwortstile/internal/id"
+	"ragwortstile/internal/program"
+	"ragwortstile/internal/wire"
+)
+
+const testWait = 10 * time.Second
+
+// recorder is a Handler that keeps what it got. A Forward is answered by blocks until the context
+// ends or all are sent; other requests are answered by serve.
+type recorder struct {
+	mu       sync.Mutex
+	received []wire.Message
+	gone     []error
+	canceled chan struct{}
+	sent     int
+	blocks   int
+}
+
+func (h *recorder) Connected(Remote) {}
+
+func (h *recorder) Disconnected(_ Remote, err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.gone = append(h.gone, err)
+}
+
+func (h *recorder) Receive(_ Remote, m wire.Message) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.received = append(h.received, m)
+}
+
+func (h *recorder) Serve(ctx context.Context, _ Remote, m wire.Message, r *Replier) error {
+	switch m.(type) {
+	case wire.StatusGet:
+		return r.SendLast(ctx, wire.Status{Zone: "z1", Programs: 7})
+	case wire.Explain:
+		return wire.Error{Code: wire.CodeNotHolder, Holder: "c.1"}
+	case wire.Forward:
+		return h.stream(ctx, r)
+	}
+	return errors.New("secret detail")
+}
+
+const blockBytes = 256 << 10
+
+func (h *recorder) stream(ctx context.Context, r *Replier) error {
+	for i := range h.blocks {
+		data := program.StreamData{Offset: int64(i) * blockBytes, Data: make([]byte, blockBytes)}
+		if err := r.Send(ctx, wire.Chunk{Data: &data}); err != nil {
+			if h.canceled != nil {
+				close(h.canceled)
+			}
+			return err
+		}
+		h.mu.Lock()
+		h.sent++
+		h.mu.Unlock()
+	}
+	return r.SendLast(ctx, wire.Chunk{End: &program.StreamEnd{}})
+}
+
+func (h *recorder) count() (received, gone, sent int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.received), len(h.gone), h.sent
+}
+
+type testNode struct {
+	*Node
+	handler *recorder
+	addr    string
+	stop    func()
+}
+
+var testKey = []byte("0123456789abcdef-key-one")
+
+func startNode(t *testing.T, session id.Session, change func(*Config)) *testNode {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	return startNodeAt(t, session, l, change)
+}
+
+func startNodeAt(t *testing.T, session id.Session, l net.Listener, change func(*Config)) *testNode {
+	t.Helper()
+	keys, err := NewKeyring(testKey)
+	must.NoError(t, err)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	h := &recorder{blocks: 64}
+	cfg := Config{Session: session, Zone: "z", Handler: h, Log: log, Keys: keys}
+	if change != nil {
+		change(&cfg)
+	}
+	n, err := New(cfg)
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = n.Serve(ctx, l)
+	}()
+	stop := func() {
+		cancel()
+		<-done
+	}
+	t.Cleanup(stop)
+	return &testNode{Node: n, handler: h, addr: l.Addr().String(), stop: stop}
+}
+
+func waitFor(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(testWait)
+	for !ok() {
+		if time.Now().After(deadline) {
+			t.Fatalf("timeout waiting for: %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func link(t *testing.T, a, b *testNode) {
+	t.Helper()
+	a.SetPeers([]Peer{{Instance: b.cfg.Session.Instance(), Addr: b.addr}})
+	waitFor(t, "connection", func() bool { return len(a.Connected()) == 1 && len(b.Connected()) == 1 })
+}
+
+func ask(t *testing.T, n *testNode, to id.Session, m wire.Message) (wire.Message, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testWait)
+	defer cancel()
+	return n.Ask(ctx, to, m)
+}
+
+// Guards against mixed-up replies, lost one-way messages and untyped errors over one connection.
+func TestExchangesAndOneWayMessages(t *testing.T) {
+	a, b := startNode(t, "a.1", nil), startNode(t, "b.1", nil)
+	link(t, a, b)
+	var wg sync.WaitGroup
+	for range 50 {
+		wg.Go(func() {
+			m, err := ask(t, a, "b.1", wire.StatusGet{})
+			must.NoError(t, err)
+			must.Eq(t, 7, m.(wire.Status).Programs)
+		})
+		wg.Go(func() {
+			_, err := ask(t, b, "a.1", wire.Explain{})
+			var refused wire.Error
+			must.True(t, errors.As(err, &refused))
+			must.Eq(t, wire.Error{Code: wire.CodeNotHolder, Holder: "c.1"}, refused)
+		})
+	}
+	wg.Wait()
+	_, err := ask(t, a, "b.1", wire.ManifestGet{})
+	must.Eq(t, error(wire.Error{Code: wire.CodeInternal, Detail: "internal error"}), err)
+	for i := range 200 {
+		must.NoError(t, a.Send("b.1", wire.HeartbeatAck{Session: "a.1", Round: uint64(i)}))
+	}
+	waitFor(t, "one-way messages", func() bool { n, _, _ := b.handler.count(); return n == 200 })
+	for i, m := range b.handler.received {
+		must.Eq(t, uint64(i), m.(wire.HeartbeatAck).Round)
+	}
+	bytes := a.Bytes()
+	must.Positive(t, bytes.ControlOut)
+	must.Positive(t, bytes.PayloadOut) // ManifestGet
+	must.ErrorIs(t, a.Send("x.1", wire.Ping{}), ErrNotConnected)
+	must.ErrorIs(t, a.Send("b.2", wire.Ping{}), ErrWrongSession)
+}
+
+// Guards against a slow reader that holds up other exchanges or makes its peer buffer without bound.
+func TestSlowReaderDelaysOnlyItsExchange(t *testing.T) {
+	a, b := startNode(t, "a.1", nil), startNode(t, "b.1", nil)
+	link(t, a, b)
+	ctx, cancel := context.WithTimeout(context.Background(), testWait)
+	defer cancel()
+	x, err := a.Call(ctx, "b.1", wire.Forward{})
+	must.NoError(t, err)
+	defer x.Close()
+	waitFor(t, "window used up", func() bool { _, _, sent := b.handler.count(); return sent >= WindowBytes/blockBytes })
+	for range 20 {
+		_, err := ask(t, a, "b.1", wire.StatusGet{})
+		must.NoError(t, err)
+	}
+	_, _, sent := b.handler.count()
+	must.LessEq(t, WindowBytes/blockBytes+1, sent)
+	want := int64(0)
+	for {
+		m, err := x.Recv(ctx)
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		must.NoError(t, err)
+		if c := m.(wire.Chunk); c.Data != nil {
+			must.Eq(t, want, c.Data.Offset)
+			want += blockBytes
+		}
+	}
+	must.Eq(t, int64(b.handler.blocks)*blockBytes, want)
+}
+
+// Guards against replies that go on after the requester left, and against leaked exchanges.
+func TestCancelReachesTheReplier(t *testing.T) {
+	canceled := make(chan struct{})
+	a, b := startNode(t, "a.1", nil), startNode(t, "b.1", nil)
+	b.handler.canceled = canceled
+	link(t, a, b)
+	ctx, cancel := context.WithTimeout(context.Background(), testWait)
+	defer cancel()
+	x, err := a.Call(ctx, "b.1", wire.Forward{})
+	must.NoError(t, err)
+	_, err = x.Recv(ctx)
+	must.NoError(t, err)
+	x.Close()
+	select {
+	case <-canceled:
+	case <-ctx.Done():
+		t.Fatal("replier was not cancelled")
+	}
+	waitFor(t, "no exchange left", func() bool {
+		return a.conns["b"].exchanges() == 0 && b.conns["a"].exchanges() == 0
+	})
+	_, err = ask(t, a, "b.1", wire.StatusGet{})
+	must.NoError(t, err)
+}
+
+// Guards against an exchange that waits for ever after its connection broke, and checks that the
+// connection comes back, to the restarted session.
+func TestReconnectToRestartedPeer(t *testing.T) {
+	a, b := startNode(t, "a.1", nil), startNode(t, "b.1", nil)
+	link(t, a, b)
+	ctx, cancel := context.WithTimeout(context.Background(), testWait)
+	defer cancel()
+	x, err := a.Call(ctx, "b.1", wire.Forward{})
+	must.NoError(t, err)
+	defer x.Close()
+	b.stop()
+	for err == nil {
+		_, err = x.Recv(ctx)
+	}
+	must.ErrorIs(t, err, ErrClosed)
+	l, err := net.Listen("tcp", b.addr)
+	must.NoError(t, err)
+	startNodeAt(t, "b.2", l, nil)
+	waitFor(t, "reconnection", func() bool { _, err := ask(t, a, "b.2", wire.StatusGet{}); return err == nil })
+	must.ErrorIs(t, a.Send("b.1", wire.Ping{}), ErrWrongSession)
+	waitFor(t, "disconnected event", func() bool { _, gone, _ := a.handler.count(); return gone == 1 })
+}
+
+// Guards against two connections per pair, or none, when both sides dial at once.
+func TestSimultaneousDialLeavesOneConnection(t *testing.T) {
+	for round := range 5 {
+		a := startNode(t, "a.1", nil)
+		b := startNode(t, id.Session(fmt.Sprintf("b.%d", round)), nil)
+		var wg sync.WaitGroup
+		wg.Go(func() { _ = a.dial(t.Context(), Peer{Instance: "b", Addr: b.addr}) })
+		wg.Go(func() { _ = b.dial(t.Context(), Peer{Instance: "a", Addr: a.addr}) })
+		waitFor(t, "one connection each", func() bool {
+			_, goneA, _ := a.handler.count()
+			_, goneB, _ := b.handler.count()
+			return goneA == 1 && goneB == 1 && len(a.Connected()) == 1 && len(b.Connected()) == 1
+		})
+		must.True(t, a.conns["b"].dialed)
+		must.False(t, b.conns["a"].dialed)
+		a.stop()
+		b.stop()
+		wg.Wait()
+	}
+}
--- /dev/null
+++ b/internal/wire/kind.go
@@ -0,0 +1,95 @@
+package wire
+
+// Kind tells the type of a message. The numbers are part of the protocol and are never reused.
+type Kind uint8
+
+// Kinds of messages.
+const (
+	KindHello Kind = iota + 1
+	KindProof
+	KindReady
+	KindError
+	KindCancel
+	KindCredit
+	KindPing
+	KindAck
+	KindHeartbeat
+	KindHeartbeatAck
+	KindForward
+	KindChunk
+	KindSubmit
+	KindWithdraw
+	KindDone
+	KindGrant
+	KindRefuse
+	KindRunning
+	KindProgramPaused
+	KindProgramEnded
+	KindCopyPut
+	KindCopyGet
+	KindCopies
+	KindCopyDrop
+	KindManifestGet
+	KindManifest
+	KindExplain
+	KindExplained
+	KindStatusGet
+	KindStatus
+	kindEnd // one above the last kind
+)
+
+var kindNames = [kindEnd]string{
+	KindHello:         "hello",
+	KindProof:         "proof",
+	KindReady:         "ready",
+	KindError:         "error",
+	KindCancel:        "cancel",
+	KindCredit:        "credit",
+	KindPing:          "ping",
+	KindAck:           "ack",
+	KindHeartbeat:     "heartbeat",
+	KindHeartbeatAck:  "heartbeat_ack",
+	KindForward:       "forward",
+	KindChunk:         "chunk",
+	KindSubmit:        "submit",
+	KindWithdraw:      "withdraw",
+	KindDone:          "done",
+	KindGrant:         "grant",
+	KindRefuse:        "refuse",
+	KindRunning:       "running",
+	KindProgramPaused: "program_paused",
+	KindProgramEnded:  "program_ended",
+	KindCopyPut:       "copy_put",
+	KindCopyGet:       "copy_get",
+	KindCopies:        "copies",
+	KindCopyDrop:      "copy_drop",
+	KindManifestGet:   "manifest_get",
+	KindManifest:      "manifest",
+	KindExplain:       "explain",
+	KindExplained:     "explained",
+	KindStatusGet:     "status_get",
+	KindStatus:        "status",
+}
+
+// Known tells whether this binary knows the kind.
+func (k Kind) Known() bool { return k > 0 && k < kindEnd }
+
+// String returns the name used in logs.
+func (k Kind) String() string {
+	if !k.Known() {
+		return "unknown"
+	}
+	return kindNames[k]
+}
+
+// Payload tells whether messages of the kind carry callers' data. Their bytes are counted apart
+// from control messages, and they are queued behind control messages.
+func (k Kind) Payload() bool {
+	switch k {
+	case KindForward, KindChunk, KindCopyPut, KindCopyGet, KindCopies, KindManifestGet, KindManifest,
+		KindExplain, KindExplained:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/wire/message.go
@@ -0,0 +1,278 @@
+package wire
+
+import (
+	"time"
+
+	"ragwortstile/internal/id"
+	"ragwortstile/internal/program"
+	"ragwortstile/internal/sched"
+)
+
+// Message is the content of a frame. The concrete types of this package implement it.
+type Message interface {
+	Kind() Kind
+}
+
+// Hello opens a connection in both directions. The acceptor's Hello carries its proof.
+type Hello struct {
+	Session    id.Session `msgpack:"ss"`
+	Zone       string     `msgpack:"z"` // availability zone
+	MinVersion uint8      `msgpack:"vl"`
+	MaxVersion uint8      `msgpack:"vh"`
+	Nonce      []byte     `msgpack:"n"`
+	KeyIDs     [][]byte   `msgpack:"ki"` // dialer: keys it has; acceptor: the key it chose; empty with TLS
+	Proof      []byte     `msgpack:"pf"` // acceptor only
+}
+
+// Proof is the dialer's answer to the acceptor's challenge.
+type Proof struct {
+	Proof []byte `msgpack:"pf"`
+}
+
+// Ready tells the dialer that the acceptor has accepted it.
+type Ready struct{}
+
+// ErrorCode is the machine-readable part of an Error.
+type ErrorCode string
+
+// Codes of errors.
+const (
+	CodeUnknownVersion ErrorCode = "unknown_version"
+	CodeUnknownKind    ErrorCode = "unknown_kind"
+	CodeMalformed      ErrorCode = "malformed"
+	CodeAuth           ErrorCode = "authentication_failed"
+	CodeBusy           ErrorCode = "busy"
+	CodeNotHolder      ErrorCode = "not_holder"
+	CodeNotDispatcher  ErrorCode = "not_dispatcher"
+	CodeWrongSession   ErrorCode = "wrong_session"
+	CodeUnsupported    ErrorCode = "unsupported"
+	CodeInternal       ErrorCode = "internal"
+	CodeDraining       ErrorCode = "draining"
+	CodeFlowControl    ErrorCode = "flow_control"
+)
+
+// Error ends an exchange, or a connection when it has exchange ID 0. It implements error.
+type Error struct {
+	Code   ErrorCode  `msgpack:"c"`
+	Detail string     `msgpack:"d"`
+	Holder id.Session `msgpack:"h"` // with CodeNotHolder and CodeNotDispatcher: who is, if known
+}
+
+// Error implements error.
+func (e Error) Error() string { return "peer: " + string(e.Code) + ": " + e.Detail }
+
+// Cancel ends an exchange early. The requester sends it.
+type Cancel struct{}
+
+// Credit lets the replier of an exchange send more bytes.
+type Credit struct {
+	Bytes int64 `msgpack:"b"`
+}
+
+// Ping keeps an idle connection from being closed. It has no answer.
+type Ping struct{}
+
+// Ack answers requests that have no other answer, such as CopyPut and CopyDrop.
+type Ack struct{}
+
+// SlotEpoch is a slot with the epoch under which it is held.
+type SlotEpoch struct {
+	Slot  id.Slot  `msgpack:"s"`
+	Epoch id.Epoch `msgpack:"e"`
+}
+
+// PoolCount is a number of calls of a pool.
+type PoolCount struct {
+	Pool  string `msgpack:"p"`
+	Calls int    `msgpack:"c"`
+}
+
+// Heard tells when the sender last received a heartbeat directly from a session.
+type Heard struct {
+	Session id.Session `msgpack:"s"`
+	AgeMS   int64      `msgpack:"a"` // at the time of sending
+}
+
+// Heartbeat is sent to every peer each 500 ms.
+type Heartbeat struct {
+	Session         id.Session    `msgpack:"ss"`
+	Round           uint64        `msgpack:"n"`  // rises by 1 with each round of the session
+	Sent            time.Duration `msgpack:"at"` // on the sender's monotonic clock
+	Zone            string        `msgpack:"z"`
+	ManifestVersion uint64        `msgpack:"mv,omitempty"`
+	Draining        bool          `msgpack:"dr,omitempty"`
+	Slots           []SlotEpoch   `msgpack:"sl,omitempty"`
+	Leaving         []string      `msgpack:"lv,omitempty"` // endpoints marked as leaving
+	Running         []PoolCount   `msgpack:"rn,omitempty"`
+	Heard           []Heard       `msgpack:"hd,omitempty"`
+}
+
+// HeartbeatAck tells that a round has arrived.
+type HeartbeatAck struct {
+	Session id.Session `msgpack:"ss"` // the one that acknowledges
+	Round   uint64     `msgpack:"n"`
+}
+
+// Forward passes one authenticated caller request to the owner of its program. Exactly one field is
+// set. The Req fields are ignored; the owner assigns its own. The replies are Chunks.
+type Forward struct {
+	Open    *program.OpenProgram    `msgpack:"op,omitempty"`
+	Branch  *program.OpenBranch     `msgpack:"br,omitempty"`
+	Model   *program.ModelCall      `msgpack:"mc,omitempty"`
+	Service *program.ServiceCall    `msgpack:"sc,omitempty"`
+	Settle  *program.SettleCall     `msgpack:"st,omitempty"`
+	Join    *program.JoinCall       `msgpack:"jn,omitempty"`
+	End     *program.EndProgram     `msgpack:"en,omitempty"`
+	Read    *program.ReadProgram    `msgpack:"rd,omitempty"`
+	Explain *program.ExplainProgram `msgpack:"ex,omitempty"`
+}
+
+// Chunk is one reply to a Forward. Exactly one field is set. Reply and End are last replies.
+type Chunk struct {
+	Reply *program.Reply      `msgpack:"r,omitempty"`
+	Data  *program.StreamData `msgpack:"d,omitempty"`
+	End   *program.StreamEnd  `msgpack:"e,omitempty"`
+}
+
+// Submit queues an attempt at the dispatcher of a pool. Like all messages between owner and
+// dispatcher it is one-way; the owner submits again when the connection or the dispatcher changes.
+type Submit struct {
+	Pool    string        `msgpack:"po"`
+	Request sched.Request `msgpack:"rq"`
+}
+
+// Withdraw gives up an attempt.
+type Withdraw struct {
+	Pool string     `msgpack:"po"`
+	ID   id.Attempt `msgpack:"id"`
+}
+
+// Done reports the end of a granted attempt.
+type Done struct {
+	Pool string     `msgpack:"po"`
+	Done sched.Done `msgpack:"dn"`
+}
+
+// Grant lets the owner dispatch an attempt. The owner knows the request by its ID.
+type Grant struct {
+	Pool     string        `msgpack:"po"`
+	ID       id.Attempt    `msgpack:"id"`
+	Endpoint string        `msgpack:"e"`
+	Reason   sched.Reason  `msgpack:"r"`
+	MoveFrom string        `msgpack:"mf"`
+	Waited   time.Duration `msgpack:"w"`
+}
+
+// Refuse tells the owner that an attempt was not granted and will not be.
+type Refuse struct {
+	Pool       string        `msgpack:"po"`
+	ID         id.Attempt    `msgpack:"id"`
+	Reason     sched.Reason  `msgpack:"r"`
+	RetryAfter time.Duration `msgpack:"ra"`
+}
+
+// RunningCall is a granted attempt that has not ended.
+type RunningCall struct {
+	Request  sched.Request `msgpack:"rq"`
+	Endpoint string        `msgpack:"e"`
+}
+
+// Running reports the running calls of an owner to a new dispatcher of a pool.
+type Running struct {
+	Pool  string        `msgpack:"po"`
+	Calls []RunningCall `msgpack:"cs"`
+}
+
+// ProgramPaused tells a dispatcher that a branch waits for a tool.
+type ProgramPaused struct {
+	Pool   string              `msgpack:"po"`
+	Paused sched.ProgramPaused `msgpack:"pp"`
+}
+
+// ProgramEnded tells a dispatcher that a program needs no cache any more.
+type ProgramEnded struct {
+	Pool  string             `msgpack:"po"`
+	Ended sched.ProgramEnded `msgpack:"pe"`
+}
+
+// Copy is a group of records that a peer keeps while the log is down.
+type Copy struct {
+	Slot    id.Slot    `msgpack:"sl"`
+	Epoch   id.Epoch   `msgpack:"ep"`
+	Session id.Session `msgpack:"ss"` // the owner that asked for it
+	Ref     uint64     `msgpack:"rf"` // unique in the session
+	Batch   []byte     `msgpack:"bt"` // encoded by package record
+}
+
+// CopyPut asks a peer to keep a copy. An Ack answers it.
+type CopyPut struct {
+	Copy Copy `msgpack:"c"`
+}
+
+// CopyGet asks for the copies of a slot at epochs up to Epoch. Copies answer it; the last reply has
+// More unset.
+type CopyGet struct {
+	Slot  id.Slot  `msgpack:"sl"`
+	Epoch id.Epoch `msgpack:"ep"`
+}
+
+// Copies is a reply to CopyGet.
+type Copies struct {
+	Copies []Copy `msgpack:"cs"`
+	More   bool   `msgpack:"m"`
+}
+
+// CopyDrop lets a peer forget copies that were read back from the log. An Ack answers it.
+type CopyDrop struct {
+	Slot    id.Slot    `msgpack:"sl"`
+	Session id.Session `msgpack:"ss"`
+	Refs    []uint64   `msgpack:"rf"`
+}
+
+// ManifestGet asks for the manifest in force if its version is at least Min. Manifest answers it.
+type ManifestGet struct {
+	Min uint64 `msgpack:"mi"`
+}
+
+// Manifest is the manifest in force. Version 0 means that the peer has none that is new enough.
+type Manifest struct {
+	Version uint64 `msgpack:"v"`
+	Digest  string `msgpack:"dg"` // hex SHA-256 of JSON
+	JSON    []byte `msgpack:"m"`
+}
+
+// Explain asks an owner for the decisions taken for a program. Explained answers it.
+type Explain struct {
+	Tenant  string     `msgpack:"t"` // empty: an operator asks
+	Program id.Program `msgpack:"p"`
+}
+
+// Explained is the answer to Explain.
+type Explained struct {
+	Decisions []program.Decision `msgpack:"ds"`
+}
+
+// StatusGet asks for the state of an instance. Status answers it.
+type StatusGet struct{}
+
+// PoolStatus is the state of a pool at its dispatcher.
+type PoolStatus struct {
+	Pool    string `msgpack:"po"`
+	Waiting int    `msgpack:"w"`
+	Running int    `msgpack:"r"`
+}
+
+// Status is the state of an instance.
+type Status struct {
+	Session         id.Session    `msgpack:"ss"`
+	Zone            string        `msgpack:"z"`
+	Ready           bool          `msgpack:"rd"`
+	Draining        bool          `msgpack:"dr"`
+	LogDown         bool          `msgpack:"ld"`
+	ManifestVersion uint64        `msgpack:"mv"`
+	ManifestAge     time.Duration `msgpack:"ma"` // since this version came into force here
+	Slots           []SlotEpoch   `msgpack:"sl"`
+	Programs        int           `msgpack:"pn"` // open programs of the slots held
+	Pools           []PoolStatus  `msgpack:"ps"` // pools this instance dispatches
+	Peers           []Heard       `msgpack:"pr"`
+}
--- /dev/null
+++ b/internal/wire/registry.go
@@ -0,0 +1,125 @@
+package wire
+
+// Kind implements Message.
+func (Hello) Kind() Kind { return KindHello }
+
+// Kind implements Message.
+func (Proof) Kind() Kind { return KindProof }
+
+// Kind implements Message.
+func (Ready) Kind() Kind { return KindReady }
+
+// Kind implements Message.
+func (Error) Kind() Kind { return KindError }
+
+// Kind implements Message.
+func (Cancel) Kind() Kind { return KindCancel }
+
+// Kind implements Message.
+func (Credit) Kind() Kind { return KindCredit }
+
+// Kind implements Message.
+func (Ping) Kind() Kind { return KindPing }
+
+// Kind implements Message.
+func (Ack) Kind() Kind { return KindAck }
+
+// Kind implements Message.
+func (Heartbeat) Kind() Kind { return KindHeartbeat }
+
+// Kind implements Message.
+func (HeartbeatAck) Kind() Kind { return KindHeartbeatAck }
+
+// Kind implements Message.
+func (Forward) Kind() Kind { return KindForward }
+
+// Kind implements Message.
+func (Chunk) Kind() Kind { return KindChunk }
+
+// Kind implements Message.
+func (Submit) Kind() Kind { return KindSubmit }
+
+// Kind implements Message.
+func (Withdraw) Kind() Kind { return KindWithdraw }
+
+// Kind implements Message.
+func (Done) Kind() Kind { return KindDone }
+
+// Kind implements Message.
+func (Grant) Kind() Kind { return KindGrant }
+
+// Kind implements Message.
+func (Refuse) Kind() Kind { return KindRefuse }
+
+// Kind implements Message.
+func (Running) Kind() Kind { return KindRunning }
+
+// Kind implements Message.
+func (ProgramPaused) Kind() Kind { return KindProgramPaused }
+
+// Kind implements Message.
+func (ProgramEnded) Kind() Kind { return KindProgramEnded }
+
+// Kind implements Message.
+func (CopyPut) Kind() Kind { return KindCopyPut }
+
+// Kind implements Message.
+func (CopyGet) Kind() Kind { return KindCopyGet }
+
+// Kind implements Message.
+func (Copies) Kind() Kind { return KindCopies }
+
+// Kind implements Message.
+func (CopyDrop) Kind() Kind { return KindCopyDrop }
+
+// Kind implements Message.
+func (ManifestGet) Kind() Kind { return KindManifestGet }
+
+// Kind implements Message.
+func (Manifest) Kind() Kind { return KindManifest }
+
+// Kind implements Message.
+func (Explain) Kind() Kind { return KindExplain }
+
+// Kind implements Message.
+func (Explained) Kind() Kind { return KindExplained }
+
+// Kind implements Message.
+func (StatusGet) Kind() Kind { return KindStatusGet }
+
+// Kind implements Message.
+func (Status) Kind() Kind { return KindStatus }
+
+// decoders holds the decoder of each kind.
+var decoders = [kindEnd]func([]byte) (Message, error){
+	KindHello:         decodeAs[Hello],
+	KindProof:         decodeAs[Proof],
+	KindReady:         decodeAs[Ready],
+	KindError:         decodeAs[Error],
+	KindCancel:        decodeAs[Cancel],
+	KindCredit:        decodeAs[Credit],
+	KindPing:          decodeAs[Ping],
+	KindAck:           decodeAs[Ack],
+	KindHeartbeat:     decodeAs[Heartbeat],
+	KindHeartbeatAck:  decodeAs[HeartbeatAck],
+	KindForward:       decodeAs[Forward],
+	KindChunk:         decodeAs[Chunk],
+	KindSubmit:        decodeAs[Submit],
+	KindWithdraw:      decodeAs[Withdraw],
+	KindDone:          decodeAs[Done],
+	KindGrant:         decodeAs[Grant],
+	KindRefuse:        decodeAs[Refuse],
+	KindRunning:       decodeAs[Running],
+	KindProgramPaused: decodeAs[ProgramPaused],
+	KindProgramEnded:  decodeAs[ProgramEnded],
+	KindCopyPut:       decodeAs[CopyPut],
+	KindCopyGet:       decodeAs[CopyGet],
+	KindCopies:        decodeAs[Copies],
+	KindCopyDrop:      decodeAs[CopyDrop],
+	KindManifestGet:   decodeAs[ManifestGet],
+	KindManifest:      decodeAs[Manifest],
+	KindExplain:       decodeAs[Explain],
+	KindExplained:     decodeAs[Explained],
+	KindStatusGet:     decodeAs[StatusGet],
+	KindStatus:        decodeAs[Status],
+}
