server: add the supervisor tree and the core loop

Cause: the decision cores need a shell that carries their events and actions. Change: an instance with its supervisor tree, one loop that owns the cores' state, requests, peers, platform clients, claims, copies, dispatchers and drain.

--- /dev/null
+++ b/internal/command/query.go
@@ -0,0 +1,177 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"ragwortstile/internal/server"
+)
+
+const (
+	queryTimeout  = 10 * time.Second
+	maxQueryBytes = 16 << 20
+)
+
+// queryFlags are the settings of commands that ask a running instance.
+type queryFlags struct {
+	url  string
+	key  string
+	json bool
+}
+
+func (q *queryFlags) flags(fs *flag.FlagSet) {
+	fs.StringVar(&q.url, "url", "", "base URL of any instance's front")
+	fs.StringVar(&q.key, "key", "", "bearer key of the operator or of the tenant")
+	fs.BoolVar(&q.json, "json", false, "print the answer as JSON")
+}
+
+func (q *queryFlags) get(ctx context.Context, path string) ([]byte, error) {
+	if q.url == "" {
+		return nil, usagef("--url (%s_URL): the address of an instance is missing", envPrefix)
+	}
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, strings.TrimRight(q.url, "/")+path, nil)
+	if err != nil {
+		return nil, usagef("--url (%s_URL): %v", envPrefix, err)
+	}
+	req.Header.Set("Authorization", "Bearer "+q.key)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxQueryBytes))
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, problemError(resp.StatusCode, body)
+	}
+	return body, nil
+}
+
+// problemError returns the error of a problem document.
+func problemError(status int, body []byte) error {
+	var p struct {
+		Type   string `json:"type"`
+		Detail string `json:"detail"`
+	}
+	if err := json.Unmarshal(body, &p); err != nil || p.Type == "" {
+		return fmt.Errorf("status %d", status)
+	}
+	return fmt.Errorf("status %d: %s: %s", status, p.Type[strings.LastIndexByte(p.Type, ':')+1:], p.Detail)
+}
+
+func statusCommand(env environment) *ffcli.Command {
+	fs := newFlagSet(env, "ragwortstile status")
+	var q queryFlags
+	q.flags(fs)
+	return newCommand("status", "status --url URL [flags]", "Show the state of all instances, as one of them sees it.", fs,
+		func(ctx context.Context, args []string) error {
+			if err := noArgs(args); err != nil {
+				return err
+			}
+			body, err := q.get(ctx, "/v1/status")
+			if err != nil {
+				return err
+			}
+			if q.json {
+				_, err = env.stdout.Write(body)
+				return err
+			}
+			var s server.FleetStatus
+			if err := json.Unmarshal(body, &s); err != nil {
+				return err
+			}
+			return printStatus(env.stdout, s)
+		})
+}
+
+func printStatus(out io.Writer, s server.FleetStatus) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "SESSION\tZONE\tSTATE\tLOG\tMANIFEST\tSLOTS\tPROGRAMS\tPOOLS")
+	for _, i := range s.Instances {
+		state := "ready"
+		switch {
+		case i.Error != "":
+			state = "no answer: " + i.Error
+		case i.Draining:
+			state = "draining"
+		case !i.Ready:
+			state = "not ready"
+		}
+		logState := "up"
+		if i.LogDown {
+			logState = "down"
+		}
+		var pools []string
+		for _, p := range i.Pools {
+			pools = append(pools, fmt.Sprintf("%s %d waiting %d running", p.Pool, p.Waiting, p.Running))
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s\n", i.Session, i.Zone, state, logState, i.ManifestVersion,
+			i.Slots, i.Programs, strings.Join(pools, ", "))
+	}
+	return w.Flush()
+}
+
+func explainCommand(env environment) *ffcli.Command {
+	fs := newFlagSet(env, "ragwortstile explain")
+	var q queryFlags
+	q.flags(fs)
+	return newCommand("explain", "explain --url URL [flags] PROGRAM", "Show the decisions that were taken for a program.", fs,
+		func(ctx context.Context, args []string) error {
+			prog, err := oneArg(args, "the program ID")
+			if err != nil {
+				return err
+			}
+			body, err := q.get(ctx, "/v1/programs/"+prog+"/explain")
+			if err != nil {
+				return err
+			}
+			if q.json {
+				_, err = env.stdout.Write(body)
+				return err
+			}
+			return printDecisions(env.stdout, body)
+		})
+}
+
+// explanation is the part of the answer to explain that is printed.
+type explanation struct {
+	Decisions []struct {
+		At   int64 `json:"at_ns"`
+		Call struct {
+			Branch string
+			Seq    uint64
+		} `json:"call"`
+		Attempt  string `json:"attempt"`
+		Endpoint string `json:"endpoint"`
+		What     string `json:"what"`
+		Reason   string `json:"reason"`
+	} `json:"decisions"`
+}
+
+func printDecisions(out io.Writer, body []byte) error {
+	var e explanation
+	if err := json.Unmarshal(body, &e); err != nil {
+		return errors.Join(errors.New("the answer could not be read"), err)
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "AT\tCALL\tDECISION\tREASON\tENDPOINT")
+	for _, d := range e.Decisions {
+		at := time.Duration(d.At).Round(time.Millisecond)
+		fmt.Fprintf(w, "%s\t%s/%d\t%s\t%s\t%s\n", at, d.Call.Branch, d.Call.Seq, d.What, d.Reason, d.Endpoint)
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/internal/server/actions.go
@@ -0,0 +1,111 @@
+package server
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"ragwortstile/internal/program"
+	"ragwortstile/internal/record"
+	"ragwortstile/internal/sched"
+)
+
+// act carries out one action of the owner core.
+func (c *core) act(a program.Action) {
+	switch a := a.(type) {
+	case program.Append:
+		c.append(a.Records)
+	case program.PutCopies:
+		c.putCopies(a)
+	case program.DropCopies:
+		c.dropCopies(a)
+	case program.FetchCopies:
+		c.fetchCopies(a)
+	case program.Submit:
+		c.submit(a.Pool, a.Request)
+	case program.Withdraw:
+		c.withdraw(a.Attempt)
+	case program.ReportDone:
+		c.reportDone(a.Pool, a.Done)
+	case program.DispatchModel:
+		c.inst.engines.dispatchModel(a)
+	case program.DispatchService:
+		c.inst.engines.dispatchService(a)
+	case program.CancelAttempt:
+		c.inst.engines.cancelAttempt(a)
+	case program.AskOutcome:
+		c.inst.engines.ask(a)
+	case program.ReleaseCache:
+		c.inst.engines.release(a.Endpoint, a.Program, "")
+	case program.ProgramPaused:
+		c.toDispatcher(c.dispatcherOf(a.Pool), a.Pool, a.Paused)
+	case program.NotifyEnded:
+		for _, pool := range a.Pools {
+			c.toDispatcher(c.dispatcherOf(pool), pool, sched.ProgramEnded{Program: a.Program})
+		}
+	case program.Reply:
+		c.reply(a)
+	case program.StreamData:
+		if r := c.requests[a.Req]; r != nil {
+			r.sink.StreamData(a)
+		}
+	case program.StreamEnd:
+		if r := c.finish(a.Req); r != nil {
+			r.sink.StreamEnd(a)
+		}
+	case program.HandOverReady:
+		c.handedOver(a.Slot)
+	case program.Log:
+		c.logDecision(a.Decision)
+	}
+}
+
+// finish forgets a request that gets its last answer.
+func (c *core) finish(req program.ReqID) *request {
+	r := c.requests[req]
+	if r == nil {
+		return nil
+	}
+	delete(c.requests, req)
+	r.cancel()
+	return r
+}
+
+// reply answers a request. A refusal because the slot is on its way to another holder is not shown
+// to the caller: the request waits for that holder.
+func (c *core) reply(a program.Reply) {
+	r := c.requests[a.Req]
+	if r == nil {
+		return
+	}
+	if a.Problem != nil && a.Problem.Executed == record.ExecutedNo && slotMoves(a.Problem.Type) {
+		delete(c.requests, a.Req)
+		r.req = 0
+		c.events.later(func() { c.routeLater(r) })
+		return
+	}
+	c.finish(a.Req)
+	r.sink.Reply(a)
+}
+
+// routeLater keeps a request of this front until the next tick. One that another instance forwarded
+// goes back there.
+func (c *core) routeLater(r *request) {
+	if r.remote {
+		r.sink.(*remoteSink).notHolder(c.holder(r.slot))
+		return
+	}
+	c.park(r)
+}
+
+func slotMoves(problem string) bool {
+	return problem == program.ProblemNotHolder || problem == program.ProblemSlotNotReady || problem == program.ProblemSlotMoving
+}
+
+func (c *core) logDecision(d program.Decision) {
+	c.inst.log.WithFields(logrus.Fields{
+		"program":  d.Call.Program,
+		"call":     d.Call.String(),
+		"epoch":    d.Epoch,
+		"endpoint": d.Endpoint,
+		"reason":   d.Reason,
+	}).Debug(d.What)
+}
--- /dev/null
+++ b/internal/server/config_stream.go
@@ -0,0 +1,131 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"ragwortstile/internal/fsm"
+	"ragwortstile/internal/id"
+	"ragwortstile/internal/manifest"
+	"ragwortstile/internal/program"
+	"ragwortstile/internal/record"
+	"ragwortstile/internal/sched"
+	"ragwortstile/internal/wire"
+)
+
+// manifestAskTimeout bounds one question for the manifest to a peer.
+const manifestAskTimeout = 2 * time.Second
+
+func (c *core) startConfigs(start uint64) {
+	if c.configs != nil {
+		return
+	}
+	c.configs = fsm.NewConfigs(c.inst.cfg.Retention, start)
+	c.configs.Adopt(c.manifestRaw)
+}
+
+func (c *core) configEntry(offset uint64, b record.Batch, decoded bool) {
+	c.startConfigs(offset)
+	if !decoded {
+		return
+	}
+	c.configs.Apply(offset, b)
+	c.useManifest(c.configs.Current())
+}
+
+// adoptManifest takes over a manifest from a peer, for an instance that can't read the log.
+func (c *core) adoptManifest(m fsm.Manifest) {
+	if c.configs != nil && c.configs.Exact() && c.configsAtTail && !c.logDown {
+		return // the log decides
+	}
+	if c.configs != nil {
+		c.configs.Adopt(m)
+	}
+	c.useManifest(m)
+}
+
+// useManifest puts a manifest in force if it is newer than the present one.
+func (c *core) useManifest(m fsm.Manifest) {
+	if m.Version <= c.manifestVersion {
+		return
+	}
+	parsed, err := manifest.Decode(m.Data)
+	if err != nil {
+		// The publisher checked it, so it was written by a newer binary or by something else.
+		c.inst.log.WithField("version", m.Version).WithField("reason", err.Error()).Error("manifest can't be used")
+		return
+	}
+	c.manifest, c.manifestVersion, c.manifestRaw = parsed, m.Version, m
+	c.manifestAt = c.inst.now()
+	c.inst.log.WithField("version", m.Version).WithField("digest", m.Digest).Info("manifest in force")
+	c.step(program.SetManifest{Version: m.Version, Manifest: parsed})
+	for pool, d := range c.dispatchers {
+		d.step(sched.Configure{Config: c.poolConfig(pool)}, "")
+	}
+	c.inst.engines.setManifest(parsed)
+	c.publishView()
+}
+
+// refreshManifest lets the holder of slot 0 write the manifest again before the log drops it.
+func (c *core) refreshManifest() {
+	if c.configs == nil || !c.configsAtTail || c.holder(0) != c.inst.session {
+		return
+	}
+	if c.claims.refreshAt > c.inst.now() {
+		return
+	}
+	if r, due := c.configs.Due(time.Now()); due {
+		c.claims.refreshAt = c.inst.now() + time.Minute
+		_ = c.inst.configs.Add(r) // tried again after a minute
+	}
+}
+
+// askManifest asks a peer that has a newer manifest than this instance.
+func (c *core) askManifest(from id.Session, version uint64) {
+	if version <= c.manifestVersion || c.members.asking[from] {
+		return
+	}
+	c.members.asking[from] = true
+	go func() {
+		ctx, cancel := context.WithTimeout(c.inst.ctx, manifestAskTimeout)
+		defer cancel()
+		m, err := c.inst.node.Ask(ctx, from, wire.ManifestGet{Min: version})
+		c.events.post(func() {
+			delete(c.members.asking, from)
+			if got, ok := m.(wire.Manifest); err == nil && ok && got.Version > 0 {
+				c.adoptManifest(fsm.Manifest{Version: got.Version, Data: got.JSON, Digest: got.Digest})
+			}
+		})
+	}()
+}
+
+// poolConfig returns what the scheduler of a pool needs to know of the manifest and of the
+// endpoints that are leaving.
+func (c *core) poolConfig(pool string) sched.Config {
+	cfg := sched.Config{Pool: pool}
+	m := c.manifest
+	if m == nil {
+		return cfg
+	}
+	cfg.WeightLatency, cfg.WeightCache = m.Weights.ProgramLatency, m.Weights.WastedCache
+	for _, p := range m.Pools {
+		if p.Name == pool {
+			cfg.Model = p.Kind == manifest.PoolModel
+			cfg.QueueLimit = p.QueueLimit
+		}
+	}
+	for _, d := range m.Duties {
+		for _, p := range d.Pools {
+			if p == pool {
+				cfg.Duties = append(cfg.Duties, sched.Duty{Name: d.Name, Share: d.Share})
+			}
+		}
+	}
+	for _, e := range m.Endpoints {
+		if e.Pool == pool {
+			cfg.Endpoints = append(cfg.Endpoints, sched.Endpoint{Name: e.Name, Zone: e.Zone, MaxInFlight: e.MaxInFlight,
+				CacheTokens: e.CacheTokens, CanExport: e.CanExport, Leaving: c.members.leaving(e.Name)})
+		}
+	}
+	return cfg
+}
--- /dev/null
+++ b/internal/server/copying.go
@@ -0,0 +1,214 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"ragwortstile/internal/id"
+	"ragwortstile/internal/peer"
+	"ragwortstile/internal/program"
+	"ragwortstile/internal/record"
+	"ragwortstile/internal/wire"
+)
+
+const (
+	copyTimeout = time.Second
+	// copyTargets is the number of peers that hold a copy of a turn while the log is down.
+	copyTargets = 2
+	// fetchRetry is the pause before a peer that did not answer is asked for copies again.
+	fetchRetry = 200 * time.Millisecond
+)
+
+// putCopies stores records at two peers, in other availability zones if there are such. With one
+// live peer, one copy is enough.
+func (c *core) putCopies(a program.PutCopies) {
+	batch, err := record.Encode(record.Batch{Session: c.inst.session, Seq: a.Ref, At: time.Now(), Records: a.Records})
+	if err != nil {
+		c.inst.log.WithField("reason", err.Error()).Error("copy was not encoded")
+		return
+	}
+	m := wire.CopyPut{Copy: wire.Copy{Slot: a.Slot, Epoch: a.Epoch, Session: c.inst.session, Ref: a.Ref, Batch: batch}}
+	targets := c.members.copyOrder()
+	go c.inst.spreadCopy(m, targets, func() {
+		c.events.post(func() { c.step(program.Copied{Ref: a.Ref}) })
+	})
+}
+
+// spreadCopy asks peers in order until enough of them hold the copy. Peers that die meanwhile are
+// passed over; without any answer it starts again.
+func (i *Instance) spreadCopy(m wire.CopyPut, targets []id.Session, done func()) {
+	for i.ctx.Err() == nil {
+		acks := 0
+		results := make(chan bool, len(targets))
+		next := 0
+		ask := func() {
+			to := targets[next]
+			next++
+			go func() { results <- i.putCopy(to, m) }()
+		}
+		for next < len(targets) && next < copyTargets {
+			ask()
+		}
+		for pending := next; pending > 0; pending-- {
+			if <-results {
+				acks++
+			} else if next < len(targets) {
+				ask()
+				pending++
+			}
+		}
+		if acks >= copyTargets || (acks > 0 && acks >= len(targets)) || (acks > 0 && next >= len(targets)) {
+			done()
+			return
+		}
+		sleep(i.ctx, fetchRetry)
+		targets = i.copyTargets(targets)
+	}
+}
+
+// copyTargets returns the present peers, or the given ones when the loop has stopped.
+func (i *Instance) copyTargets(old []id.Session) []id.Session {
+	answer := make(chan []id.Session, 1)
+	if !i.core.events.post(func() { answer <- i.core.members.copyOrder() }) {
+		return old
+	}
+	select {
+	case targets := <-answer:
+		return targets
+	case <-i.ctx.Done():
+		return old
+	}
+}
+
+func (i *Instance) putCopy(to id.Session, m wire.CopyPut) bool {
+	ctx, cancel := context.WithTimeout(i.ctx, copyTimeout)
+	defer cancel()
+	_, err := i.node.Ask(ctx, to, m)
+	return err == nil
+}
+
+func (c *core) dropCopies(a program.DropCopies) {
+	m := wire.CopyDrop{Slot: a.Slot, Session: c.inst.session, Refs: a.Refs}
+	for _, to := range c.members.live() {
+		go func() {
+			ctx, cancel := context.WithTimeout(c.inst.ctx, copyTimeout)
+			defer cancel()
+			_, _ = c.inst.node.Ask(ctx, to, m) // copies that are not dropped expire
+		}()
+	}
+	c.inst.copies.drop(m)
+}
+
+// fetchCopies collects the copies of a slot from all live peers and from this instance.
+func (c *core) fetchCopies(a program.FetchCopies) {
+	go func() {
+		found := map[copyKey]wire.Copy{}
+		add := func(copies []wire.Copy) {
+			for _, cp := range copies {
+				found[copyKey{slot: cp.Slot, session: cp.Session, ref: cp.Ref}] = cp
+			}
+		}
+		add(c.inst.copies.get(a.Slot, a.Epoch))
+		answered := map[id.Session]bool{}
+		for c.inst.ctx.Err() == nil {
+			missing := 0
+			for _, to := range c.inst.copyTargets(nil) {
+				if answered[to] {
+					continue
+				}
+				copies, err := c.inst.getCopies(to, a)
+				if err != nil {
+					missing++
+					continue
+				}
+				answered[to] = true
+				add(copies)
+			}
+			if missing == 0 {
+				break
+			}
+			// A peer that stays silent leaves the list of live peers after a few seconds.
+			sleep(c.inst.ctx, fetchRetry)
+		}
+		records := c.inst.copiedRecords(found)
+		c.events.post(func() { c.step(program.CopiesFetched{Slot: a.Slot, Records: records}) })
+	}()
+}
+
+func (i *Instance) getCopies(from id.Session, a program.FetchCopies) ([]wire.Copy, error) {
+	ctx, cancel := context.WithTimeout(i.ctx, copyTimeout)
+	defer cancel()
+	x, err := i.node.Call(ctx, from, wire.CopyGet{Slot: a.Slot, Epoch: a.Epoch})
+	if err != nil {
+		return nil, err
+	}
+	defer x.Close()
+	var copies []wire.Copy
+	for {
+		m, err := x.Recv(ctx)
+		if errors.Is(err, io.EOF) {
+			return copies, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		page, ok := m.(wire.Copies)
+		if !ok {
+			return nil, errUnexpectedReply
+		}
+		copies = append(copies, page.Copies...)
+		if !page.More {
+			return copies, nil
+		}
+	}
+}
+
+// copiedRecords returns the records of copies in the order of epoch and reference.
+func (i *Instance) copiedRecords(found map[copyKey]wire.Copy) []record.Record {
+	copies := make([]wire.Copy, 0, len(found))
+	for _, c := range found {
+		copies = append(copies, c)
+	}
+	sortCopies(copies)
+	var records []record.Record
+	for _, c := range copies {
+		b, err := record.Decode(c.Batch)
+		if err != nil {
+			i.log.WithField("reason", err.Error()).Error("copy was not decoded")
+			continue
+		}
+		records = append(records, b.Records...)
+	}
+	return records
+}
+
+// serveCopies answers CopyGet in pages.
+func (i *Instance) serveCopies(ctx context.Context, m wire.CopyGet, r *peer.Replier) error {
+	copies := i.copies.get(m.Slot, m.Epoch)
+	for {
+		n, size := 0, 0
+		for n < len(copies) && (n == 0 || size+len(copies[n].Batch) <= copyPage) {
+			size += len(copies[n].Batch)
+			n++
+		}
+		page := wire.Copies{Copies: copies[:n], More: n < len(copies)}
+		copies = copies[n:]
+		if !page.More {
+			return r.SendLast(ctx, page)
+		}
+		if err := r.Send(ctx, page); err != nil {
+			return err
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/server/peers.go
@@ -0,0 +1,139 @@
+package server
+
+import (
+	"context"
+
+	"ragwortstile/internal/id"
+	"ragwortstile/internal/peer"
+	"ragwortstile/internal/sched"
+	"ragwortstile/internal/wire"
+)
+
+// peerHandler takes what other instances send.
+type peerHandler struct{ inst *Instance }
+
+// Connected implements peer.Handler.
+func (h *peerHandler) Connected(r peer.Remote) {
+	h.inst.core.events.post(func() { h.inst.core.peerConnected(r) })
+}
+
+// Disconnected implements peer.Handler.
+func (h *peerHandler) Disconnected(r peer.Remote, err error) {
+	h.inst.log.WithField("peer", r.Session).WithField("reason", errText(err)).Debug("peer disconnected")
+}
+
+func errText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// Receive implements peer.Handler.
+func (h *peerHandler) Receive(r peer.Remote, m wire.Message) {
+	h.inst.core.events.post(func() { h.inst.core.received(r.Session, m) })
+}
+
+// Serve implements peer.Handler.
+func (h *peerHandler) Serve(ctx context.Context, _ peer.Remote, m wire.Message, r *peer.Replier) error {
+	i := h.inst
+	i.passGate()
+	switch m := m.(type) {
+	case wire.Forward:
+		return i.serveForward(ctx, m, r)
+	case wire.CopyPut:
+		if !i.copies.put(m.Copy) {
+			return wire.Error{Code: wire.CodeBusy, Detail: "no room for more copies"}
+		}
+		return r.SendLast(ctx, wire.Ack{})
+	case wire.CopyGet:
+		return i.serveCopies(ctx, m, r)
+	case wire.CopyDrop:
+		i.copies.drop(m)
+		return r.SendLast(ctx, wire.Ack{})
+	case wire.ManifestGet:
+		v := i.view.Load()
+		if v == nil || v.raw.Version < m.Min {
+			return r.SendLast(ctx, wire.Manifest{})
+		}
+		return r.SendLast(ctx, wire.Manifest{Version: v.raw.Version, Digest: v.raw.Digest, JSON: v.raw.Data})
+	case wire.StatusGet:
+		return r.SendLast(ctx, i.status())
+	default:
+		return wire.Error{Code: wire.CodeUnsupported, Detail: m.Kind().String()}
+	}
+}
+
+// serveForward runs a caller request that another instance passed on.
+func (i *Instance) serveForward(ctx context.Context, m wire.Forward, r *peer.Replier) error {
+	ev := fromForward(m)
+	sink := &remoteSink{chunkSink: newChunkSink(), refused: make(chan id.Session, 1)}
+	req := i.newRequest(ev, sink)
+	if req == nil {
+		return wire.Error{Code: wire.CodeMalformed, Detail: "no request or no valid program ID"}
+	}
+	req.remote = true
+	if !i.core.events.post(func() { i.core.route(req) }) {
+		return wire.Error{Code: wire.CodeNotHolder, Detail: "the instance has stopped"}
+	}
+	defer func() {
+		req.cancel()
+		i.core.events.post(func() { i.core.callerGone(req) })
+	}()
+	sent := make(chan error, 1)
+	sctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() { sent <- sink.send(sctx, r) }()
+	select {
+	case err := <-sent:
+		return err
+	case holder := <-sink.refused:
+		cancel()
+		<-sent
+		return wire.Error{Code: wire.CodeNotHolder, Detail: "another instance holds the slot", Holder: holder}
+	}
+}
+
+// received takes a one-way message. It runs on the loop.
+func (c *core) received(from id.Session, m wire.Message) {
+	switch m := m.(type) {
+	case wire.Heartbeat:
+		c.heartbeat(from, m)
+	case wire.HeartbeatAck:
+		c.heartbeatAck(from, m)
+	case wire.Submit:
+		c.dispatcher(m.Pool).step(sched.Submit{Request: m.Request}, from)
+	case wire.Withdraw:
+		c.dispatcher(m.Pool).step(sched.Withdraw{ID: m.ID}, from)
+	case wire.Done:
+		c.dispatcher(m.Pool).step(m.Done, from)
+	case wire.Running:
+		for _, call := range m.Calls {
+			c.dispatcher(m.Pool).step(sched.Running{Request: call.Request, Endpoint: call.Endpoint}, from)
+		}
+	case wire.ProgramPaused:
+		c.dispatcher(m.Pool).step(m.Paused, from)
+	case wire.ProgramEnded:
+		c.dispatcher(m.Pool).step(m.Ended, from)
+	case wire.Grant:
+		c.granted(from, m.Pool, sched.Grant{Request: sched.Request{ID: m.ID}, Endpoint: m.Endpoint, Reason: m.Reason,
+			MoveFrom: m.MoveFrom, Waited: m.Waited})
+	case wire.Refuse:
+		c.refused(from, sched.Refuse{Request: sched.Request{ID: m.ID}, Reason: m.Reason, RetryAfter: m.RetryAfter})
+	}
+}
+
+// peerConnected repeats to a dispatcher what the broken connection may have lost.
+func (c *core) peerConnected(r peer.Remote) {
+	c.members.connected(r)
+	for _, s := range c.submissions {
+		if s.dispatcher != r.Session {
+			continue
+		}
+		if s.endpoint == "" {
+			c.sendSubmit(s)
+			continue
+		}
+		c.toDispatcher(r.Session, s.pool, sched.Running{Request: s.request, Endpoint: s.endpoint})
+	}
+}
--- /dev/null
+++ b/internal/server/platform.go
@@ -0,0 +1,89 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/sirupsen/logrus"
+
+	"ragwortstile/internal/peer"
+	"ragwortstile/internal/platform"
+	"ragwortstile/internal/record"
+)
+
+// errFellBehind tells that the log dropped records that were not read.
+var errFellBehind = errors.New("the log dropped records before they were read")
+
+// tailer returns the reader of a stream.
+func (i *Instance) tailer(stream string) *platform.Tailer {
+	return platform.NewTailer(platform.TailerConfig{
+		Client: platform.NewLogClient(i.cfg.LogURL, i.httpCl),
+		Stream: stream,
+		Deliver: func(ctx context.Context, e platform.Entry) error {
+			i.deliver(stream, e)
+			return ctx.Err()
+		},
+		AtTail: func(next uint64) { i.core.events.post(func() { i.core.atTail(stream, next) }) },
+		Expired: func(from, earliest uint64) {
+			i.fail(fmt.Errorf("stream %s, offsets %d to %d: %w", stream, from, earliest, errFellBehind))
+		},
+		Failed: func(err error) {
+			i.log.WithFields(logrus.Fields{"stream": stream, "reason": err.Error()}).Debug("read failed")
+		},
+	})
+}
+
+// deliver hands one entry to the loop. An entry that this binary can't read changes nothing: all
+// binaries of its version skip it alike.
+func (i *Instance) deliver(stream string, e platform.Entry) {
+	b, err := record.Decode(e.Data)
+	if err != nil {
+		i.log.WithFields(logrus.Fields{"stream": stream, "offset": e.Offset, "reason": err.Error()}).Error("log entry was skipped")
+	}
+	i.passGate()
+	i.core.events.post(func() { i.core.entry(stream, e.Offset, b, err == nil) })
+	if b.Session != i.session {
+		return
+	}
+	if stream == streamPrograms {
+		i.programs.Seen(b.Seq)
+	} else {
+		i.configs.Seen(b.Seq)
+	}
+}
+
+// listClient returns the reader of the platform's list.
+func (i *Instance) listClient() *platform.ListClient {
+	i.node.SetPeers(i.cfg.Peers)
+	return platform.NewListClient(platform.ListConfig{
+		Base:     i.cfg.ListURL,
+		Client:   i.httpCl,
+		Interval: i.cfg.ListInterval,
+		Polled: func(l platform.List) {
+			i.passGate()
+			i.core.events.post(func() { i.core.listed(l) })
+		},
+		Failed: func(err error) { i.log.WithField("reason", err.Error()).Debug("list was not read") },
+	})
+}
+
+// peersOf returns the connections to keep: the instances on the list, and those of the settings
+// while the list lacks them.
+func (i *Instance) peersOf(l platform.List) []peer.Peer {
+	known := map[string]bool{}
+	var peers []peer.Peer
+	for _, in := range l.Instances {
+		if in.PeerAddr == "" {
+			continue
+		}
+		known[in.Name] = true
+		peers = append(peers, peer.Peer{Instance: in.Name, Addr: in.PeerAddr})
+	}
+	for _, p := range i.cfg.Peers {
+		if !known[p.Instance] {
+			peers = append(peers, p)
+		}
+	}
+	return peers
+}
--- /dev/null
+++ b/internal/server/requests.go
@@ -0,0 +1,231 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"ragwortstile/internal/api"
+	"ragwortstile/internal/id"
+	"ragwortstile/internal/program"
+	"ragwortstile/internal/record"
+	"ragwortstile/internal/wire"
+)
+
+const (
+	// parkTime is how long a request waits for its slot to get a holder. It exceeds the time until
+	// the slots of a dead instance are taken over, so most callers see a delay and no refusal.
+	parkTime = 12 * time.Second
+	// openParkTime is the same for requests that open a program (design section 4.4).
+	openParkTime = 5 * time.Second
+	// maxHops bounds how often a request follows a changed holder.
+	maxHops = 4
+	// retryAfterTakeover is what a refused caller is told to wait.
+	retryAfterTakeover = 2 * time.Second
+)
+
+// request is one caller request on its way to or at the owner.
+type request struct {
+	ev      program.Event
+	prog    id.Program
+	slot    id.Slot
+	key     string
+	sink    api.Sink
+	arrived time.Duration
+	hops    int
+	remote  bool // it came from another instance and is not forwarded again
+	req     program.ReqID
+	ctx     context.Context // ends when the caller is gone
+	cancel  context.CancelFunc
+}
+
+// Submit implements api.Backend.
+func (i *Instance) Submit(ev program.Event, sink api.Sink) func() {
+	r := i.newRequest(ev, sink)
+	if r == nil {
+		refuseRequest(sink, program.Problem{Type: "unknown_program", Status: http.StatusNotFound,
+			Detail: "no such program", Executed: record.ExecutedNo}, 0)
+		return func() {}
+	}
+	if !i.core.events.post(func() { i.core.route(r) }) {
+		refuseRequest(sink, program.Problem{Type: "stopping", Status: http.StatusServiceUnavailable,
+			Detail: "the instance has stopped", Executed: record.ExecutedNo}, time.Second)
+		return func() {}
+	}
+	return func() {
+		r.cancel()
+		i.core.events.post(func() { i.core.callerGone(r) })
+	}
+}
+
+func (i *Instance) newRequest(ev program.Event, sink api.Sink) *request {
+	prog, key := programOf(ev)
+	slot, err := prog.Slot()
+	if err != nil {
+		return nil
+	}
+	ctx, cancel := context.WithCancel(i.ctx)
+	return &request{ev: ev, prog: prog, slot: slot, key: key, sink: sink, arrived: i.now(), ctx: ctx, cancel: cancel}
+}
+
+func refuseRequest(sink api.Sink, p program.Problem, retryAfter time.Duration) {
+	sink.Reply(program.Reply{Status: p.Status, Problem: &p, RetryAfter: retryAfter})
+}
+
+// route takes a request to its owner: the core here, another instance, or the waiting list while
+// the slot has no live holder.
+func (c *core) route(r *request) {
+	if r.ctx.Err() != nil {
+		return
+	}
+	switch holder := c.holder(r.slot); {
+	case holder == c.inst.session:
+		c.toOwner(r)
+	case r.remote:
+		r.sink.(*remoteSink).notHolder(holder)
+	case holder == "" || !c.reachable(holder):
+		c.parked = append(c.parked, r)
+	case r.hops >= maxHops:
+		c.refuseParked(r)
+	default:
+		r.hops++
+		go c.inst.forward(r, holder)
+	}
+}
+
+func (c *core) toOwner(r *request) {
+	c.lastReq++
+	r.req = c.lastReq
+	c.requests[r.req] = r
+	c.step(withReq(r.ev, r.req))
+}
+
+// routeParked tries the waiting requests again and refuses those that waited too long.
+func (c *core) routeParked() {
+	waiting := c.parked
+	c.parked = nil
+	now := c.inst.now()
+	for _, r := range waiting {
+		limit := parkTime
+		if _, opens := r.ev.(program.OpenProgram); opens {
+			limit = openParkTime
+		}
+		if now-r.arrived > limit {
+			c.refuseParked(r)
+			continue
+		}
+		c.route(r)
+	}
+}
+
+// refuseParked refuses a request whose slot has no holder. This request was not run; a key that the
+// caller chose may belong to a call that the last holder had under way.
+func (c *core) refuseParked(r *request) {
+	executed := record.ExecutedNo
+	if r.key != "" && !generatedKey(r.key) {
+		if _, opens := r.ev.(program.OpenProgram); !opens {
+			executed = record.ExecutedUnknown
+		}
+	}
+	r.cancel()
+	refuseRequest(r.sink, program.Problem{Type: "no_owner", Status: http.StatusServiceUnavailable,
+		Detail: "the program's slot has no live owner yet; repeat the request with the same key", Executed: executed},
+		retryAfterTakeover)
+}
+
+func generatedKey(key string) bool { return len(key) > 5 && key[:5] == "auto-" }
+
+// callerGone tells the owner here that the caller left. A forwarded request ends with its exchange.
+func (c *core) callerGone(r *request) {
+	if r.req == 0 {
+		return
+	}
+	if _, ok := c.requests[r.req]; ok {
+		delete(c.requests, r.req)
+		c.step(program.CallerGone{Req: r.req})
+	}
+}
+
+// forward passes a request to another instance and its answers back to the caller.
+func (i *Instance) forward(r *request, holder id.Session) {
+	x, err := i.node.Call(r.ctx, holder, toForward(r.ev))
+	if err != nil {
+		// The request did not leave this instance.
+		i.core.events.post(func() { i.core.park(r) })
+		return
+	}
+	defer x.Close()
+	started := false
+	for {
+		m, err := x.Recv(r.ctx)
+		if err != nil {
+			i.forwardFailed(r, err, started)
+			return
+		}
+		chunk, ok := m.(wire.Chunk)
+		if !ok {
+			i.forwardFailed(r, errUnexpectedReply, started)
+			return
+		}
+		switch {
+		case chunk.Data != nil:
+			started = true
+			r.sink.StreamData(*chunk.Data)
+		case chunk.Reply != nil:
+			r.cancel()
+			r.sink.Reply(*chunk.Reply)
+			return
+		case chunk.End != nil:
+			r.cancel()
+			r.sink.StreamEnd(*chunk.End)
+			return
+		}
+	}
+}
+
+var errUnexpectedReply = errors.New("unexpected reply to a forwarded request")
+
+// forwardFailed ends a forwarded request, or sends it to another holder if the first one did not
+// take it. A request that was taken and whose owner was lost has an unknown outcome.
+func (i *Instance) forwardFailed(r *request, err error, started bool) {
+	if r.ctx.Err() != nil {
+		r.cancel()
+		return
+	}
+	var refused wire.Error
+	if errors.As(err, &refused) && !started && notTaken(refused.Code) {
+		i.core.events.post(func() { i.core.park(r) })
+		return
+	}
+	// A read changes nothing and can be made again at the next holder.
+	if _, read := r.ev.(program.ReadProgram); read && !started {
+		i.core.events.post(func() { i.core.park(r) })
+		return
+	}
+	r.cancel()
+	p := program.Problem{Type: "owner_lost", Status: http.StatusServiceUnavailable,
+		Detail:   "the connection to the program's owner broke; repeat the request with the same key",
+		Executed: record.ExecutedUnknown}
+	if started {
+		r.sink.StreamEnd(program.StreamEnd{Problem: &p})
+		return
+	}
+	refuseRequest(r.sink, p, retryAfterTakeover)
+}
+
+// notTaken tells whether an error means that the owner did nothing with the request.
+func notTaken(code wire.ErrorCode) bool {
+	return code == wire.CodeNotHolder || code == wire.CodeWrongSession || code == wire.CodeBusy || code == wire.CodeDraining
+}
+
+// park keeps a request until the next try.
+func (c *core) park(r *request) { c.parked = append(c.parked, r) }
+
+// remoteSink is the sink of a request that another instance forwarded.
+type remoteSink struct {
+	*chunkSink
+	refused chan id.Session // receives the holder if it is not this instance
+}
+
+func (s *remoteSink) notHolder(holder id.Session) { s.refused <- holder }
