Pack the lists of the heartbeat and test the frame and message codecs

Cause: with one map per entry a heartbeat of 13 instances had 511 bytes, which is 12 KB/s per instance at two rounds a second, above the limit of 9 KB/s.

Change: slots and heard peers are packed, a heard peer is a 32-bit hash, and session and zone come from the connection's Hello. Running calls are listed only for the pools that the recipient dispatches. Adds round-trip tests, fuzz targets for the frame reader, the message decoder and the depth check, and a benchmark of heartbeat bytes.

The fuzz targets ran for 8 to 12 s each without a finding.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -170,7 +170,7 @@
 	_, err := ask(t, a, "b.1", wire.ManifestGet{})
 	must.Eq(t, error(wire.Error{Code: wire.CodeInternal, Detail: "internal error"}), err)
 	for i := range 200 {
-		must.NoError(t, a.Send("b.1", wire.HeartbeatAck{Session: "a.1", Round: uint64(i)}))
+		must.NoError(t, a.Send("b.1", wire.HeartbeatAck{Round: uint64(i)}))
 	}
 	waitFor(t, "one-way messages", func() bool { n, _, _ := b.handler.count(); return n == 200 })
 	for i, m := range b.handler.received {
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -75,42 +75,31 @@
 // Ack answers requests that have no other answer, such as CopyPut and CopyDrop.
 type Ack struct{}
 
-// SlotEpoch is a slot with the epoch under which it is held.
-type SlotEpoch struct {
-	Slot  id.Slot  `msgpack:"s"`
-	Epoch id.Epoch `msgpack:"e"`
-}
-
 // PoolCount is a number of calls of a pool.
 type PoolCount struct {
 	Pool  string `msgpack:"p"`
 	Calls int    `msgpack:"c"`
 }
 
-// Heard tells when the sender last received a heartbeat directly from a session.
-type Heard struct {
-	Session id.Session `msgpack:"s"`
-	AgeMS   int64      `msgpack:"a"` // at the time of sending
-}
-
-// Heartbeat is sent to every peer each 500 ms.
+// Heartbeat is sent to every peer each 500 ms. Session and availability zone of the sender are those
+// of the connection's Hello. The lists are packed because heartbeats are most of the control bytes
+// of an idle instance.
 type Heartbeat struct {
-	Session         id.Session    `msgpack:"ss"`
 	Round           uint64        `msgpack:"n"`  // rises by 1 with each round of the session
 	Sent            time.Duration `msgpack:"at"` // on the sender's monotonic clock
-	Zone            string        `msgpack:"z"`
 	ManifestVersion uint64        `msgpack:"mv,omitempty"`
 	Draining        bool          `msgpack:"dr,omitempty"`
-	Slots           []SlotEpoch   `msgpack:"sl,omitempty"`
+	Slots           SlotEpochs    `msgpack:"sl,omitempty"`
 	Leaving         []string      `msgpack:"lv,omitempty"` // endpoints marked as leaving
-	Running         []PoolCount   `msgpack:"rn,omitempty"`
-	Heard           []Heard       `msgpack:"hd,omitempty"`
+	// Running lists the sender's running calls of the pools that the recipient dispatches. Listing
+	// all pools to everyone would take 39 entries in every heartbeat.
+	Running []PoolCount `msgpack:"rn,omitempty"`
+	Heard   HeardList   `msgpack:"hd,omitempty"`
 }
 
 // HeartbeatAck tells that a round has arrived.
 type HeartbeatAck struct {
-	Session id.Session `msgpack:"ss"` // the one that acknowledges
-	Round   uint64     `msgpack:"n"`
+	Round uint64 `msgpack:"n"`
 }
 
 // Forward passes one authenticated caller request to the owner of its program. Exactly one field is
@@ -262,6 +251,12 @@
 	Running int    `msgpack:"r"`
 }
 
+// PeerAge tells how long ago an instance heard from a peer directly.
+type PeerAge struct {
+	Session id.Session    `msgpack:"ss"`
+	Age     time.Duration `msgpack:"a"`
+}
+
 // Status is the state of an instance.
 type Status struct {
 	Session         id.Session    `msgpack:"ss"`
@@ -271,8 +266,8 @@
 	LogDown         bool          `msgpack:"ld"`
 	ManifestVersion uint64        `msgpack:"mv"`
 	ManifestAge     time.Duration `msgpack:"ma"` // since this version came into force here
-	Slots           []SlotEpoch   `msgpack:"sl"`
+	Slots           SlotEpochs    `msgpack:"sl"`
 	Programs        int           `msgpack:"pn"` // open programs of the slots held
 	Pools           []PoolStatus  `msgpack:"ps"` // pools this instance dispatches
-	Peers           []Heard       `msgpack:"pr"`
+	Peers           []PeerAge     `msgpack:"pr"`
 }
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,198 @@
+package wire
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"ragwortstile/internal/id"
+	"ragwortstile/internal/program"
+	"ragwortstile/internal/record"
+	"ragwortstile/internal/sched"
+)
+
+// samples holds one message of each kind with its fields set.
+func samples() []Message {
+	call := id.Call{Program: "p01-x", Branch: "main", Seq: 3}
+	request := sched.Request{ID: "p01-x/main/3/e1.1", Owner: "a.1", PromptTokens: 9, Deadline: time.Second, Avoid: []string{"e1"}}
+	model := program.ModelCall{Program: "p01-x", Messages: []record.Message{{Raw: []byte("{}")}}, Stream: true}
+	problem := &program.Problem{Type: "busy", Status: 503, Executed: record.ExecutedNo}
+	return []Message{
+		Hello{Session: "a.1", Zone: "z1", MinVersion: 1, MaxVersion: 2, Nonce: []byte{1}, KeyIDs: [][]byte{{2}}, Proof: []byte{3}},
+		Proof{Proof: []byte{1}}, Ready{}, Error{Code: CodeBusy, Detail: "d", Holder: "b.1"}, Cancel{}, Credit{Bytes: 5}, Ping{}, Ack{},
+		sampleHeartbeat(12, 5, 4), HeartbeatAck{Round: 1 << 40},
+		Forward{Model: &model}, Chunk{Reply: &program.Reply{Req: 1, Problem: problem, RetryAfter: time.Second, Call: call}},
+		Submit{Pool: "m", Request: request}, Withdraw{Pool: "m", ID: request.ID},
+		Done{Pool: "m", Done: sched.Done{ID: request.ID, Result: sched.ResultOK, Total: time.Minute}},
+		Grant{Pool: "m", ID: request.ID, Endpoint: "e1", Reason: "r", Waited: time.Second},
+		Refuse{Pool: "m", ID: request.ID, RetryAfter: time.Second},
+		Running{Pool: "m", Calls: []RunningCall{{Request: request, Endpoint: "e1"}}},
+		ProgramPaused{Pool: "m", Paused: sched.ProgramPaused{Program: "p01-x", Expected: time.Hour}},
+		ProgramEnded{Pool: "m", Ended: sched.ProgramEnded{Program: "p01-x"}},
+		CopyPut{Copy: Copy{Slot: 63, Epoch: 9, Session: "a.1", Ref: 7, Batch: []byte{1}}}, CopyGet{Slot: 1, Epoch: 2},
+		Copies{Copies: []Copy{{Slot: 1}}, More: true}, CopyDrop{Slot: 1, Session: "a.1", Refs: []uint64{1, 1 << 60}},
+		ManifestGet{Min: 3}, Manifest{Version: 4, Digest: "d", JSON: []byte("{}")},
+		Explain{Tenant: "t", Program: "p01-x"}, Explained{Decisions: []program.Decision{{Call: call, Executed: record.ExecutedYes}}},
+		StatusGet{}, Status{Session: "a.1", Slots: SlotEpochs{{Slot: 2, Epoch: 3}}, Peers: []PeerAge{{Session: "b.1", Age: 2}}},
+	}
+}
+
+func sampleHeartbeat(peers, slots, pools int) Heartbeat {
+	h := Heartbeat{Round: 170_000, Sent: 24 * time.Hour, ManifestVersion: 4100}
+	for i := range slots {
+		h.Slots = append(h.Slots, SlotEpoch{Slot: id.Slot(i), Epoch: id.Epoch(40 + i)})
+	}
+	for i := range pools {
+		h.Running = append(h.Running, PoolCount{Pool: fmt.Sprintf("model-%02d", i), Calls: 17})
+	}
+	for i := range peers {
+		h.Heard = append(h.Heard, Heard{Peer: SessionHash(id.Session(fmt.Sprintf("instance-%02d.5f3a9c21", i))), AgeMS: 230})
+	}
+	return h
+}
+
+// Guards against a kind without decoder, a kind number taken twice, and fields lost on the way.
+func TestEveryKindRoundTrips(t *testing.T) {
+	seen := make(map[Kind]bool)
+	for i, m := range samples() {
+		want := Envelope{Exchange: uint64(i) << 20, Flags: FlagReply | FlagLast, Message: m}
+		data, err := Encode(want)
+		must.NoError(t, err)
+		f, err := ReadFrame(bytes.NewReader(data), MaxFrameBytes)
+		must.NoError(t, err)
+		must.Eq(t, len(data), f.Size())
+		got, err := Decode(f)
+		must.NoError(t, err)
+		must.Eq(t, want, got)
+		must.StrNotEqFold(t, "", f.Kind.String())
+		seen[f.Kind] = true
+	}
+	for k := Kind(1); k < kindEnd; k++ {
+		must.True(t, seen[k], must.Sprintf("no sample of kind %s", k))
+	}
+}
+
+// Guards against a message above the frame limit that the peer would refuse by closing.
+func TestEncodeRefusesOversizedMessage(t *testing.T) {
+	_, err := Encode(Envelope{Message: Manifest{JSON: make([]byte, MaxFrameBytes)}})
+	must.ErrorIs(t, err, ErrTooLarge)
+}
+
+// Guards against end-of-stream errors that hide a truncated frame, and against wrong error types.
+func TestReadFrameErrors(t *testing.T) {
+	data, err := Encode(Envelope{Message: sampleHeartbeat(3, 3, 3)})
+	must.NoError(t, err)
+	_, err = ReadFrame(bytes.NewReader(nil), MaxFrameBytes)
+	must.Eq(t, io.EOF, err)
+	for n := 1; n < len(data); n++ {
+		_, err := ReadFrame(bytes.NewReader(data[:n]), MaxFrameBytes)
+		must.ErrorIs(t, err, ErrTruncated)
+	}
+	_, err = ReadFrame(bytes.NewReader(data), 10)
+	must.ErrorIs(t, err, ErrTooLarge)
+	var version *UnknownVersionError
+	_, err = ReadFrame(bytes.NewReader([]byte{0, 0, 0, 2, 7, 1}), MaxFrameBytes)
+	must.True(t, errors.As(err, &version))
+	must.Eq(t, 7, version.Version)
+	var kind *UnknownKindError
+	_, err = ReadFrame(bytes.NewReader([]byte{0, 0, 0, 2, 1, 0}), MaxFrameBytes)
+	must.True(t, errors.As(err, &kind))
+}
+
+// Guards against bytes after a message, which an older binary would silently drop.
+func TestDecodeRefusesTrailingBytes(t *testing.T) {
+	data, err := Encode(Envelope{Message: Ping{}})
+	must.NoError(t, err)
+	_, err = Decode(Frame{Kind: KindPing, Body: append(data[6:], 0xc0)})
+	must.ErrorIs(t, err, ErrMalformed)
+}
+
+func FuzzReadFrame(f *testing.F) {
+	for _, m := range samples() {
+		data, err := Encode(Envelope{Exchange: 1, Flags: FlagRequest, Message: m})
+		must.NoError(f, err)
+		f.Add(data)
+	}
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 1, 1})
+	f.Add([]byte{0, 0, 0, 1, 1})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r := bytes.NewReader(data)
+		got, err := ReadFrame(r, MaxFrameBytes)
+		if err != nil {
+			return
+		}
+		if used := len(data) - r.Len(); used != got.Size() {
+			t.Fatalf("frame of %d bytes used %d bytes", got.Size(), used)
+		}
+	})
+}
+
+// The decoder must not panic or exhaust the stack, and what it accepts must survive another round.
+func FuzzDecode(f *testing.F) {
+	for _, m := range samples() {
+		data, err := Encode(Envelope{Exchange: 1, Flags: FlagRequest, Message: m})
+		must.NoError(f, err)
+		f.Add(data[5], data[6:])
+	}
+	f.Add(uint8(KindPing), bytes.Repeat([]byte{0x91}, 1000))
+	f.Add(uint8(KindCopies), []byte{0xdd, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, kind uint8, body []byte) {
+		first, err := Decode(Frame{Kind: Kind(kind), Body: body})
+		if err != nil {
+			var unknown *UnknownKindError
+			if !errors.Is(err, ErrMalformed) && !errors.As(err, &unknown) {
+				t.Fatalf("untyped error: %v", err)
+			}
+			return
+		}
+		data, err := Encode(first)
+		must.NoError(t, err)
+		second, err := Decode(Frame{Kind: Kind(kind), Body: data[6:]})
+		must.NoError(t, err)
+		again, err := Encode(second)
+		must.NoError(t, err)
+		must.Eq(t, data, again)
+	})
+}
+
+// The depth check must accept exactly the bodies that the msgpack decoder reads as one value.
+func FuzzDepthAgreesWithMsgpack(f *testing.F) {
+	for _, m := range samples() {
+		data, err := Encode(Envelope{Message: m})
+		must.NoError(f, err)
+		f.Add(data[6:])
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		if len(body) > 4<<10 {
+			return
+		}
+		r := bytes.NewReader(body)
+		skipErr := msgpack.NewDecoder(r).Skip()
+		depthErr := checkDepth(body)
+		if depthErr == nil && (skipErr != nil || r.Len() != 0) {
+			t.Fatalf("accepted %x: skip error %v, %d bytes left", body, skipErr, r.Len())
+		}
+	})
+}
+
+// BenchmarkHeartbeatBytes reports the bytes of one heartbeat against peers, slots and pools.
+func BenchmarkHeartbeatBytes(b *testing.B) {
+	for _, n := range []struct{ peers, slots, pools int }{
+		{0, 0, 0}, {12, 5, 1}, {12, 5, 4}, {12, 64, 4}, {12, 5, 39}, {9, 7, 1}, {9, 7, 39}, {409, 1, 1},
+	} {
+		b.Run(fmt.Sprintf("peers=%d/slots=%d/pools=%d", n.peers, n.slots, n.pools), func(b *testing.B) {
+			h := sampleHeartbeat(n.peers, n.slots, n.pools)
+			var data []byte
+			for b.Loop() {
+				data, _ = Encode(Envelope{Message: h})
+			}
+			b.ReportMetric(float64(len(data)), "bytes/heartbeat")
+		})
+	}
+}
