--- /dev/null
+++ b/internal/bench/run.go
@@ -0,0 +1,140 @@
+package bench
+
+import (
+	"slices"
+	"time"
+
+	"ragwortstile/internal/sched"
+)
+
+// row is one line of the result: one policy on one trace.
+type row struct {
+	Scenario       string  `json:"scenario"`
+	Deployment     string  `json:"deployment"`
+	Policy         string  `json:"policy"`
+	Seed           uint64  `json:"seed"`
+	P50            float64 `json:"p50_s"` // latency of finished programs from the first call
+	P95            float64 `json:"p95_s"`
+	P99            float64 `json:"p99_s"`
+	P95All         float64 `json:"p95_all_s"` // a program that never finished counts with the time to its end
+	WastedTokens   int64   `json:"wasted_tokens"`
+	FilledTokens   int64   `json:"filled_tokens"`
+	Goodput        float64 `json:"goodput_tokens_per_s"`
+	Offered        int     `json:"offered"`
+	Finished       int     `json:"finished"`
+	Refused        int     `json:"refused"`  // never started
+	GivenUp        int     `json:"given_up"` // started and not finished
+	Refusals       int     `json:"refusals"` // refusal messages, retries included
+	DeadlineMissed int     `json:"deadline_missed"`
+	OwedShareKept  float64 `json:"owed_share_kept"`
+	PromisesBroken int     `json:"promises_broken"`
+	DecisionMicros float64 `json:"decision_us"`
+}
+
+// maxDrain is how long a run goes on after the last arrival.
+const maxDrain = 30 * time.Minute
+
+// runOne plays a trace under a policy.
+func runOne(d deployment, sc scenario, policy string, opt sched.Options, seed uint64, trace []*programSpec) row {
+	s := newSim(d, sc, policy, opt, seed)
+	s.run(trace, d.length+maxDrain)
+	return s.row(seed)
+}
+
+func (s *sim) row(seed uint64) row {
+	r := row{Scenario: s.scenario.name, Deployment: s.deploy.name, Policy: s.policy, Seed: seed}
+	var finished, all []float64
+	for _, p := range s.programs {
+		if p.spec.arrival < s.meter.from {
+			continue
+		}
+		r.Offered++
+		t := (p.ended - p.spec.arrival).Seconds()
+		if p.open() {
+			t = (s.now - p.spec.arrival).Seconds()
+		}
+		all = append(all, t)
+		switch p.state {
+		case stateFinished:
+			finished = append(finished, t)
+		case stateRefused, stateWaiting:
+			r.Refused++
+		default:
+			r.GivenUp++
+		}
+		if p.spec.deadline > 0 && (p.state != stateFinished || p.ended > p.spec.arrival+p.spec.deadline) {
+			r.DeadlineMissed++
+		}
+	}
+	r.Finished = len(finished)
+	r.P50, r.P95, r.P99 = quantile(finished, 0.5), quantile(finished, 0.95), quantile(finished, 0.99)
+	r.P95All = quantile(all, 0.95)
+	for _, e := range s.engines {
+		r.FilledTokens += e.filled
+		for en := e.oldest; en != nil; en = en.next {
+			s.countWaste(e, en, false)
+		}
+	}
+	for _, e := range s.engines {
+		r.WastedTokens += e.wasted
+	}
+	r.Goodput = s.meter.tokens / (s.meter.to - s.meter.from).Seconds()
+	r.Refusals = s.meter.refusals
+	from := s.meter.from
+	if s.scenario.name == "withdrawal" {
+		from = faultTime(s.deploy) + 10*time.Second
+	}
+	r.OwedShareKept = s.meter.owedShareKept(from)
+	r.PromisesBroken = s.promises.total()
+	r.DecisionMicros = float64(s.model.cpu.Microseconds()) / float64(max(s.model.steps, 1))
+	return r
+}
+
+// quantile returns the smallest value that at least a part q of the values do not exceed.
+func quantile(v []float64, q float64) float64 {
+	if len(v) == 0 {
+		return 0
+	}
+	slices.Sort(v)
+	i := int(q*float64(len(v))+0.9999999) - 1
+	return v[min(max(i, 0), len(v)-1)]
+}
+
+// capacity measures load 1.0: the output tokens per second of the engines when every place is taken
+// all the time and no prefix is ever lost.
+func capacity(d deployment) float64 {
+	const measured, warmUp = 300 * time.Second, 60 * time.Second
+	unlimited := d
+	unlimited.engines = slices.Clone(d.engines)
+	for i := range unlimited.engines {
+		unlimited.engines[i].cacheTokens = 1 << 50
+	}
+	unlimited.patience = time.Hour
+	unlimited.queueLimit = 0
+	unlimited.length = warmUp + measured
+	g := newGenerator(unlimited, 1)
+	parts, mean := g.mix()
+	// Twice the tokens that full engines make keep every place taken although programs pause.
+	rate := 0.0
+	for _, e := range d.engines {
+		n := float64(e.limit)
+		rate += 2 * n / (e.tokenBase + e.tokenSlope*n)
+	}
+	var trace []*programSpec
+	for t := 0.0; t < unlimited.length.Seconds(); t += mean / rate {
+		trace = append(trace, g.program(g.duty(parts), seconds(t)))
+	}
+	s := newSim(unlimited, scenario{"capacity", 0, normalReportDelay, 0, noFaults}, policySticky, sched.Options{}, 1)
+	begin := int64(0)
+	s.at(warmUp, func() { begin = s.output() })
+	s.run(trace, unlimited.length)
+	return float64(s.output()-begin) / measured.Seconds()
+}
+
+func (s *sim) output() int64 {
+	n := int64(0)
+	for _, e := range s.engines {
+		n += e.outputDone
+	}
+	return n
+}
