--- a/internal/server/instance.go
+++ b/internal/server/instance.go
@@ -279,7 +279,7 @@
 		root.Add(s)
 	}
 	add("platform", i.programs, i.configs, i.tailer(streamConfig), i.tailer(streamPrograms), i.listClient())
-	add("peers", &peerService{i}, &heartbeats{i})
+	add("peers", &peerService{i})
 	// A panic of the loop ends the process: a core that stopped halfway through an event must not
 	// go on with the state that it left.
 	loops := suture.New("core loops", suture.Spec{EventHook: i.supervisorEvent, Timeout: stopTimeout, PassThroughPanics: true})
