Fold the programs and config streams

Cause: every instance must reach the same verdict on each record, also one that starts after old records have expired. Batches carry the writer's wall time, Refresh the first offset its writer had not read, Intent its attempt number, Raise spending without another record, and recovered records a mark.

--- a/internal/fsm/api.go
+++ b/internal/fsm/api.go
@@ -27,6 +27,7 @@
 	WrongExpected         // another claim or publication came first
 	OutOfOrder            // sequence number or state does not fit
 	Ignored               // refresh of something already known
+	Undecided             // the reader started too late to tell; a later refresh decides
 )
 
 // String returns the verdict as used in logs.
@@ -44,6 +45,8 @@
 		return "out_of_order"
 	case Ignored:
 		return "ignored"
+	case Undecided:
+		return "undecided"
 	default:
 		return "none"
 	}
--- /dev/null
+++ b/internal/fsm/apply.go
@@ -0,0 +1,228 @@
+package fsm
+
+import (
+	"time"
+
+	"ragwortstile/internal/id"
+	"ragwortstile/internal/record"
+)
+
+// NewProgram returns the state after an Open record.
+func NewProgram(r record.Open) *Program {
+	return &Program{
+		ID: r.Program, Tenant: r.Tenant, Duty: r.Duty, Key: r.Key,
+		Limits: r.Limits, Mark: r.Mark, OpenedAt: r.OpenedAt, Deadline: r.Deadline,
+		Branches: map[string]*Branch{id.MainBranch: {Name: id.MainBranch}},
+		Outcomes: map[string]*Outcome{},
+		Rev:      1,
+	}
+}
+
+// Apply folds one record of an open or ended program. It checks order and state; the caller has
+// checked the slot's epoch and holder. at is the record time.
+func (p *Program) Apply(rec record.Record, at time.Time) Verdict {
+	v := OutOfOrder
+	switch r := rec.(type) {
+	case record.Branch:
+		v = p.applyBranch(r)
+	case record.Raise:
+		v = p.applyRaise(r)
+	case record.Turn:
+		v = p.applyTurn(r)
+	case record.Intent:
+		v = p.applyIntent(r)
+	case record.Outcome:
+		v = p.applyOutcome(r)
+	case record.Settle:
+		v = p.applySettle(r)
+	case record.End:
+		v = p.applyEnd(r, at)
+	case record.Released:
+		v = p.applyReleased(r)
+	}
+	if v == Valid {
+		p.Rev++
+	}
+	return v
+}
+
+func (p *Program) applyBranch(r record.Branch) Verdict {
+	_, known := p.Branches[r.Name]
+	_, parent := p.Branches[r.Parent]
+	if p.Ended() || known || !parent {
+		return OutOfOrder
+	}
+	p.Branches[r.Name] = &Branch{Name: r.Name, Parent: r.Parent, Key: r.Key}
+	return Valid
+}
+
+// applyRaise lifts the mark; Used settles spending of attempts that left no other record.
+func (p *Program) applyRaise(r record.Raise) Verdict {
+	if p.Ended() || r.Mark.Tokens < p.Mark.Tokens || r.Mark.ChargeCents < p.Mark.ChargeCents {
+		return OutOfOrder
+	}
+	if !within(r.Mark, p.Limits) || (r.Mark == p.Mark && r.Used == (record.Spend{})) {
+		return OutOfOrder
+	}
+	p.Mark = r.Mark
+	p.Spent = p.Spent.Add(r.Used)
+	return Valid
+}
+
+func within(mark record.Spend, l record.Limits) bool {
+	return (l.Tokens == 0 || mark.Tokens <= l.Tokens) &&
+		(l.ChargeCents == 0 || mark.ChargeCents <= l.ChargeCents)
+}
+
+// next returns the branch of a call that is next in order on a branch that is not blocked.
+func (p *Program) next(c id.Call, key string) *Branch {
+	b := p.Branches[c.Branch]
+	if p.Ended() || b == nil || c.Seq != b.Last+1 || b.Intent != nil || b.Unknown != "" {
+		return nil
+	}
+	if o := p.Outcomes[key]; o != nil && o.Executed != record.ExecutedNo {
+		return nil // a call that was certainly not run may be made again under its key
+	}
+	return b
+}
+
+func (p *Program) raiseTo(m record.Spend) {
+	if !within(m, p.Limits) {
+		return
+	}
+	p.Mark.Tokens = max(p.Mark.Tokens, m.Tokens)
+	p.Mark.ChargeCents = max(p.Mark.ChargeCents, m.ChargeCents)
+}
+
+// spend adds used to the recorded spending. A recovered record was under way when the slot was
+// taken over, so its cost is part of what already counts as lost.
+func (p *Program) spend(used record.Spend, recovered bool) {
+	p.Spent = p.Spent.Add(used)
+	if recovered {
+		p.Lost.Tokens -= min(p.Lost.Tokens, used.Tokens)
+		p.Lost.ChargeCents -= min(p.Lost.ChargeCents, used.ChargeCents)
+	}
+}
+
+func (p *Program) applyTurn(r record.Turn) Verdict {
+	b := p.next(r.Call, r.Key)
+	if b == nil {
+		return OutOfOrder
+	}
+	b.Last = r.Call.Seq
+	b.History = append(b.History, r.New...)
+	b.History = append(b.History, r.Answer)
+	b.Digest = DigestMessages(DigestMessages(b.Digest, r.New...), r.Answer)
+	b.LastEndpoint = r.Endpoint
+	b.LastTokens = r.Used.Tokens
+	p.addHolding(r.Endpoint)
+	p.spend(r.Used, r.Recovered)
+	p.raiseTo(r.Mark)
+	p.Outcomes[r.Key] = &Outcome{
+		Call: r.Call, Digest: r.Digest, Executed: record.ExecutedYes, Status: r.Status,
+		Body: r.Body, Stream: r.Stream, Used: r.Used,
+	}
+	return Valid
+}
+
+func (p *Program) applyIntent(r record.Intent) Verdict {
+	b := p.next(r.Call, r.Key)
+	if b == nil {
+		return OutOfOrder
+	}
+	b.Last = r.Call.Seq
+	b.Intent = &Intent{
+		Call: r.Call, Key: r.Key, Digest: r.Digest, Service: r.Service,
+		Operation: r.Operation, Cost: r.Cost, Epoch: r.Epoch, Attempt: r.Attempt,
+	}
+	return Valid
+}
+
+func (p *Program) applyOutcome(r record.Outcome) Verdict {
+	b := p.Branches[r.Call.Branch]
+	if b == nil {
+		return OutOfOrder
+	}
+	o := &Outcome{
+		Call: r.Call, Digest: r.Digest, Executed: r.Executed, Status: r.Status, Body: r.Body, Used: r.Used,
+	}
+	switch {
+	case b.Intent != nil:
+		if b.Intent.Key != r.Key || b.Intent.Call != r.Call {
+			return OutOfOrder
+		}
+		if r.Executed == record.ExecutedUnknown {
+			o.Intent = b.Intent
+			b.Unknown = r.Key
+		}
+		b.Intent = nil
+	case b.Unknown != "":
+		// A later answer of the service to a question; only a certain one changes anything.
+		if b.Unknown != r.Key || r.Executed == record.ExecutedUnknown || p.Outcomes[r.Key].Call != r.Call {
+			return OutOfOrder
+		}
+		b.Unknown = ""
+	default:
+		if p.next(r.Call, r.Key) == nil || r.Executed == record.ExecutedUnknown {
+			return OutOfOrder
+		}
+		b.Last = r.Call.Seq
+	}
+	p.Outcomes[r.Key] = o
+	p.spend(r.Used, r.Recovered)
+	p.raiseTo(r.Mark)
+	return Valid
+}
+
+func (p *Program) applySettle(r record.Settle) Verdict {
+	b := p.Branches[r.Call.Branch]
+	if b == nil || b.Unknown == "" || r.Executed == record.ExecutedUnknown {
+		return OutOfOrder
+	}
+	o := p.Outcomes[b.Unknown]
+	if o.Call != r.Call {
+		return OutOfOrder
+	}
+	settled := *o
+	settled.Executed = r.Executed
+	settled.Body = r.Body
+	settled.Intent = nil
+	p.Outcomes[b.Unknown] = &settled
+	b.Unknown = ""
+	return Valid
+}
+
+func (p *Program) applyEnd(r record.End, at time.Time) Verdict {
+	if p.Ended() {
+		return OutOfOrder
+	}
+	p.Cause = r.Cause
+	p.EndedAt = at
+	for _, e := range r.Endpoints {
+		p.addHolding(e)
+	}
+	return Valid
+}
+
+func (p *Program) applyReleased(r record.Released) Verdict {
+	if !p.Ended() {
+		return OutOfOrder
+	}
+	for i, e := range p.Holding {
+		if e == r.Endpoint {
+			p.Holding = append(p.Holding[:i:i], p.Holding[i+1:]...)
+			return Valid
+		}
+	}
+	return Ignored
+}
+
+// takenOver counts the part of the mark that the last holder may have spent without a record.
+func (p *Program) takenOver() {
+	if p.Ended() {
+		return
+	}
+	c := p.Counted()
+	p.Lost.Tokens += max(0, p.Mark.Tokens-c.Tokens)
+	p.Lost.ChargeCents += max(0, p.Mark.ChargeCents-c.ChargeCents)
+}
--- /dev/null
+++ b/internal/fsm/snapshot.go
@@ -0,0 +1,192 @@
+package fsm
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"ragwortstile/internal/id"
+	"ragwortstile/internal/record"
+)
+
+// SnapshotPartBytes bounds one part of an encoded state, so that a part and the batch around it
+// stay below record.MaxBatchBytes.
+const SnapshotPartBytes = record.MaxBatchBytes * 3 / 4
+
+const stateVersion = 1
+
+// Errors of DecodeState.
+var (
+	ErrStateVersion = errors.New("unknown version of program state")
+	ErrState        = errors.New("malformed program state")
+)
+
+type wireState struct {
+	Version uint8    `msgpack:"v"`
+	Program *Program `msgpack:"p"`
+}
+
+// EncodeState returns the form of a program state that Snapshot records carry.
+func EncodeState(p *Program) ([]byte, error) {
+	data, err := msgpack.Marshal(wireState{Version: stateVersion, Program: p})
+	if err != nil {
+		return nil, fmt.Errorf("encode state of program %s: %w", p.ID, err)
+	}
+	return data, nil
+}
+
+// DecodeState parses an encoded state and checks what the fold relies on.
+func DecodeState(data []byte) (*Program, error) {
+	var w wireState
+	if err := msgpack.Unmarshal(data, &w); err != nil {
+		return nil, fmt.Errorf("decode program state: %w", err)
+	}
+	if w.Version != stateVersion {
+		return nil, fmt.Errorf("decode program state: version %d: %w", w.Version, ErrStateVersion)
+	}
+	p := w.Program
+	if p == nil {
+		return nil, fmt.Errorf("decode program state: no program: %w", ErrState)
+	}
+	if p.Branches[id.MainBranch] == nil {
+		return nil, fmt.Errorf("decode state of program %s: no main branch: %w", p.ID, ErrState)
+	}
+	if p.Outcomes == nil {
+		p.Outcomes = map[string]*Outcome{}
+	}
+	for key, o := range p.Outcomes {
+		if o == nil {
+			return nil, fmt.Errorf("decode state of program %s: key %q has no outcome: %w", p.ID, key, ErrState)
+		}
+	}
+	for name, b := range p.Branches {
+		if b == nil || b.Name != name || (b.Unknown != "" && p.Outcomes[b.Unknown] == nil) {
+			return nil, fmt.Errorf("decode state of program %s: branch %q: %w", p.ID, name, ErrState)
+		}
+	}
+	return p, nil
+}
+
+// Snapshots returns the records that write a program's state again under a holder's epoch.
+func Snapshots(h record.Holder, p *Program) ([]record.Record, error) {
+	data, err := EncodeState(p)
+	if err != nil {
+		return nil, err
+	}
+	parts := (len(data) + SnapshotPartBytes - 1) / SnapshotPartBytes
+	recs := make([]record.Record, 0, parts)
+	for i := range parts {
+		end := min(len(data), (i+1)*SnapshotPartBytes)
+		recs = append(recs, record.Snapshot{
+			Holder: h, Program: p.ID, State: data[i*SnapshotPartBytes : end], Part: i + 1, Parts: parts,
+		})
+	}
+	return recs, nil
+}
+
+// snapshot collects the parts of a state and replaces the program with it. A state that is older
+// than the known one is ignored.
+func (p *Programs) snapshot(at Place, writer id.Session, r record.Snapshot) Verdict {
+	if !p.holds(writer, r.Holder, r.Program) {
+		return StaleEpoch
+	}
+	a := p.parts[r.Program]
+	if r.Part <= 1 {
+		a = &assembly{holder: r.Holder, place: at, at: p.now, next: 1, parts: max(r.Parts, 1)}
+		p.parts[r.Program] = a
+	}
+	if a == nil || a.holder != r.Holder || max(r.Part, 1) != a.next || max(r.Parts, 1) != a.parts {
+		delete(p.parts, r.Program)
+		return OutOfOrder
+	}
+	a.next++
+	if a.parts == 1 {
+		a.state = r.State
+	} else {
+		a.state = append(a.state, r.State...)
+	}
+	if a.next <= a.parts {
+		return Valid
+	}
+	delete(p.parts, r.Program)
+	return p.replace(a, r)
+}
+
+func (p *Programs) replace(a *assembly, r record.Snapshot) Verdict {
+	prog, err := DecodeState(a.state)
+	if err != nil || prog.ID != r.Program {
+		return OutOfOrder
+	}
+	s := &p.slots[r.Slot]
+	known := s.programs[r.Program]
+	if a.touched || (known != nil && known.Rev > prog.Rev) {
+		return Ignored
+	}
+	s.programs[r.Program] = prog
+	p.addKey(prog)
+	p.rebase(s, prog, a.place, a.at)
+	if prog.Ended() && (known == nil || !known.Ended()) {
+		p.ended = append(p.ended, endedEntry{program: prog.ID, slot: r.Slot, at: prog.EndedAt})
+	}
+	return Valid
+}
+
+type dueEntry struct {
+	program id.Program
+	place   Place
+	at      time.Time
+}
+
+func (p *Programs) rebase(s *slotEntry, prog *Program, at Place, t time.Time) {
+	prog.base = at
+	prog.baseAt = t
+	s.queue = append(s.queue, dueEntry{program: prog.ID, place: at, at: t})
+}
+
+// Due lists what a holder has to write again, oldest first.
+type Due struct {
+	Claims   []record.ClaimRefresh
+	Programs []id.Program
+}
+
+// Due returns the claims of a session, and at most limit of its programs, that depend on a record
+// older than a third of the retention at record time now.
+func (p *Programs) Due(session id.Session, now time.Time, limit int) Due {
+	var d Due
+	if p.retention <= 0 {
+		return d
+	}
+	for i := range p.slots {
+		s := &p.slots[i]
+		if s.Holder != session || s.Epoch == 0 {
+			continue
+		}
+		if now.Sub(s.at) > p.retention/3 {
+			h := record.Holder{Slot: id.Slot(i), Epoch: s.Epoch}
+			d.Claims = append(d.Claims, record.ClaimRefresh{Holder: h, Session: session})
+		}
+		d.Programs = p.dueOfSlot(s, now, limit, d.Programs)
+	}
+	return d
+}
+
+func (p *Programs) dueOfSlot(s *slotEntry, now time.Time, limit int, out []id.Program) []id.Program {
+	for len(s.queue) > 0 {
+		e := s.queue[0]
+		if prog := s.programs[e.program]; prog != nil && prog.base == e.place {
+			break
+		}
+		s.queue = s.queue[1:]
+	}
+	for _, e := range s.queue {
+		if len(out) >= limit || now.Sub(e.at) <= p.retention/3 {
+			break
+		}
+		if prog := s.programs[e.program]; prog != nil && prog.base == e.place {
+			out = append(out, e.program)
+		}
+	}
+	return out
+}
--- a/internal/record/batch.go
+++ b/internal/record/batch.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -27,6 +28,7 @@
 type Batch struct {
 	Session id.Session
 	Seq     uint64
+	At      time.Time // wall time of the writer, to the millisecond; readers fold it, never their own clock
 	Records []Record
 }
 
@@ -34,6 +36,7 @@
 	Version uint8        `msgpack:"v"`
 	Session id.Session   `msgpack:"ss"`
 	Seq     uint64       `msgpack:"q"`
+	AtMs    int64        `msgpack:"t"`
 	Records []wireRecord `msgpack:"r"`
 }
 
@@ -44,7 +47,7 @@
 
 // Encode returns the msgpack form of a batch.
 func Encode(b Batch) ([]byte, error) {
-	w := wireBatch{Version: Version, Session: b.Session, Seq: b.Seq}
+	w := wireBatch{Version: Version, Session: b.Session, Seq: b.Seq, AtMs: b.At.UnixMilli()}
 	for _, r := range b.Records {
 		body, err := msgpack.Marshal(r)
 		if err != nil {
@@ -64,7 +67,7 @@
 	if w.Version != Version {
 		return Batch{}, fmt.Errorf("decode batch: version %d: %w", w.Version, ErrVersion)
 	}
-	b := Batch{Session: w.Session, Seq: w.Seq}
+	b := Batch{Session: w.Session, Seq: w.Seq, At: time.UnixMilli(w.AtMs).UTC()}
 	for i, r := range w.Records {
 		rec, err := decodeRecord(r)
 		if err != nil {
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -116,6 +116,7 @@
 	Holder
 	Program id.Program `msgpack:"p"`
 	Mark    Spend      `msgpack:"hw"`
+	Used    Spend      `msgpack:"u"` // spending of attempts that left no other record
 }
 
 // Message is one message of a conversation. Raw is its JSON as the caller or the engine sent it.
@@ -137,6 +138,8 @@
 	Used     Spend     `msgpack:"u"`
 	Mark     Spend     `msgpack:"hw"`
 	Endpoint string    `msgpack:"e"`
+	// Recovered marks a copy from a peer that a new holder writes after a take-over.
+	Recovered bool `msgpack:"rc,omitempty"`
 }
 
 // Intent announces the one dispatch of a non-idempotent call.
@@ -148,6 +151,7 @@
 	Service   string  `msgpack:"sv"`
 	Operation string  `msgpack:"op"`
 	Cost      Spend   `msgpack:"u"` // the largest possible cost
+	Attempt   int     `msgpack:"n"` // number in the attempt ID
 }
 
 // Executed tells whether a call was run.
@@ -184,6 +188,8 @@
 	Body     []byte   `msgpack:"bd"`
 	Used     Spend    `msgpack:"u"`
 	Mark     Spend    `msgpack:"hw"`
+	// Recovered marks a copy from a peer that a new holder writes after a take-over.
+	Recovered bool `msgpack:"rc,omitempty"`
 }
 
 // Settle closes an unknown outcome with what the caller found out.
@@ -241,6 +247,9 @@
 	Holder
 	Program id.Program `msgpack:"p"`
 	State   []byte     `msgpack:"s"`
+	// Part and Parts split a state that is larger than one append: part 1 to Parts, in order.
+	Part  int `msgpack:"pn"`
+	Parts int `msgpack:"pc"`
 }
 
 // Publish puts a manifest in force if the current version is still Expected.
@@ -256,6 +265,9 @@
 	Version  uint64 `msgpack:"v"`
 	Manifest []byte `msgpack:"m"`
 	Digest   string `msgpack:"dg"`
+	// ReadTo is the first offset that the writer had not read. A reader that has seen everything
+	// from there on can tell which of the publications since then was valid.
+	ReadTo uint64 `msgpack:"to"`
 }
 
 // OrderIntent announces an order to an engine. The fence is the epoch of slot 0 and a serial number.
