Decide for the programs of held slots

Cause: the server part needs the owner core to build against. Change: program.Core with the calls of a program, budget, intents, retries, take-over, hand-over, copies while the log is down, release of engine memory and explain. New events SetManifest and EngineRestarted, new action NotifyEnded, DropCopies.Below and Finished.Length.

--- a/internal/program/api.go
+++ b/internal/program/api.go
@@ -13,6 +13,7 @@
 
 	"ragwortstile/internal/fsm"
 	"ragwortstile/internal/id"
+	"ragwortstile/internal/manifest"
 	"ragwortstile/internal/record"
 	"ragwortstile/internal/sched"
 )
@@ -174,6 +175,7 @@
 	Sent         bool
 	Body         []byte // whole answer, for answers that are not streamed
 	Answer       []byte // JSON of the assistant message, for model calls
+	Length       int64  // number of bytes of a streamed answer from its start; 0: not known
 	PromptTokens int64
 	CachedTokens int64
 	OutputTokens int64
@@ -201,6 +203,15 @@
 	Programs []id.Program
 }
 
+// EngineRestarted tells that an endpoint restarted and holds no cache any more.
+type EngineRestarted struct{ Endpoint string }
+
+// SetManifest puts a manifest in force. A version that is not above the present one is ignored.
+type SetManifest struct {
+	Version  uint64
+	Manifest *manifest.Manifest // not changed after the event
+}
+
 // Draining starts the hand-over of all slots: no new program, calls under way finish.
 type Draining struct{}
 
@@ -213,31 +224,33 @@
 // Tick advances time: deadlines, wall-time limits, retries, snapshots that are due.
 type Tick struct{ Now time.Time }
 
-func (OpenProgram) event()    {}
-func (OpenBranch) event()     {}
-func (ModelCall) event()      {}
-func (ServiceCall) event()    {}
-func (SettleCall) event()     {}
-func (JoinCall) event()       {}
-func (EndProgram) event()     {}
-func (ReadProgram) event()    {}
-func (ExplainProgram) event() {}
-func (CallerGone) event()     {}
-func (Applied) event()        {}
-func (LogState) event()       {}
-func (Copied) event()         {}
-func (CopiesFetched) event()  {}
-func (LeaseChanged) event()   {}
-func (Granted) event()        {}
-func (Refused) event()        {}
-func (Progress) event()       {}
-func (Finished) event()       {}
-func (Asked) event()          {}
-func (CacheReleased) event()  {}
-func (CacheHeld) event()      {}
-func (Draining) event()       {}
-func (HandOver) event()       {}
-func (Tick) event()           {}
+func (OpenProgram) event()     {}
+func (OpenBranch) event()      {}
+func (ModelCall) event()       {}
+func (ServiceCall) event()     {}
+func (SettleCall) event()      {}
+func (JoinCall) event()        {}
+func (EndProgram) event()      {}
+func (ReadProgram) event()     {}
+func (ExplainProgram) event()  {}
+func (CallerGone) event()      {}
+func (Applied) event()         {}
+func (LogState) event()        {}
+func (Copied) event()          {}
+func (CopiesFetched) event()   {}
+func (LeaseChanged) event()    {}
+func (Granted) event()         {}
+func (Refused) event()         {}
+func (Progress) event()        {}
+func (Finished) event()        {}
+func (Asked) event()           {}
+func (CacheReleased) event()   {}
+func (CacheHeld) event()       {}
+func (Draining) event()        {}
+func (EngineRestarted) event() {}
+func (SetManifest) event()     {}
+func (HandOver) event()        {}
+func (Tick) event()            {}
 
 // Action is an output of Step.
 type Action interface{ action() }
@@ -254,10 +267,12 @@
 	Records []record.Record
 }
 
-// DropCopies lets peers forget copies that have been read back from the log.
+// DropCopies lets peers forget copies that have been read back from the log: those of this session
+// with the given Refs, and those of any session under an epoch below Below.
 type DropCopies struct {
-	Slot id.Slot
-	Refs []uint64
+	Slot  id.Slot
+	Refs  []uint64
+	Below id.Epoch
 }
 
 // FetchCopies asks all live peers for the copies of a slot; CopiesFetched answers.
@@ -338,6 +353,12 @@
 	Paused sched.ProgramPaused
 }
 
+// NotifyEnded tells the dispatchers of model pools that a program needs no cache any more.
+type NotifyEnded struct {
+	Program id.Program
+	Pools   []string
+}
+
 // Reply answers a caller request that is not streamed, or refuses one. Exactly one Reply or one
 // StreamEnd ends each request.
 type Reply struct {
@@ -362,7 +383,8 @@
 	Problem *Problem
 }
 
-// HandOverReady tells the shell that a slot has no call under way; the Handover record was appended.
+// HandOverReady tells the shell that the Handover record of a slot was read back; the slot has no
+// call under way.
 type HandOverReady struct{ Slot id.Slot }
 
 // Decision is one line of explain and of the log.
@@ -399,6 +421,7 @@
 func (StreamEnd) action()       {}
 func (HandOverReady) action()   {}
 func (Log) action()             {}
+func (NotifyEnded) action()     {}
 
 // Problem is an RFC 9457 problem. Type is a short code such as "budget_exhausted".
 type Problem struct {
--- /dev/null
+++ b/internal/program/call.go
@@ -0,0 +1,393 @@
+package program
+
+import (
+	"bytes"
+	"encoding/json"
+	"time"
+
+	"ragwortstile/internal/fsm"
+	"ragwortstile/internal/id"
+	"ragwortstile/internal/record"
+)
+
+type callState uint8
+
+const (
+	stateQueued  callState = iota // behind another call of the branch, or its number is not next
+	stateBudget                   // waits for the mark or for other calls to settle
+	stateIntent                   // waits for its intent to be read back
+	stateWaiting                  // at the dispatcher
+	stateRunning                  // at an endpoint
+	stateRetry                    // waits before the next attempt
+	stateAsking                   // the service is asked for the outcome
+	stateCommit                   // waits for its record to be durable
+	stateClosed
+)
+
+// call is a call under way. It stays in prog.calls until its answer is durable.
+type call struct {
+	prog          *prog
+	branch        string
+	key           string
+	digest        uint64
+	wantSeq       uint64 // 0: the next one
+	seq           uint64 // taken when the call starts
+	state         callState
+	model         *ModelCall // nil for a service call
+	service       *ServiceCall
+	pool          string
+	nonIdempotent bool
+	canBeAsked    bool
+	charge        int64
+	maxTokens     int64
+	added         []record.Message // messages after the recorded history
+	deadline      time.Duration
+	waiters       []*waiter
+	reserved      record.Spend
+	attempt       *attempt
+	attempts      int
+	ran           bool // an earlier attempt may have been run
+	avoid         []string
+	stream        streamBuffer
+	resumes       int
+}
+
+// waiter is a caller of a call.
+type waiter struct {
+	req    ReqID
+	stream bool
+	sent   int64 // bytes of the stream the caller has
+	begun  bool
+}
+
+func (cl *call) id() id.Call {
+	return id.Call{Program: cl.prog.id, Branch: cl.branch, Seq: cl.seq}
+}
+
+func (c *Core) onModelCall(e ModelCall) {
+	p := c.admit(e.Req, e.Tenant, e.Program)
+	if p == nil {
+		return
+	}
+	branch := branchName(e.Branch)
+	w := &waiter{req: e.Req, stream: e.Stream, sent: e.FromByte}
+	if c.repeated(p, w, e.Key, e.Digest) {
+		return
+	}
+	pool, ok := c.pools.pools[e.Model]
+	if !ok || !contains(c.pools.duties[c.state(p).Duty].Pools, e.Model) {
+		c.refuse(e.Req, &Problem{Type: ProblemPoolNotFound, Status: 404, Detail: "the duty may not use this model", Place: "model", Executed: c.notRun(p, e.Key, false)}, 0)
+		return
+	}
+	if e.FromByte > 0 {
+		c.refuse(e.Req, problem(ProblemStreamLost, 409, record.ExecutedUnknown, "the stream is not known any more; repeat the call from byte 0"), 0)
+		return
+	}
+	maxTokens := smaller(e.MaxTokens, pool.MaxTokens)
+	cl := &call{
+		prog: p, branch: branch, key: e.Key, digest: e.Digest, wantSeq: e.Seq, model: &e,
+		pool: e.Model, maxTokens: maxTokens, deadline: c.now + limitOr(e.TimeLimit, pool.Timeout),
+		waiters: []*waiter{w},
+	}
+	c.enqueue(cl)
+}
+
+func (c *Core) onServiceCall(e ServiceCall) {
+	p := c.admit(e.Req, e.Tenant, e.Program)
+	if p == nil {
+		return
+	}
+	w := &waiter{req: e.Req}
+	if c.repeated(p, w, e.Key, e.Digest) {
+		return
+	}
+	pool, ok := c.pools.pools[e.Service]
+	if !ok || !contains(c.pools.duties[c.state(p).Duty].Pools, e.Service) {
+		c.refuse(e.Req, &Problem{Type: ProblemPoolNotFound, Status: 404, Detail: "the duty may not use this service", Place: "service", Executed: c.notRun(p, e.Key, false)}, 0)
+		return
+	}
+	op, ok := c.pools.operations[opKey{e.Service, e.Operation}]
+	if !ok {
+		c.refuse(e.Req, &Problem{Type: ProblemOperationUnknown, Status: 404, Detail: "the service has no such operation", Place: "operation", Executed: c.notRun(p, e.Key, false)}, 0)
+		return
+	}
+	cl := &call{
+		prog: p, branch: branchName(e.Branch), key: e.Key, digest: e.Digest, wantSeq: e.Seq, service: &e,
+		pool: e.Service, nonIdempotent: !op.Idempotent, canBeAsked: op.CanBeAsked, charge: op.ChargeCents,
+		deadline: c.now + limitOr(e.TimeLimit, pool.Timeout), waiters: []*waiter{w},
+	}
+	c.enqueue(cl)
+}
+
+func branchName(s string) string {
+	if s == "" {
+		return id.MainBranch
+	}
+	return s
+}
+
+func limitOr(a, b time.Duration) time.Duration {
+	if a > 0 {
+		return a
+	}
+	if b > 0 {
+		return b
+	}
+	return time.Minute
+}
+
+// notRun is the most that can be said of a call without a record that is refused now. An earlier
+// request with the same key may have been run and not recorded, by this holder or the last one; a
+// non-idempotent one cannot, because its intent would be recorded.
+func (c *Core) notRun(p *prog, key string, nonIdempotent bool) record.Executed {
+	if nonIdempotent {
+		return record.ExecutedNo
+	}
+	if _, maybe := p.maybeRun[key]; maybe || p.inherited {
+		return record.ExecutedUnknown
+	}
+	return record.ExecutedNo
+}
+
+// repeated answers a request whose key is known, or attaches it to the call under way.
+func (c *Core) repeated(p *prog, w *waiter, key string, digest uint64) bool {
+	if cl := p.calls[key]; cl != nil {
+		if cl.digest != digest {
+			c.refuse(w.req, problem(ProblemKeyReused, 422, record.ExecutedUnknown, "the key was used for another request"), 0)
+			return true
+		}
+		c.attach(cl, w)
+		return true
+	}
+	st := c.state(p)
+	o := st.Outcomes[key]
+	if o == nil {
+		return c.repeatedIntent(p, st, w, key, digest)
+	}
+	if o.Digest != digest {
+		c.refuse(w.req, problem(ProblemKeyReused, 422, o.Executed, "the key was used for another request"), 0)
+		return true
+	}
+	if o.Executed == record.ExecutedNo {
+		return false // certainly not run: the call may be made again
+	}
+	c.answerRecorded(p, w, o)
+	return true
+}
+
+// repeatedIntent answers for a key with an open intent and no call under way here: its holder died.
+func (c *Core) repeatedIntent(p *prog, st *fsm.Program, w *waiter, key string, digest uint64) bool {
+	for _, b := range st.Branches {
+		if b.Intent == nil || b.Intent.Key != key {
+			continue
+		}
+		if b.Intent.Digest != digest {
+			c.refuse(w.req, problem(ProblemKeyReused, 422, record.ExecutedUnknown, "the key was used for another request"), 0)
+			return true
+		}
+		c.refuse(w.req, unknownOutcome(), time.Second)
+		return true
+	}
+	return false
+}
+
+func unknownOutcome() *Problem {
+	return problem(ProblemBlocked, 409, record.ExecutedUnknown, "it is not known whether the call was run; ask the service and settle it")
+}
+
+func (c *Core) answerRecorded(p *prog, w *waiter, o *fsm.Outcome) {
+	switch {
+	case o.Executed == record.ExecutedUnknown:
+		c.refuse(w.req, unknownOutcome(), time.Second)
+	case o.Stream:
+		if from := min(max(w.sent, 0), int64(len(o.Body))); from < int64(len(o.Body)) {
+			c.emit(StreamData{Req: w.req, Offset: from, Data: o.Body[from:]})
+		}
+		c.emit(StreamEnd{Req: w.req})
+	default:
+		c.emit(Reply{Req: w.req, Status: statusOr(o.Status, 200), Body: o.Body, Call: o.Call})
+	}
+}
+
+func statusOr(s, d int) int {
+	if s != 0 {
+		return s
+	}
+	return d
+}
+
+func (c *Core) attach(cl *call, w *waiter) {
+	cl.waiters = append(cl.waiters, w)
+	c.requests[w.req] = cl
+	if cl.model != nil && cl.model.Stream {
+		w.stream = true
+		c.flushTo(cl, w, false)
+	}
+}
+
+// onJoin answers a caller that lost its answer.
+func (c *Core) onJoin(e JoinCall) {
+	p := c.admit(e.Req, e.Tenant, e.Program)
+	if p == nil {
+		return
+	}
+	w := &waiter{req: e.Req, sent: e.FromByte}
+	if cl := p.calls[e.Key]; cl != nil {
+		c.attach(cl, w)
+		return
+	}
+	o := c.state(p).Outcomes[e.Key]
+	if o == nil {
+		c.refuse(e.Req, problem(ProblemCallNotFound, 404, record.ExecutedUnknown, "no recorded call has this key"), 0)
+		return
+	}
+	if o.Executed == record.ExecutedNo {
+		c.refuse(e.Req, problem(ProblemCallNotFound, 409, record.ExecutedNo, "the call was not run"), 0)
+		return
+	}
+	c.answerRecorded(p, w, o)
+}
+
+// enqueue puts a call at the end of its branch, or refuses it.
+func (c *Core) enqueue(cl *call) {
+	p := cl.prog
+	st := c.state(p)
+	w := cl.waiters[0]
+	c.pauseEnded(p, cl.branch)
+	no := c.notRun(p, cl.key, cl.nonIdempotent)
+	b := st.Branches[cl.branch]
+	switch {
+	case st.Ended():
+		c.refuse(w.req, problem(ProblemEnded, 409, no, "the program ended: "+st.Cause.String()), 0)
+		return
+	case b == nil:
+		c.refuse(w.req, &Problem{Type: ProblemBranchNotFound, Status: 404, Detail: "no such branch", Place: "branch", Executed: no}, 0)
+		return
+	case c.slots[p.slot].moveTo != "":
+		c.refuse(w.req, problem(ProblemSlotMoving, 503, no, "the slot is being handed over"), RetryAfterSlot)
+		return
+	case cl.wantSeq != 0 && cl.wantSeq <= b.Last:
+		c.refuse(w.req, problem(ProblemSequence, 409, no, "the branch is past this sequence number"), 0)
+		return
+	}
+	if p.calls == nil {
+		p.calls = map[string]*call{}
+		p.queues = map[string][]*call{}
+	}
+	p.calls[cl.key] = cl
+	p.queues[cl.branch] = append(p.queues[cl.branch], cl)
+	c.requests[w.req] = cl
+	c.at(cl.deadline, func() { c.callExpired(cl) })
+	c.startBranch(p, cl.branch)
+}
+
+// startBranch starts the next call of a branch if none is under way. A call that names its sequence
+// number waits for its turn; among the others the order of arrival counts.
+func (c *Core) startBranch(p *prog, branch string) {
+	q := p.queues[branch]
+	if len(q) == 0 || q[0].state != stateQueued {
+		return
+	}
+	b := c.state(p).Branches[branch]
+	for i, cl := range q {
+		if cl.wantSeq != 0 && cl.wantSeq != b.Last+1 {
+			continue
+		}
+		copy(q[1:i+1], q[:i])
+		q[0] = cl
+		c.start(cl)
+		return
+	}
+}
+
+// startWaiting looks again at the calls that wait for the budget.
+func (c *Core) startWaiting(p *prog) {
+	for _, name := range sortedKeys(p.queues) {
+		if q := p.queues[name]; len(q) > 0 && q[0].state == stateBudget {
+			c.start(q[0])
+		}
+	}
+}
+
+// start checks a call that is next on its branch against the state of now.
+func (c *Core) start(cl *call) {
+	p := cl.prog
+	st := c.state(p)
+	b := st.Branches[cl.branch]
+	no := c.notRun(p, cl.key, cl.nonIdempotent)
+	switch {
+	case st.Ended():
+		c.failCall(cl, problem(ProblemEnded, 409, no, "the program ended: "+st.Cause.String()), 0)
+		return
+	case b.Unknown != "" || b.Intent != nil:
+		c.failCall(cl, problem(ProblemBlocked, 409, no, "an earlier call of the branch has an unknown outcome; settle it first"), time.Second)
+		return
+	case cl.wantSeq != 0 && cl.wantSeq != b.Last+1:
+		c.failCall(cl, problem(ProblemSequence, 409, no, "the branch is past this sequence number"), 0)
+		return
+	}
+	cost := record.Spend{Calls: 1, ChargeCents: cl.charge}
+	if cl.model != nil {
+		added, ok := newMessages(b.History, cl.model)
+		if !ok {
+			c.failCall(cl, &Problem{Type: ProblemHistory, Status: 422, Detail: "the messages do not start with the recorded history and add to it", Place: "messages", Executed: no}, 0)
+			return
+		}
+		cl.added = added
+		cost.Tokens = promptBound(b, added) + cl.maxTokens
+	}
+	cl.seq = b.Last + 1
+	switch c.checkBudget(p, cost) {
+	case budgetSpent:
+		c.failCall(cl, problem(ProblemBudget, 402, no, "the program's budget is spent"), 0)
+		if len(p.calls) == 0 {
+			c.endProgram(p, record.EndBudget, nil, nil)
+		}
+	case budgetOver:
+		c.failCall(cl, problem(ProblemBudget, 402, no, "the call may cost more than is left of the program's budget"), 0)
+	case budgetWait:
+		cl.state = stateBudget
+		if c.logDown && len(p.calls) == 1 {
+			c.failCall(cl, problem(ProblemLogDown, 503, no, "the budget cannot be raised while the log is down"), time.Second)
+		}
+	case budgetOK:
+		c.reserve(cl, cost)
+		c.raiseAhead(p)
+		c.begin(cl)
+	}
+}
+
+// newMessages returns what a call adds to the recorded history.
+func newMessages(history []record.Message, m *ModelCall) ([]record.Message, bool) {
+	if m.History == HistoryAppend {
+		return m.Messages, len(m.Messages) > 0
+	}
+	n := len(history)
+	if len(m.Messages) <= n {
+		return nil, false
+	}
+	for i, h := range history {
+		if !bytes.Equal(h.Raw, m.Messages[i].Raw) && !sameJSON(h.Raw, m.Messages[i].Raw) {
+			return nil, false
+		}
+	}
+	return m.Messages[n:], true
+}
+
+// sameJSON tells whether two messages differ in spelling only, such as white space or key order.
+func sameJSON(a, b []byte) bool {
+	ca, okA := canonical(a)
+	cb, okB := canonical(b)
+	return okA && okB && bytes.Equal(ca, cb)
+}
+
+func canonical(raw []byte) ([]byte, bool) {
+	d := json.NewDecoder(bytes.NewReader(raw))
+	d.UseNumber()
+	var v any
+	if d.Decode(&v) != nil {
+		return nil, false
+	}
+	out, err := json.Marshal(v)
+	return out, err == nil
+}
--- /dev/null
+++ b/internal/program/close.go
@@ -0,0 +1,137 @@
+package program
+
+import (
+	"time"
+
+	"ragwortstile/internal/record"
+)
+
+// maxMaybeRun bounds the keys of failed calls that a program remembers. A program that is over it is
+// treated like one of another holder: refusals no longer say that a key was not run.
+const maxMaybeRun = 256
+
+// failCall answers all callers of a call with a problem and closes it.
+func (c *Core) failCall(cl *call, pr *Problem, retryAfter time.Duration) {
+	if cl.state == stateClosed {
+		return
+	}
+	p := cl.prog
+	for _, w := range cl.waiters {
+		if w.begun {
+			c.emit(StreamEnd{Req: w.req, Problem: pr})
+			continue
+		}
+		c.emit(Reply{Req: w.req, Status: pr.Status, Problem: pr, RetryAfter: retryAfter, Call: cl.id()})
+	}
+	if cl.ran && !cl.nonIdempotent {
+		if len(p.maybeRun) >= maxMaybeRun {
+			p.inherited = true
+			p.maybeRun = nil
+		}
+		if p.maybeRun == nil {
+			p.maybeRun = map[string]struct{}{}
+		}
+		p.maybeRun[cl.key] = struct{}{}
+	}
+	c.decide(p, Decision{Call: cl.id(), What: "fail", Reason: reason(pr.Type), Executed: pr.Executed})
+	c.closeCall(cl)
+}
+
+// closeCall forgets an answered call and lets others of its program go on.
+func (c *Core) closeCall(cl *call) {
+	p := cl.prog
+	cl.state = stateClosed
+	c.unreserve(cl)
+	for _, w := range cl.waiters {
+		delete(c.requests, w.req)
+	}
+	cl.waiters = nil
+	if p.calls[cl.key] == cl {
+		delete(p.calls, cl.key)
+	}
+	q := p.queues[cl.branch]
+	for i, x := range q {
+		if x == cl {
+			q = append(q[:i:i], q[i+1:]...)
+			break
+		}
+	}
+	p.queues[cl.branch] = q
+	if len(q) == 0 {
+		delete(p.queues, cl.branch)
+	}
+	if c.progs[p.id] != p {
+		return
+	}
+	c.startBranch(p, cl.branch)
+	c.startWaiting(p)
+	c.tryHandOver(p.slot)
+}
+
+// callExpired acts when the time of a call is over.
+func (c *Core) callExpired(cl *call) {
+	pr := problem(ProblemDeadline, 504, c.executedOf(cl), "the time of the call is over")
+	switch cl.state {
+	case stateClosed, stateCommit:
+		return // answered, or its answer waits for the log only
+	case stateIntent:
+		pr.Executed = record.ExecutedNo
+		if c.logDown {
+			pr = problem(ProblemLogDown, 503, record.ExecutedNo, "the log did not confirm the intent in time")
+		}
+		c.refuseIntent(cl, pr, time.Second)
+	case stateWaiting:
+		c.abandonAttempt(cl)
+		if cl.nonIdempotent {
+			pr.Executed = record.ExecutedNo
+			c.refuseIntent(cl, pr, time.Second)
+			return
+		}
+		c.failCall(cl, pr, time.Second)
+	case stateRunning:
+		c.runningExpired(cl, pr)
+	case stateAsking:
+		c.answerService(cl, outcome{executed: record.ExecutedUnknown, used: record.Spend{Calls: 1, ChargeCents: cl.charge}})
+	default:
+		c.failCall(cl, pr, time.Second)
+	}
+}
+
+func (c *Core) runningExpired(cl *call, pr *Problem) {
+	if !cl.nonIdempotent {
+		c.abandonAttempt(cl)
+		c.failCall(cl, pr, time.Second)
+		return
+	}
+	a := cl.attempt
+	c.emit(CancelAttempt{Attempt: a.id, Endpoint: a.endpoint})
+	c.onFinished(timedOut(a))
+}
+
+// onCallerGone forgets a caller. The call goes on, so that a repeated key finds its answer.
+func (c *Core) onCallerGone(e CallerGone) {
+	cl := c.requests[e.Req]
+	delete(c.requests, e.Req)
+	if cl == nil {
+		for _, o := range c.opening {
+			o.waiters = without(o.waiters, e.Req)
+		}
+		return
+	}
+	for i, w := range cl.waiters {
+		if w.req == e.Req {
+			cl.waiters = append(cl.waiters[:i:i], cl.waiters[i+1:]...)
+			return
+		}
+	}
+}
+
+func without(list []ReqID, r ReqID) []ReqID {
+	out := list[:0:0]
+	for _, x := range list {
+		if x != r {
+			out = append(out, x)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/program/open.go
@@ -0,0 +1,320 @@
+package program
+
+import (
+	"encoding/json"
+	"time"
+
+	"ragwortstile/internal/fsm"
+	"ragwortstile/internal/id"
+	"ragwortstile/internal/record"
+)
+
+// openTimeout is how long an open waits for its commit.
+const openTimeout = 5 * time.Second
+
+type openKey struct{ tenant, key string }
+
+// opening is a program whose Open record was appended and not read back.
+type opening struct {
+	program id.Program
+	slot    id.Slot
+	waiters []ReqID
+	duty    string
+}
+
+// admit finds the program of a request. When it returns nil the request was answered.
+func (c *Core) admit(req ReqID, tenant string, pid id.Program) *prog {
+	s, err := pid.Slot()
+	if err != nil {
+		c.refuse(req, notFound(), 0)
+		return nil
+	}
+	if !c.slotServes(req, s) {
+		return nil
+	}
+	p := c.prog(pid)
+	if p == nil || c.stateOf(p).Tenant != tenant {
+		c.refuse(req, notFound(), 0)
+		return nil
+	}
+	p.active = c.now
+	return p
+}
+
+// notFound is the same for an unknown program and for one of another tenant. It does not say that
+// nothing was run: the program may have ended long ago.
+func notFound() *Problem {
+	return problem(ProblemNotFound, 404, record.ExecutedUnknown, "no such program")
+}
+
+func (c *Core) slotServes(req ReqID, s id.Slot) bool {
+	sl := &c.slots[s]
+	switch {
+	case !sl.held:
+		c.refuse(req, problem(ProblemNotHolder, 503, record.ExecutedUnknown, "another instance holds the slot"), RetryAfterSlot)
+	case !sl.ready:
+		c.refuse(req, problem(ProblemSlotNotReady, 503, record.ExecutedUnknown, "the slot was taken over; copies are being fetched"), RetryAfterSlot)
+	default:
+		return true
+	}
+	return false
+}
+
+func (c *Core) onOpen(e OpenProgram) {
+	c.setWall(e.Now)
+	s, err := e.Program.Slot()
+	if err != nil {
+		c.refuse(e.Req, problem(ProblemNotFound, 400, record.ExecutedNo, err.Error()), 0)
+		return
+	}
+	k := openKey{tenant: e.Tenant, key: e.Key}
+	if e.Key != "" && c.reopen(e, k) {
+		return
+	}
+	if !c.slotServes(e.Req, s) {
+		return
+	}
+	duty, known := c.pools.duties[e.Duty]
+	switch {
+	case !known || !contains(duty.Tenants, e.Tenant):
+		c.refuse(e.Req, &Problem{Type: ProblemDutyUnknown, Status: 422, Detail: "the tenant has no such duty", Place: "duty", Executed: record.ExecutedNo}, 0)
+		return
+	case c.draining || c.slots[s].moveTo != "":
+		c.refuse(e.Req, problem(ProblemDraining, 503, record.ExecutedNo, "the instance is leaving"), RetryAfterSlot)
+		return
+	case c.fold.Program(e.Program) != nil || c.progs[e.Program] != nil:
+		c.refuse(e.Req, problem(ProblemConflict, 409, record.ExecutedNo, "the program ID is in use"), 0)
+		return
+	}
+	if e.Key == "" {
+		k.key = "\x00" + string(e.Program) // no key: nothing to join
+	}
+	limits := smallerLimits(e.Limits, duty.Limits)
+	deadline := e.Deadline
+	if d := duty.Deadline; d > 0 && (deadline.IsZero() || e.Now.Add(d).Before(deadline)) {
+		deadline = e.Now.Add(d)
+	}
+	rec := record.Open{
+		Holder: c.holder(s), Program: e.Program, Tenant: e.Tenant, Duty: e.Duty, Key: e.Key,
+		Limits: limits, Mark: firstMark(limits), OpenedAt: e.Now, Deadline: deadline,
+	}
+	c.opening[k] = &opening{program: e.Program, slot: s, waiters: []ReqID{e.Req}, duty: e.Duty}
+	c.push(&pend{rec: rec, key: keyOf(rec), at: c.now, done: func(r commitResult) { c.opened(k, e.Program, s, r) }})
+	c.at(c.now+openTimeout, func() { c.openExpired(k, rec) })
+}
+
+// reopen answers a repeated open with the program that its key opened.
+func (c *Core) reopen(e OpenProgram, k openKey) bool {
+	if o := c.opening[k]; o != nil {
+		if o.duty != e.Duty {
+			c.refuse(e.Req, problem(ProblemKeyReused, 422, record.ExecutedUnknown, "the key opened a program of another duty"), 0)
+			return true
+		}
+		o.waiters = append(o.waiters, e.Req)
+		return true
+	}
+	pid, ok := c.fold.ByKey(e.Tenant, e.Key)
+	if !ok {
+		return false
+	}
+	st := c.fold.Program(pid)
+	if st.Duty != e.Duty {
+		c.refuse(e.Req, problem(ProblemKeyReused, 422, record.ExecutedUnknown, "the key opened a program of another duty"), 0)
+		return true
+	}
+	c.replyOpened(e.Req, st)
+	return true
+}
+
+type openedBody struct {
+	ID       id.Program    `json:"id"`
+	Duty     string        `json:"duty"`
+	Limits   record.Limits `json:"limits"`
+	OpenedAt time.Time     `json:"opened_at"`
+	Deadline *time.Time    `json:"deadline,omitempty"`
+}
+
+func (c *Core) replyOpened(req ReqID, st *fsm.Program) {
+	b := openedBody{ID: st.ID, Duty: st.Duty, Limits: st.Limits, OpenedAt: st.OpenedAt}
+	if !st.Deadline.IsZero() {
+		b.Deadline = &st.Deadline
+	}
+	c.emit(Reply{Req: req, Status: 201, Body: mustJSON(b)})
+}
+
+func (c *Core) opened(k openKey, pid id.Program, s id.Slot, r commitResult) {
+	o := c.opening[k]
+	if o == nil || o.program != pid {
+		return
+	}
+	if r == rejected {
+		c.failOpening(k, problem(ProblemConflict, 503, record.ExecutedNo, "the program was not opened"))
+		return
+	}
+	delete(c.opening, k)
+	st := c.fold.Program(pid)
+	p := &prog{id: pid, slot: s, active: c.now}
+	c.progs[pid] = p
+	c.watchProgram(p, st)
+	c.decide(p, Decision{What: "open", Reason: "committed"})
+	for _, req := range o.waiters {
+		c.replyOpened(req, st)
+	}
+	c.tryHandOver(s)
+}
+
+// openExpired refuses an open that the log did not confirm in time. The record may still take effect,
+// so that an End follows it.
+func (c *Core) openExpired(k openKey, rec record.Open) {
+	o := c.opening[k]
+	if o == nil || o.program != rec.Program {
+		return
+	}
+	end := record.End{Holder: rec.Holder, Program: rec.Program, Cause: record.EndExpired}
+	c.push(&pend{rec: end, key: keyOf(end), at: c.now})
+	c.failOpening(k, problem(ProblemLogDown, 503, record.ExecutedNo, "the log did not confirm in time"))
+}
+
+func (c *Core) failOpening(k openKey, p *Problem) {
+	o := c.opening[k]
+	delete(c.opening, k)
+	for _, req := range o.waiters {
+		c.refuse(req, p, time.Second)
+	}
+	c.tryHandOver(o.slot)
+}
+
+func (c *Core) openingsOf(s id.Slot) []openKey {
+	var out []openKey
+	for k, o := range c.opening {
+		if o.slot == s {
+			out = append(out, k)
+		}
+	}
+	sortOpenKeys(out)
+	return out
+}
+
+// watchProgram sets the timers of a program's own limits on time.
+func (c *Core) watchProgram(p *prog, st *fsm.Program) {
+	p.active = c.now
+	if st.Ended() {
+		return
+	}
+	if w := st.Limits.WallTime; w > 0 {
+		c.at(c.timeOf(st.OpenedAt.Add(w)), func() {
+			if c.progs[p.id] == p {
+				c.endProgram(p, record.EndWallTime, problem(ProblemWallTime, 409, record.ExecutedUnknown, "the program's wall time is over"), nil)
+			}
+		})
+	}
+	c.watchIdle(p)
+}
+
+func (c *Core) watchIdle(p *prog) {
+	c.at(p.active+c.cfg.IdleLimit, func() {
+		if c.progs[p.id] != p || c.stateOf(p).Ended() {
+			return
+		}
+		if len(p.calls) > 0 {
+			p.active = c.now
+		}
+		if c.now-p.active < c.cfg.IdleLimit {
+			c.watchIdle(p)
+			return
+		}
+		c.endProgram(p, record.EndExpired, problem(ProblemEnded, 409, record.ExecutedUnknown, "the program was idle for too long"), nil)
+	})
+}
+
+func (c *Core) onOpenBranch(e OpenBranch) {
+	p := c.admit(e.Req, e.Tenant, e.Program)
+	if p == nil {
+		return
+	}
+	st := c.state(p)
+	parent := e.Parent
+	if parent == "" {
+		parent = id.MainBranch
+	}
+	body := mustJSON(struct {
+		Program id.Program `json:"program"`
+		Branch  string     `json:"branch"`
+	}{p.id, e.Name})
+	b := st.Branches[e.Name]
+	switch {
+	case b != nil && b.Key == e.Key && e.Key != "" && b.Parent == parent:
+		c.replyWhenSettled(p, e.Req, body)
+		return
+	case b != nil || e.Name == "":
+		c.refuse(e.Req, problem(ProblemBranchExists, 409, record.ExecutedNo, "the branch name is in use"), 0)
+		return
+	case st.Branches[parent] == nil:
+		c.refuse(e.Req, &Problem{Type: ProblemBranchNotFound, Status: 404, Detail: "no such parent branch", Place: "parent", Executed: record.ExecutedNo}, 0)
+		return
+	case st.Ended() || c.slots[p.slot].moveTo != "":
+		c.refuse(e.Req, problem(ProblemEnded, 409, record.ExecutedNo, "the program ended or its slot is moving"), 0)
+		return
+	}
+	rec := record.Branch{Holder: c.holder(p.slot), Program: p.id, Name: e.Name, Parent: parent, Key: e.Key}
+	c.append(p, rec, c.once(func(r commitResult) { c.replyCommitted(e.Req, r, 201, body) }))
+}
+
+// once calls f for the first result only.
+func (c *Core) once(f func(commitResult)) func(commitResult) {
+	done := false
+	return func(r commitResult) {
+		if done {
+			return
+		}
+		done = true
+		f(r)
+	}
+}
+
+func (c *Core) replyCommitted(req ReqID, r commitResult, status int, body []byte) {
+	if r == rejected {
+		c.refuse(req, problem(ProblemConflict, 503, record.ExecutedUnknown, "the record was not accepted; repeat the key"), RetryAfterSlot)
+		return
+	}
+	c.emit(Reply{Req: req, Status: status, Body: body})
+}
+
+// replyWhenSettled answers after the records that the answer depends on are durable.
+func (c *Core) replyWhenSettled(p *prog, req ReqID, body []byte) {
+	var last *pend
+	for _, pe := range c.pending.list {
+		if pe.prog == p && !pe.copied && copyable(pe.rec) {
+			last = pe
+		}
+	}
+	if last == nil {
+		c.emit(Reply{Req: req, Status: 200, Body: body})
+		return
+	}
+	inner := last.done
+	f := c.once(func(r commitResult) { c.replyCommitted(req, r, 200, body) })
+	last.done = func(r commitResult) {
+		if inner != nil {
+			inner(r)
+		}
+		f(r)
+	}
+}
+
+func mustJSON(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return []byte("null") // not reachable: all bodies are plain structs
+	}
+	return data
+}
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/program/read.go
@@ -0,0 +1,128 @@
+package program
+
+import (
+	"encoding/json"
+	"time"
+
+	"ragwortstile/internal/fsm"
+	"ragwortstile/internal/id"
+	"ragwortstile/internal/record"
+)
+
+// maxDecisions bounds the decisions that are kept per program for explain.
+const maxDecisions = 32
+
+// decide notes a decision for explain and for the log.
+func (c *Core) decide(p *prog, d Decision) {
+	d.At = c.now
+	d.Epoch = c.slots[p.slot].epoch
+	if d.Call.Program == "" {
+		d.Call.Program = p.id
+	}
+	if len(p.explain) >= maxDecisions {
+		p.explain = append(p.explain[:0], p.explain[1:]...)
+	}
+	p.explain = append(p.explain, d)
+	c.emit(Log{Decision: d})
+}
+
+type branchBody struct {
+	Name     string            `json:"name"`
+	Parent   string            `json:"parent,omitempty"`
+	Seq      uint64            `json:"seq"`
+	Blocked  string            `json:"blocked_by_key,omitempty"`
+	Messages []json.RawMessage `json:"messages,omitempty"`
+}
+
+type programBody struct {
+	ID       id.Program    `json:"id"`
+	Duty     string        `json:"duty"`
+	OpenedAt time.Time     `json:"opened_at"`
+	Limits   record.Limits `json:"limits"`
+	Spent    record.Spend  `json:"spent"`
+	Lost     record.Spend  `json:"counted_after_take_over"`
+	Ended    string        `json:"ended,omitempty"`
+	Branches []branchBody  `json:"branches"`
+}
+
+func (c *Core) onRead(e ReadProgram) {
+	p := c.admit(e.Req, e.Tenant, e.Program)
+	if p == nil {
+		return
+	}
+	// Only what is durable is shown.
+	st := c.fold.Program(p.id)
+	if e.History {
+		b := st.Branches[branchName(e.Branch)]
+		if b == nil {
+			c.refuse(e.Req, &Problem{Type: ProblemBranchNotFound, Status: 404, Detail: "no such branch", Place: "branch", Executed: record.ExecutedNo}, 0)
+			return
+		}
+		c.emit(Reply{Req: e.Req, Status: 200, Body: mustJSON(showBranch(b, true))})
+		return
+	}
+	body := programBody{
+		ID: st.ID, Duty: st.Duty, OpenedAt: st.OpenedAt, Limits: st.Limits, Spent: st.Spent, Lost: st.Lost,
+	}
+	if st.Ended() {
+		body.Ended = st.Cause.String()
+	}
+	for _, name := range sortedKeys(st.Branches) {
+		body.Branches = append(body.Branches, showBranch(st.Branches[name], false))
+	}
+	c.emit(Reply{Req: e.Req, Status: 200, Body: mustJSON(body)})
+}
+
+func showBranch(b *fsm.Branch, messages bool) branchBody {
+	out := branchBody{Name: b.Name, Parent: b.Parent, Seq: b.Last, Blocked: b.Unknown}
+	if messages {
+		out.Messages = make([]json.RawMessage, 0, len(b.History))
+		for _, m := range b.History {
+			out.Messages = append(out.Messages, json.RawMessage(m.Raw))
+		}
+	}
+	return out
+}
+
+func (c *Core) onExplain(e ExplainProgram) {
+	tenant := e.Tenant
+	if tenant == "" {
+		if st := c.fold.Program(e.Program); st != nil {
+			tenant = st.Tenant
+		}
+	}
+	p := c.admit(e.Req, tenant, e.Program)
+	if p == nil {
+		return
+	}
+	body := struct {
+		Program   id.Program `json:"program"`
+		Decisions []Decision `json:"decisions"`
+	}{p.id, p.explain}
+	c.emit(Reply{Req: e.Req, Status: 200, Body: mustJSON(body)})
+}
+
+// writeDue writes again what depends on records that the log will soon drop. A program with unread
+// records waits, so that its snapshot is exact at its place in the log.
+func (c *Core) writeDue() {
+	due := c.fold.Due(c.cfg.Session, c.wallNow(), dueBatch)
+	for _, r := range due.Claims {
+		if c.slots[r.Slot].holds(r.Epoch) && !c.slots[r.Slot].moved {
+			c.emit(Append{Records: []record.Record{r}})
+		}
+	}
+	for _, pid := range due.Programs {
+		p := c.prog(pid)
+		if p == nil || p.unsettled > 0 || c.slots[p.slot].moved || !c.slots[p.slot].ready {
+			continue
+		}
+		recs, err := fsm.Snapshots(c.holder(p.slot), c.fold.Program(pid))
+		if err != nil {
+			c.decide(p, Decision{What: "snapshot_failed", Reason: reason(err.Error())})
+			continue
+		}
+		for _, rec := range recs {
+			c.push(&pend{rec: rec, key: keyOf(rec), prog: p, at: c.now})
+		}
+	}
+}
