--- /dev/null
+++ b/internal/platform/list_test.go
@@ -0,0 +1,84 @@
+package platform_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"ragwortstile/internal/platform"
+	"ragwortstile/internal/standin/liststand"
+	"ragwortstile/internal/standin/weightstand"
+)
+
+// Guards against an old list that passes for a fresh one: the age must grow while polls fail, and a
+// change must not show before the lag.
+func TestListLagAndAge(t *testing.T) {
+	checkGoroutines(t)
+	l := liststand.New(1, 0)
+	base, client := serve(t, l)
+	l.PutInstance(platform.Instance{Name: "i1", Zone: "z1", PeerAddr: "127.0.0.1:1", HTTPAddr: "127.0.0.1:2", State: platform.StateLive})
+	l.PutEndpoint(platform.Endpoint{Name: "e1", Zone: "z2", URL: "http://127.0.0.1:3", State: platform.StateLive})
+	c := platform.NewListClient(platform.ListConfig{Base: base, Client: client, Interval: 10 * time.Millisecond})
+	_, _, ok := c.Latest()
+	must.False(t, ok)
+	run(t, c.Serve)
+	eventually(t, "an answer", func() bool { _, _, ok := c.Latest(); return ok })
+	list, _, _ := c.Latest()
+	must.Eq(t, "127.0.0.1:1", list.Instances[0].PeerAddr)
+
+	const lag = 300 * time.Millisecond
+	l.SetLag(lag)
+	start := time.Now()
+	l.SetState("e1", platform.StateLeaving)
+	eventually(t, "the change", func() bool {
+		list, _, _ := c.Latest()
+		return list.Endpoints[0].State == platform.StateLeaving
+	})
+	must.GreaterEq(t, lag, time.Since(start))
+
+	l.SetOutage(true)
+	eventually(t, "an old answer", func() bool { _, age, _ := c.Latest(); return age > 100*time.Millisecond })
+	l.SetOutage(false)
+	eventually(t, "a fresh answer", func() bool { _, age, _ := c.Latest(); return age < 100*time.Millisecond })
+}
+
+// Guards against acting on half of a faulty list.
+func TestListRefusesFaultyAnswers(t *testing.T) {
+	checkGoroutines(t)
+	for _, body := range []string{
+		`{"instances":[{"name":"a","state":"gone"}]}`,
+		`{"instances":[{"name":"","state":"live"}]}`,
+		`{"endpoints":[{"name":"a","state":"live"},{"name":"a","state":"leaving"}]}`,
+		`{"endpoints":[{"name":"a","state":"live"}`,
+	} {
+		base, client := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(body)) }))
+		_, err := platform.NewListClient(platform.ListConfig{Base: base, Client: client}).Fetch(context.Background())
+		must.ErrorIs(t, err, platform.ErrMalformed)
+	}
+}
+
+// Guards against a quota that is used up by retries: a refusal must come back with its delay.
+func TestWeightStoreRateLimit(t *testing.T) {
+	checkGoroutines(t)
+	ctx := context.Background()
+	s := weightstand.New(1, time.Hour, 1)
+	s.Put(platform.Weights{Model: "m", Version: "v2", Bytes: 7})
+	base, client := serve(t, s)
+	c := platform.NewWeightClient(base, client)
+	w, err := c.Fetch(ctx, "m")
+	must.NoError(t, err)
+	must.Eq(t, "v2", w.Version)
+	_, err = c.Fetch(ctx, "m")
+	var limited *platform.RateLimitedError
+	must.ErrorAs[*platform.RateLimitedError](t, err, &limited)
+	must.Eq(t, time.Minute, limited.RetryAfter) // bounded
+	must.Eq(t, 1, s.Fetches("m"))
+	_, err = c.Fetch(ctx, "other")
+	must.ErrorIs(t, err, platform.ErrNotFound)
+	s.SetOutage(true)
+	_, err = c.Fetch(ctx, "m")
+	must.ErrorIs(t, err, platform.ErrOutage)
+}
--- /dev/null
+++ b/internal/platform/log_test.go
@@ -0,0 +1,138 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"ragwortstile/internal/platform"
+	"ragwortstile/internal/standin/logstand"
+)
+
+// Guards against a reader that skips records or does not see the tail.
+func TestLogAppendAndRead(t *testing.T) {
+	checkGoroutines(t)
+	ctx := context.Background()
+	_, c := startLog(t, logstand.Settings{})
+	for i := range 5 {
+		offset, err := c.Append(ctx, "a", fmt.Appendf(nil, "r%d", i))
+		must.NoError(t, err)
+		must.Eq(t, uint64(i), offset)
+	}
+	page, err := c.Read(ctx, "a", 2, 0)
+	must.NoError(t, err)
+	must.Eq(t, 3, len(page.Entries))
+	must.Eq(t, "r2", string(page.Entries[0].Data))
+	next, err := c.Next(ctx, "a")
+	must.NoError(t, err)
+	must.Eq(t, 5, next)
+	page, err = c.Read(ctx, "b", 0, 0)
+	must.NoError(t, err)
+	must.Eq(t, 0, len(page.Entries))
+}
+
+// Guards against a long poll that misses an append, or that answers before its time without one.
+func TestLogLongPoll(t *testing.T) {
+	checkGoroutines(t)
+	ctx := context.Background()
+	_, c := startLog(t, logstand.Settings{})
+	start := time.Now()
+	page, err := c.Read(ctx, "a", 0, 50*time.Millisecond)
+	must.NoError(t, err)
+	must.Eq(t, 0, len(page.Entries))
+	must.GreaterEq(t, 50*time.Millisecond, time.Since(start))
+	appended := time.AfterFunc(20*time.Millisecond, func() { _, _ = c.Append(ctx, "a", []byte("x")) })
+	defer appended.Stop()
+	page, err = c.Read(ctx, "a", 0, 20*time.Second)
+	must.NoError(t, err)
+	must.Eq(t, 1, len(page.Entries))
+}
+
+// Guards against errors that tell the caller the wrong thing about whether an append took effect.
+func TestLogTypedErrors(t *testing.T) {
+	checkGoroutines(t)
+	ctx := context.Background()
+	l, c := startLog(t, logstand.Settings{Rate: 1})
+	_, err := c.Append(ctx, "a", []byte("0"))
+	must.NoError(t, err)
+	_, err = c.Append(ctx, "a", []byte("1"))
+	var limited *platform.RateLimitedError
+	must.ErrorAs[*platform.RateLimitedError](t, err, &limited)
+	must.Greater(t, 0, limited.RetryAfter)
+
+	l.SetOutage(true)
+	_, err = c.Append(ctx, "a", []byte("1"))
+	must.ErrorIs(t, err, platform.ErrOutage)
+	_, err = c.Read(ctx, "a", 0, 0)
+	must.ErrorIs(t, err, platform.ErrOutage)
+	must.Eq(t, 1, len(l.Records("a")))
+
+	_, err = c.Append(ctx, "a", make([]byte, platform.MaxAppendBytes+1))
+	must.ErrorIs(t, err, platform.ErrTooLarge)
+
+	nobody := platform.NewLogClient("http://127.0.0.1:1", platform.NewHTTPClient())
+	_, err = nobody.Append(ctx, "a", []byte("1"))
+	must.ErrorIs(t, err, platform.ErrOutage)
+	must.False(t, errors.Is(err, platform.ErrUnknownResult))
+}
+
+// Guards against an append that took effect and is reported as failed.
+func TestLogAnswerLost(t *testing.T) {
+	checkGoroutines(t)
+	ctx := context.Background()
+	l, c := startLog(t, logstand.Settings{})
+	l.LoseAnswers(1)
+	_, err := c.Append(ctx, "a", []byte("x"))
+	must.ErrorIs(t, err, platform.ErrUnknownResult)
+	must.False(t, errors.Is(err, platform.ErrOutage))
+	must.Eq(t, 1, len(l.Records("a")))
+}
+
+// Guards against net/http repeating an append by itself on a connection that the log closed: the
+// stand-in would count two appends. The first append makes the connection a reused one.
+func TestLogAppendIsNotRepeatedByTransport(t *testing.T) {
+	checkGoroutines(t)
+	ctx := context.Background()
+	l, c := startLog(t, logstand.Settings{})
+	for range 20 {
+		_, err := c.Append(ctx, "a", []byte("first"))
+		must.NoError(t, err)
+		l.LoseAnswers(1)
+		before := l.Stats().Appends
+		_, err = c.Append(ctx, "a", []byte("second"))
+		must.ErrorIs(t, err, platform.ErrUnknownResult)
+		must.Eq(t, before+1, l.Stats().Appends)
+	}
+}
+
+// Guards against a reader that cannot find the place to continue after the retention passed it.
+func TestLogExpiredOffset(t *testing.T) {
+	checkGoroutines(t)
+	ctx := context.Background()
+	l, c := startLog(t, logstand.Settings{})
+	for range 6 {
+		_, err := c.Append(ctx, "a", []byte("x"))
+		must.NoError(t, err)
+	}
+	l.Expire("a", 4)
+	_, err := c.Read(ctx, "a", 1, 0)
+	var expired *platform.ExpiredError
+	must.ErrorAs[*platform.ExpiredError](t, err, &expired)
+	must.Eq(t, platform.ExpiredError{Earliest: 4, Next: 6}, *expired)
+	earliest, err := c.Earliest(ctx, "a")
+	must.NoError(t, err)
+	must.Eq(t, 4, earliest)
+}
+
+// Guards against an answer with status 5xx other than 503 being taken for a refusal.
+func TestLogServerErrorIsUnknown(t *testing.T) {
+	checkGoroutines(t)
+	base, client := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadGateway) }))
+	_, err := platform.NewLogClient(base, client).Append(context.Background(), "a", []byte("x"))
+	must.ErrorIs(t, err, platform.ErrUnknownResult)
+}
--- /dev/null
+++ b/internal/platform/tailer_test.go
@@ -0,0 +1,112 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"ragwortstile/internal/platform"
+	"ragwortstile/internal/standin/logstand"
+)
+
+type tailed struct {
+	offsets list[uint64]
+	tails   list[uint64]
+	gaps    list[[2]uint64]
+	failed  list[error]
+}
+
+func newTailer(c *platform.LogClient, got *tailed) *platform.Tailer {
+	return platform.NewTailer(platform.TailerConfig{
+		Client: c, Stream: stream, Wait: 100 * time.Millisecond,
+		Deliver: func(_ context.Context, e platform.Entry) error { got.offsets.add(e.Offset); return nil },
+		AtTail:  got.tails.add,
+		Expired: func(from, earliest uint64) { got.gaps.add([2]uint64{from, earliest}) },
+		Failed:  got.failed.add,
+	})
+}
+
+func appendN(t *testing.T, c *platform.LogClient, n int) {
+	t.Helper()
+	for i := range n {
+		_, err := c.Append(context.Background(), stream, fmt.Appendf(nil, "%d", i))
+		must.NoError(t, err)
+	}
+}
+
+func countTo(from, to uint64) []uint64 {
+	var all []uint64
+	for i := from; i < to; i++ {
+		all = append(all, i)
+	}
+	return all
+}
+
+// Guards against entries that are skipped or delivered twice around an outage, and against a tail
+// that is reported before all entries were delivered.
+func TestTailerExactlyOnceThroughOutage(t *testing.T) {
+	checkGoroutines(t)
+	l, c := startLog(t, logstand.Settings{})
+	appendN(t, c, 7)
+	l.Expire(stream, 2)
+	got := &tailed{}
+	run(t, newTailer(c, got).Serve)
+	eventually(t, "the tail", func() bool { return len(got.tails.get()) == 1 })
+	must.Eq(t, countTo(2, 7), got.offsets.get())
+	l.SetOutage(true)
+	eventually(t, "a failed read", func() bool { return len(got.failed.get()) > 2 })
+	must.ErrorIs(t, got.failed.get()[0], platform.ErrOutage)
+	l.SetOutage(false)
+	appendN(t, c, 5)
+	eventually(t, "all entries", func() bool { return len(got.offsets.get()) == 10 })
+	must.Eq(t, countTo(2, 12), got.offsets.get())
+	must.Eq(t, []uint64{7}, got.tails.get())
+	must.Eq(t, 0, len(got.gaps.get()))
+}
+
+// Guards against a reader that stops for good when the retention passed it, or goes on without
+// telling that entries are missing.
+func TestTailerExpired(t *testing.T) {
+	checkGoroutines(t)
+	l, c := startLog(t, logstand.Settings{})
+	got := &tailed{}
+	tailer := newTailer(c, got)
+	appendN(t, c, 3)
+	stop := run(t, tailer.Serve)
+	eventually(t, "the tail", func() bool { return len(got.tails.get()) == 1 })
+	stop()
+	appendN(t, c, 5)
+	l.Expire(stream, 6)
+	run(t, tailer.Serve)
+	eventually(t, "the tail again", func() bool { return len(got.tails.get()) == 2 })
+	must.Eq(t, append(countTo(0, 3), 6, 7), got.offsets.get())
+	must.Eq(t, [][2]uint64{{3, 6}}, got.gaps.get())
+}
+
+// Guards against an entry that is lost or doubled when its consumer fails and Serve is restarted.
+func TestTailerRestartAfterFailedDelivery(t *testing.T) {
+	checkGoroutines(t)
+	_, c := startLog(t, logstand.Settings{})
+	appendN(t, c, 4)
+	var got []uint64
+	broken := errors.New("consumer stopped")
+	tailer := platform.NewTailer(platform.TailerConfig{Client: c, Stream: stream,
+		Deliver: func(_ context.Context, e platform.Entry) error {
+			if e.Offset == 2 && len(got) == 2 {
+				got = append(got, 99)
+				return broken
+			}
+			got = append(got, e.Offset)
+			if e.Offset == 3 {
+				return broken
+			}
+			return nil
+		}})
+	must.ErrorIs(t, tailer.Serve(context.Background()), broken)
+	must.ErrorIs(t, tailer.Serve(context.Background()), broken)
+	must.Eq(t, []uint64{0, 1, 99, 2, 3}, got)
+}
