server: add endpoints, metrics and the commands

Cause: the instance could not reach endpoints and could not be started. Measured: not run as a whole at this point.

--- a/internal/api/implicit.go
+++ b/internal/api/implicit.go
@@ -1,8 +1,9 @@
 package api
 
 import (
+	"crypto/rand"
 	"crypto/sha256"
-	"encoding/hex"
+	"encoding/json"
 	"net/http"
 	"strings"
 	"time"
@@ -13,23 +14,34 @@
 	"ragwortstile/internal/record"
 )
 
-// ProgramForKey returns the program ID that an idempotency key of a tenant leads to. It follows from
-// the key alone, so a repeated key reaches the same owner and the same program from any instance.
-func ProgramForKey(tenant, key string) id.Program {
+// SlotForKey returns the slot in which a program is opened under an idempotency key that the caller
+// chose. It follows from the key alone, so a repeated key reaches the owner that knows the program
+// from any instance.
+func SlotForKey(tenant, key string) id.Slot {
 	sum := sha256.Sum256([]byte(tenant + "\x00" + key))
-	return id.NewProgram(id.Slot(sum[0]%id.Slots), hex.EncodeToString(sum[1:17]))
+	return id.Slot(sum[0] % id.Slots)
 }
 
-// newProgram chooses the ID of a new program: by its key when the caller sent one, otherwise in a
-// slot of this instance, which saves the way to another owner.
+// newProgram chooses the ID of a new program: in the slot of its key when the caller chose one,
+// otherwise in a slot of this instance, which saves the way to another owner.
 func (f *Front) newProgram(tenant, key string, generated bool) id.Program {
+	slot := SlotForKey(tenant, key)
 	if generated {
-		if slot, ok := f.backend.LocalSlot(); ok {
-			sum := sha256.Sum256([]byte(key))
-			return id.NewProgram(slot, hex.EncodeToString(sum[:16]))
+		if local, ok := f.backend.LocalSlot(); ok {
+			slot = local
 		}
 	}
-	return ProgramForKey(tenant, key)
+	return id.NewProgram(slot, strings.ToLower(rand.Text()))
+}
+
+// openedID returns the program of an answer to OpenProgram. A repeated key answers with the program
+// that it opened first.
+func openedID(body []byte) (id.Program, bool) {
+	var opened struct {
+		ID id.Program `json:"id"`
+	}
+	err := json.Unmarshal(body, &opened)
+	return opened.ID, err == nil && opened.ID != ""
 }
 
 // implicitChat serves a model call without a program: it opens a program of the tenant's default
@@ -68,8 +80,8 @@
 		writeReply(w, reply)
 		return
 	}
-	if reply.Call.Program != "" {
-		call.Program = reply.Call.Program
+	if opened, ok := openedID(reply.Body); ok {
+		call.Program = opened
 	}
 	w.Header().Set("X-Program", string(call.Program))
 	box := newMailbox()
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -13,6 +13,8 @@
 
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"ragwortstile/internal/bench"
 )
 
 // Exit codes of the binary.
@@ -45,7 +47,12 @@
 func Run(args []string, stdout, stderr io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	root := newRoot(environment{stdout: stdout, stderr: stderr})
+	env := environment{stdout: stdout, stderr: stderr}
+	// The bench parses its own flags, which a flag set of this package would refuse.
+	if len(args) > 0 && args[0] == "bench" {
+		return bench.Run(args[1:], stdout, stderr)
+	}
+	root := newRoot(env)
 	err := root.ParseAndRun(ctx, args)
 	var usage *usageError
 	switch {
--- /dev/null
+++ b/internal/command/manifest.go
@@ -0,0 +1,162 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"ragwortstile/internal/manifest"
+	"ragwortstile/internal/platform"
+	"ragwortstile/internal/publish"
+)
+
+// publishTimeout bounds how long a publication waits for the log.
+const publishTimeout = 30 * time.Second
+
+func manifestCommand(env environment) *ffcli.Command {
+	return &ffcli.Command{
+		Name:       "manifest",
+		ShortUsage: "ragwortstile manifest <check|diff|publish|show> [flags]",
+		ShortHelp:  "Check, compare, publish and show manifests.",
+		FlagSet:    newFlagSet(env, "ragwortstile manifest"),
+		Subcommands: []*ffcli.Command{
+			manifestCheck(env), manifestDiff(env), manifestPublish(env), manifestShow(env),
+		},
+		Exec: showHelp,
+	}
+}
+
+// readManifest reads and checks a manifest. Every finding carries the file and its place.
+func readManifest(name string) (*manifest.Manifest, error) {
+	data, err := readInput(name)
+	if err != nil {
+		return nil, err
+	}
+	m, err := manifest.Parse(data)
+	var found manifest.Findings
+	if errors.As(err, &found) {
+		all := make([]error, 0, len(found))
+		for _, f := range found {
+			all = append(all, fmt.Errorf("%s: %s", name, f))
+		}
+		return nil, errors.Join(all...)
+	}
+	return m, err
+}
+
+func manifestCheck(env environment) *ffcli.Command {
+	fs := newFlagSet(env, "ragwortstile manifest check")
+	return newCommand("check", "manifest check FILE", "Check a manifest and report every finding with its place.", fs,
+		func(_ context.Context, args []string) error {
+			name, err := oneArg(args, "the manifest file, or - for standard input")
+			if err != nil {
+				return err
+			}
+			m, err := readManifest(name)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(env.stdout, "%s: valid, digest %s, %d tenants, %d duties, %d pools, %d endpoints\n",
+				name, m.Digest(), len(m.Tenants), len(m.Duties), len(m.Pools), len(m.Endpoints))
+			return nil
+		})
+}
+
+func manifestDiff(env environment) *ffcli.Command {
+	fs := newFlagSet(env, "ragwortstile manifest diff")
+	return newCommand("diff", "manifest diff OLD NEW", "Show what a manifest changes against another.", fs,
+		func(_ context.Context, args []string) error {
+			if len(args) != 2 {
+				return usagef("want two arguments: the old and the new manifest file")
+			}
+			from, err := readManifest(args[0])
+			if err != nil {
+				return err
+			}
+			to, err := readManifest(args[1])
+			if err != nil {
+				return err
+			}
+			fmt.Fprint(env.stdout, manifest.Diff(from, to))
+			return nil
+		})
+}
+
+func manifestPublish(env environment) *ffcli.Command {
+	fs := newFlagSet(env, "ragwortstile manifest publish")
+	logURL := fs.String("log-url", "", "base URL of the platform's log")
+	expected := fs.Int64("expected", -1, "version that this manifest replaces; 0 for the first one")
+	operator := fs.String("operator", os.Getenv("USER"), "name to record as the publisher")
+	return newCommand("publish", "manifest publish --log-url URL --expected N FILE",
+		"Put a manifest in force if the expected version still is.", fs,
+		func(ctx context.Context, args []string) error {
+			name, err := oneArg(args, "the manifest file, or - for standard input")
+			if err != nil {
+				return err
+			}
+			var f findings
+			if *logURL == "" {
+				f.add("log-url", "the address of the log is missing")
+			}
+			if *expected < 0 {
+				f.add("expected", "the version that is replaced is missing; see manifest show")
+			}
+			if len(f.all) > 0 {
+				return &usageError{err: errors.Join(f.all...)}
+			}
+			m, err := readManifest(name)
+			if err != nil {
+				return err
+			}
+			ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+			defer cancel()
+			version, err := publish.Publish(ctx, platform.NewLogClient(*logURL, http.DefaultClient), publish.Request{
+				Expected: uint64(*expected), Data: m.Canonical(), Digest: m.Digest(), Operator: *operator,
+			})
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(env.stdout, "version %d is in force, digest %s\n", version, m.Digest())
+			return nil
+		})
+}
+
+func manifestShow(env environment) *ffcli.Command {
+	fs := newFlagSet(env, "ragwortstile manifest show")
+	logURL := fs.String("log-url", "", "base URL of the platform's log")
+	versionOnly := fs.Bool("version", false, "print the version only")
+	return newCommand("show", "manifest show --log-url URL", "Print the manifest in force as JSON, and its version on standard error.", fs,
+		func(ctx context.Context, args []string) error {
+			if err := noArgs(args); err != nil {
+				return err
+			}
+			if *logURL == "" {
+				return usagef("--log-url (%s_LOG_URL): the address of the log is missing", envPrefix)
+			}
+			ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+			defer cancel()
+			r := publish.NewReader(platform.NewLogClient(*logURL, http.DefaultClient))
+			m, err := r.ToTail(ctx)
+			if err != nil {
+				return err
+			}
+			if !r.Exact() {
+				return publish.ErrUndecided
+			}
+			if *versionOnly {
+				fmt.Fprintln(env.stdout, m.Version)
+				return nil
+			}
+			if m.Version == 0 {
+				return errors.New("no manifest was published")
+			}
+			fmt.Fprintf(env.stderr, "version %d, digest %s, published by %s\n", m.Version, m.Digest, m.Operator)
+			fmt.Fprintf(env.stdout, "%s\n", m.Data)
+			return nil
+		})
+}
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -20,15 +20,15 @@
 // serveSettings are the settings of serve as text. They are parsed together, so that one start
 // reports all findings.
 type serveSettings struct {
-	instance, zone                         string
-	httpListen, peerListen                 string
-	logURL, listURL, weightsURL            string
-	peers                                  string
-	peerKey, peerKeyFile                   string
-	tlsCert, tlsKey, tlsCA                 string
-	operatorDigest                         string
-	retention, drainWait, drainTimeout     string
-	listInterval, logLevel                 string
+	instance, zone                     string
+	httpListen, peerListen             string
+	logURL, listURL, weightsURL        string
+	peers                              string
+	peerKey, peerKeyFile               string
+	tlsCert, tlsKey, tlsCA             string
+	operatorDigest                     string
+	retention, drainWait, drainTimeout string
+	listInterval, logLevel             string
 }
 
 func (s *serveSettings) flags(fs *flag.FlagSet) {
--- a/internal/server/actions.go
+++ b/internal/server/actions.go
@@ -4,7 +4,6 @@
 	"github.com/sirupsen/logrus"
 
 	"ragwortstile/internal/program"
-	"ragwortstile/internal/record"
 	"ragwortstile/internal/sched"
 )
 
@@ -76,7 +75,7 @@
 	if r == nil {
 		return
 	}
-	if a.Problem != nil && a.Problem.Executed == record.ExecutedNo && slotMoves(a.Problem.Type) {
+	if a.Problem != nil && slotMoves(a.Problem.Type) {
 		delete(c.requests, a.Req)
 		r.req = 0
 		c.events.later(func() { c.routeLater(r) })
--- a/internal/server/copying.go
+++ b/internal/server/copying.go
@@ -82,6 +82,26 @@
 	}
 }
 
+// copySources returns the instances that may hold copies, and how many listed ones were not heard of
+// since this instance started.
+func (i *Instance) copySources() (sessions []id.Session, unknown int) {
+	type answer struct {
+		sessions []id.Session
+		unknown  int
+	}
+	answers := make(chan answer, 1)
+	i.core.events.post(func() {
+		sessions, unknown := i.core.members.copySources()
+		answers <- answer{sessions, unknown}
+	})
+	select {
+	case a := <-answers:
+		return a.sessions, a.unknown
+	case <-i.ctx.Done():
+		return nil, 0
+	}
+}
+
 func (i *Instance) putCopy(to id.Session, m wire.CopyPut) bool {
 	ctx, cancel := context.WithTimeout(i.ctx, copyTimeout)
 	defer cancel()
@@ -113,8 +133,8 @@
 		add(c.inst.copies.get(a.Slot, a.Epoch))
 		answered := map[id.Session]bool{}
 		for c.inst.ctx.Err() == nil {
-			missing := 0
-			for _, to := range c.inst.copyTargets(nil) {
+			sources, missing := c.inst.copySources()
+			for _, to := range sources {
 				if answered[to] {
 					continue
 				}
--- a/internal/server/heartbeat.go
+++ b/internal/server/heartbeat.go
@@ -33,7 +33,8 @@
 	m := c.members
 	m.round++
 	m.sent = now
-	m.acks = map[id.Session]bool{}
+	m.rounds[m.round] = now
+	delete(m.rounds, m.round-roundsKept)
 	beat := wire.Heartbeat{
 		Round:           m.round,
 		Sent:            now,
@@ -64,17 +65,23 @@
 	return out
 }
 
-// renewLease counts the acknowledgements of the last round. The lease runs from the moment the round
-// was sent, so a late acknowledgement never makes it longer.
+// renewLease extends the lease to leaseTime after the latest moment since which a majority of the
+// listed instances, this one included, has acknowledged a heartbeat. It runs from the moment the
+// heartbeat was sent, so a late acknowledgement never makes it longer.
 func (c *core) renewLease() {
-	heard := 1
-	for session := range c.members.acks {
-		if _, listed := c.members.listed[session.Instance()]; listed {
-			heard++
+	sent := []time.Duration{c.members.sent} // the instance hears itself
+	for name, mb := range c.members.byName {
+		if _, listed := c.members.listed[name]; listed && mb.acked > 0 {
+			sent = append(sent, mb.acked)
 		}
 	}
-	until := c.members.sent + leaseTime
-	if !c.members.majority(heard) || until <= c.lease {
+	need := len(c.members.listed)/2 + 1
+	if len(sent) < need {
+		return
+	}
+	slices.Sort(sent)
+	until := sent[len(sent)-need] + leaseTime
+	if until <= c.lease {
 		return
 	}
 	c.lease = until
@@ -83,10 +90,12 @@
 }
 
 func (c *core) heartbeatAck(from id.Session, a wire.HeartbeatAck) {
-	if a.Round != c.members.round {
+	mb := c.members.byName[from.Instance()]
+	sent, known := c.members.rounds[a.Round]
+	if mb == nil || mb.session != from || !known {
 		return
 	}
-	c.members.acks[from] = true
+	mb.acked = max(mb.acked, sent)
 	c.renewLease()
 }
 
--- a/internal/server/instance.go
+++ b/internal/server/instance.go
@@ -62,6 +62,9 @@
 	core     *core
 	front    *http.Server
 	view     atomic.Pointer[view]
+	// leaseUntil is the end of the lease on the clock of now, for work outside the loop.
+	leaseUntil atomic.Int64
+	metrics    *instanceMetrics
 
 	httpListener net.Listener
 	peerListener net.Listener
@@ -146,6 +149,7 @@
 		return err
 	}
 	i.engines = newEndpoints(i)
+	i.metrics = newInstanceMetrics(i)
 	i.front = &http.Server{
 		Handler:           api.New(i, i.cfg.OperatorDigest),
 		ReadHeaderTimeout: headerTimeout,
--- a/internal/server/members.go
+++ b/internal/server/members.go
@@ -22,6 +22,9 @@
 	majorityWindow = 2 * time.Second
 	// liveWindow is the silence after which an instance gets no new requests and no pool.
 	liveWindow = 2 * time.Second
+	// roundsKept is the number of rounds whose acknowledgement still counts; older ones are longer
+	// ago than the lease.
+	roundsKept = 8
 	// leavingCap ends a leaving mark that the list never confirmed.
 	leavingCap = 30 * time.Second
 )
@@ -32,6 +35,7 @@
 	zone      string
 	heard     time.Duration // when its last heartbeat arrived
 	beat      wire.Heartbeat
+	acked     time.Duration // when the latest heartbeat was sent that it acknowledged
 	connected bool
 }
 
@@ -45,7 +49,7 @@
 	round   uint64
 	sent    time.Duration
 	next    time.Duration
-	acks    map[id.Session]bool
+	rounds  map[uint64]time.Duration // when the last rounds were sent
 	marks   map[string]leavingMark
 	asking  map[id.Session]bool // asked for the manifest
 	spread  int                 // turns the order of copy targets, so that copies spread
@@ -65,7 +69,7 @@
 		byName:  map[string]*member{},
 		reports: map[uint32]time.Duration{},
 		listed:  map[string]bool{i.cfg.Instance: false},
-		acks:    map[id.Session]bool{},
+		rounds:  map[uint64]time.Duration{},
 		marks:   map[string]leavingMark{},
 		asking:  map[id.Session]bool{},
 	}
@@ -86,7 +90,9 @@
 }
 
 // alive tells whether an instance was heard directly within a time.
-func (mb *member) alive(now, window time.Duration) bool { return mb.beat.Round > 0 && now-mb.heard <= window }
+func (mb *member) alive(now, window time.Duration) bool {
+	return mb.beat.Round > 0 && now-mb.heard <= window
+}
 
 // live returns the sessions of the other instances that were heard lately, sorted.
 func (m *members) live() []id.Session {
--- /dev/null
+++ b/internal/server/metrics.go
@@ -0,0 +1,53 @@
+package server
+
+import (
+	"io"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// instanceMetrics is the metric set of one instance. Each instance has its own set, because several
+// can run in one process.
+type instanceMetrics struct {
+	set       *metrics.Set
+	requests  *metrics.Counter
+	forwarded *metrics.Counter
+	parked    *metrics.Counter
+	refused   *metrics.Counter
+}
+
+func newInstanceMetrics(i *Instance) *instanceMetrics {
+	set := metrics.NewSet()
+	m := &instanceMetrics{
+		set:       set,
+		requests:  set.NewCounter("ragwortstile_requests_total"),
+		forwarded: set.NewCounter("ragwortstile_requests_forwarded_total"),
+		parked:    set.NewCounter("ragwortstile_requests_parked_total"),
+		refused:   set.NewCounter("ragwortstile_requests_refused_total"),
+	}
+	gauge := func(name string, f func(*view) float64) {
+		set.NewGauge(name, func() float64 {
+			if v := i.view.Load(); v != nil {
+				return f(v)
+			}
+			return 0
+		})
+	}
+	gauge("ragwortstile_slots_held", func(v *view) float64 { return float64(len(v.slots)) })
+	gauge("ragwortstile_programs_open", func(v *view) float64 { return float64(v.status.Programs) })
+	gauge("ragwortstile_manifest_version", func(v *view) float64 { return float64(v.raw.Version) })
+	gauge("ragwortstile_log_down", func(v *view) float64 { return boolNumber(v.status.LogDown) })
+	gauge("ragwortstile_ready", func(v *view) float64 { return boolNumber(v.ready == nil) })
+	set.NewGauge("ragwortstile_peer_control_bytes_out", func() float64 { return float64(i.node.Bytes().ControlOut) })
+	set.NewGauge("ragwortstile_peer_control_bytes_in", func() float64 { return float64(i.node.Bytes().ControlIn) })
+	return m
+}
+
+func boolNumber(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func (m *instanceMetrics) write(w io.Writer) { m.set.WritePrometheus(w) }
