--- a/internal/server/config_stream.go
+++ b/internal/server/config_stream.go
@@ -33,11 +33,9 @@
 	c.useManifest(c.configs.Current())
 }
 
-// adoptManifest takes over a manifest from a peer, for an instance that can't read the log.
+// adoptManifest takes over a manifest from a peer that has read further. Versions are given out by
+// the log only, so a higher one is newer wherever it comes from.
 func (c *core) adoptManifest(m fsm.Manifest) {
-	if c.configs != nil && c.configs.Exact() && c.configsAtTail && !c.logDown {
-		return // the log decides
-	}
 	if c.configs != nil {
 		c.configs.Adopt(m)
 	}
--- a/internal/server/heartbeat.go
+++ b/internal/server/heartbeat.go
@@ -85,7 +85,6 @@
 		return
 	}
 	c.lease = until
-	c.inst.leaseUntil.Store(int64(until))
 	c.step(program.LeaseChanged{Until: until})
 }
 
--- a/internal/server/instance.go
+++ b/internal/server/instance.go
@@ -62,9 +62,7 @@
 	core     *core
 	front    *http.Server
 	view     atomic.Pointer[view]
-	// leaseUntil is the end of the lease on the clock of now, for work outside the loop.
-	leaseUntil atomic.Int64
-	metrics    *instanceMetrics
+	metrics  *instanceMetrics
 
 	httpListener net.Listener
 	peerListener net.Listener
--- a/internal/server/members.go
+++ b/internal/server/members.go
@@ -31,12 +31,11 @@
 
 // member is the newest session of another instance.
 type member struct {
-	session   id.Session
-	zone      string
-	heard     time.Duration // when its last heartbeat arrived
-	beat      wire.Heartbeat
-	acked     time.Duration // when the latest heartbeat was sent that it acknowledged
-	connected bool
+	session id.Session
+	zone    string
+	heard   time.Duration // when its last heartbeat arrived
+	beat    wire.Heartbeat
+	acked   time.Duration // when the latest heartbeat was sent that it acknowledged
 }
 
 // members is what this instance knows about the others. The loop owns it.
@@ -86,7 +85,6 @@
 		mb = &member{session: r.Session, zone: r.Zone, heard: -liveWindow}
 		m.byName[name] = mb
 	}
-	mb.connected = true
 }
 
 // alive tells whether an instance was heard directly within a time.
