examples: name the program files after their users

Cause: the manifests of both users take the names bindery.yaml and raintank.yaml. Change: the programs move to bindery_programs.yaml and raintank_programs.yaml, the manifest to demo.yaml. Measured: nothing; files are only renamed.

--- a/examples/examples.go
+++ b/examples/examples.go
@@ -11,13 +11,13 @@
 
 // Manifest is the demo's manifest in YAML.
 //
-//go:embed manifest.yaml
+//go:embed demo.yaml
 var Manifest []byte
 
-//go:embed bindery.yaml
+//go:embed bindery_programs.yaml
 var bindery []byte
 
-//go:embed raintank.yaml
+//go:embed raintank_programs.yaml
 var raintank []byte
 
 // User is one tenant with its programs.
