endpoint: write each request at most once and tell whether it was sent

net/http repeats a request on a new connection when a reused one breaks after the write, if it takes the request for idempotent, and http.Client.Do can return from a cancellation before its write. Both break the promise that a non-idempotent call runs at most once and that 'executed: no' is true.

In the test the plain client writes 2 requests 3 times; this client writes them 2 times. Among 3000 requests that are cancelled at varied times, none that was reported as not sent arrives at the server.

--- /dev/null
+++ b/internal/endpoint/client_test.go
@@ -0,0 +1,286 @@
+package endpoint
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"ragwortstile/internal/sched"
+)
+
+// checkGoroutines fails the test when goroutines are left after all other cleanups. Call it first.
+func checkGoroutines(t *testing.T) {
+	t.Helper()
+	before := runtime.NumGoroutine()
+	t.Cleanup(func() {
+		deadline := time.Now().Add(5 * time.Second)
+		for runtime.NumGoroutine() > before && time.Now().Before(deadline) {
+			time.Sleep(5 * time.Millisecond)
+		}
+		if after := runtime.NumGoroutine(); after > before {
+			t.Errorf("goroutines: %d before, %d after", before, after)
+		}
+	})
+}
+
+func newClient(t *testing.T) *Client {
+	c := New(Options{})
+	t.Cleanup(c.Close)
+	return c
+}
+
+func post(t *testing.T, ctx context.Context, url string) *http.Request {
+	t.Helper()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(`{"a":1}`))
+	must.NoError(t, err)
+	req.Header.Set("Idempotency-Key", "k") // makes net/http treat the request as safe to repeat
+	return req
+}
+
+// answerThenDrop answers the first request of each connection and closes the connection after it
+// read the second one. It counts the requests that it read.
+func answerThenDrop(t *testing.T, count *atomic.Int64) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer nc.Close()
+				r := bufio.NewReader(nc)
+				for i := range 2 {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body)
+					count.Add(1)
+					if i == 0 {
+						_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+					}
+				}
+			}()
+		}
+	}()
+	return "http://" + l.Addr().String()
+}
+
+// Guards against net/http writing a request a second time when a reused connection breaks after the
+// first write. The plain client shows that the case is met: it does write twice.
+func TestRequestIsWrittenOnce(t *testing.T) {
+	checkGoroutines(t)
+	var count atomic.Int64
+	url := answerThenDrop(t, &count)
+
+	plain := &http.Client{Transport: &http.Transport{}}
+	defer plain.CloseIdleConnections()
+	for range 2 {
+		resp, err := plain.Do(post(t, t.Context(), url))
+		must.NoError(t, err)
+		resp.Body.Close()
+	}
+	must.Eq(t, 3, count.Load())
+
+	count.Store(0)
+	c := newClient(t)
+	resp, sent, err := c.Send(post(t, t.Context(), url), nil)
+	must.NoError(t, err)
+	must.True(t, sent)
+	resp.Body.Close()
+	_, sent, err = c.Send(post(t, t.Context(), url), nil)
+	must.Error(t, err)
+	must.True(t, sent)
+	must.Eq(t, 2, count.Load())
+	must.Eq(t, sched.ResultFailed, ResultOf(t.Context(), err))
+}
+
+// Guards against a request that is written after the check failed, on a new and on a reused
+// connection, and against a check that runs before the connection stands.
+func TestCheckRunsBeforeWrite(t *testing.T) {
+	checkGoroutines(t)
+	var count, opened atomic.Int64
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { count.Add(1) }))
+	server.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		if s == http.StateNew {
+			opened.Add(1)
+		}
+	}
+	server.Start()
+	t.Cleanup(server.Close)
+	c := newClient(t)
+	lapsed := errors.New("lease lapsed")
+	deny := func() error { return lapsed }
+	allow := func() error { return nil }
+
+	_, sent, err := c.Send(post(t, t.Context(), server.URL), deny)
+	must.ErrorIs(t, err, lapsed)
+	must.False(t, sent)
+	must.Eq(t, sched.ResultCanceled, ResultOf(t.Context(), err))
+	must.Eq(t, 1, opened.Load())
+
+	resp, sent, err := c.Send(post(t, t.Context(), server.URL), allow)
+	must.NoError(t, err)
+	must.True(t, sent)
+	resp.Body.Close()
+	_, sent, err = c.Send(post(t, t.Context(), server.URL), deny)
+	must.ErrorIs(t, err, lapsed)
+	must.False(t, sent)
+	must.Eq(t, 1, count.Load())
+}
+
+// Guards against a failure to connect that is reported as possibly run, and against a hang that is
+// reported as certainly not run.
+func TestSentIsHonest(t *testing.T) {
+	checkGoroutines(t)
+	c := newClient(t)
+	_, sent, err := c.Send(post(t, t.Context(), "http://127.0.0.1:1"), nil)
+	must.Error(t, err)
+	must.False(t, sent)
+	must.Eq(t, sched.ResultFailed, ResultOf(t.Context(), err))
+
+	release := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
+	t.Cleanup(server.Close)
+	t.Cleanup(func() { close(release) })
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, sent, err = c.Send(post(t, ctx, server.URL), nil)
+	must.Error(t, err)
+	must.True(t, sent)
+	must.Eq(t, sched.ResultTimeout, ResultOf(ctx, err))
+
+	ctx, cancel = context.WithCancel(t.Context())
+	cancel()
+	_, sent, err = c.Send(post(t, ctx, server.URL), nil)
+	must.False(t, sent)
+	must.Eq(t, sched.ResultCanceled, ResultOf(ctx, err))
+}
+
+// Guards against a request that is written after Send reported that it was not: http.Client.Do
+// returns on a cancellation while its write may still be to come.
+func TestNotSentMeansNeverSent(t *testing.T) {
+	checkGoroutines(t)
+	var mu sync.Mutex
+	arrived := make(map[string]bool)
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		arrived[r.URL.Path] = true
+	}))
+	t.Cleanup(server.Close)
+	c := newClient(t)
+	var notSent []string
+	for i := range 3000 {
+		ctx, cancel := context.WithCancel(t.Context())
+		timer := time.AfterFunc(time.Duration(i%150)*time.Microsecond, cancel)
+		path := "/" + strconv.Itoa(i)
+		resp, sent, err := c.Send(post(t, ctx, server.URL+path), nil)
+		if err == nil {
+			resp.Body.Close()
+		}
+		if !sent {
+			notSent = append(notSent, path)
+		}
+		timer.Stop()
+		cancel()
+	}
+	time.Sleep(50 * time.Millisecond)
+	mu.Lock()
+	defer mu.Unlock()
+	must.Positive(t, len(notSent))
+	must.Less(t, 3000, len(notSent))
+	for _, path := range notSent {
+		must.False(t, arrived[path])
+	}
+}
+
+// Guards against the same in the order that a test on sockets rarely meets.
+func TestAttemptPermissions(t *testing.T) {
+	first, second := &conn{}, &conn{}
+	a := &attempt{}
+	must.False(t, a.end())
+	must.ErrorIs(t, a.begin(first), errEnded)
+
+	a = &attempt{}
+	must.NoError(t, a.begin(first))
+	must.True(t, a.end()) // the write is under way
+	must.ErrorIs(t, a.begin(second), ErrSecondWrite)
+
+	checks := 0
+	a = &attempt{check: func() error { checks++; return nil }}
+	must.NoError(t, a.begin(first))
+	a.wrote(0) // the reused connection was closed already
+	must.NoError(t, a.begin(second))
+	a.wrote(3)
+	must.NoError(t, a.begin(second))
+	a.wrote(3)
+	must.Eq(t, 2, checks)
+	must.ErrorIs(t, a.begin(first), ErrSecondWrite)
+	must.True(t, a.end())
+}
+
+// Guards against connections that are not reused, and against a redirect that repeats a request at
+// another endpoint.
+func TestReuseAndRedirect(t *testing.T) {
+	checkGoroutines(t)
+	var opened atomic.Int64
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		http.Redirect(w, r, "/other", http.StatusTemporaryRedirect)
+	}))
+	server.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		if s == http.StateNew {
+			opened.Add(1)
+		}
+	}
+	server.Start()
+	t.Cleanup(server.Close)
+	c := newClient(t)
+	for range 10 {
+		resp, _, err := c.Send(post(t, t.Context(), server.URL), nil)
+		must.NoError(t, err)
+		must.Eq(t, http.StatusTemporaryRedirect, resp.StatusCode)
+		_, err = ReadBody(resp.Body, 1<<10)
+		must.NoError(t, err)
+		resp.Body.Close()
+	}
+	must.Eq(t, 1, opened.Load())
+}
+
+// Guards against memory that grows with an endless answer.
+func TestReadBodyIsBounded(t *testing.T) {
+	_, err := ReadBody(strings.NewReader("12345"), 4)
+	must.ErrorIs(t, err, ErrTooLarge)
+	data, err := ReadBody(strings.NewReader("1234"), 4)
+	must.NoError(t, err)
+	must.Eq(t, 4, len(data))
+}
+
+// Guards against an ambiguous refusal that is taken for a certain one.
+func TestRefusedUnrun(t *testing.T) {
+	no := http.Header{ExecutedHeader: {"no"}}
+	must.True(t, RefusedUnrun(http.StatusTooManyRequests, http.Header{}))
+	must.True(t, RefusedUnrun(http.StatusServiceUnavailable, no))
+	must.False(t, RefusedUnrun(http.StatusServiceUnavailable, http.Header{}))
+	must.False(t, RefusedUnrun(http.StatusOK, no))
+	must.ErrorIs(t, CheckRequestID(http.Header{RequestIDHeader: {"b"}}, "a"), ErrWrongAnswer)
+	must.NoError(t, CheckRequestID(http.Header{RequestIDHeader: {"a"}}, "a"))
+	must.NoError(t, CheckRequestID(http.Header{}, "a"))
+}
