--- /dev/null
+++ b/internal/manifest/finding.go
@@ -0,0 +1,52 @@
+package manifest
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Finding is one mistake in a manifest.
+type Finding struct {
+	Place   string // such as "duties[2].share"; empty for the whole document
+	Line    int    // from 1; 0 where it is not known
+	Problem string
+}
+
+// String returns "line 12: duties[2].share: problem" without the parts that are not known.
+func (f Finding) String() string {
+	var b strings.Builder
+	if f.Line > 0 {
+		fmt.Fprintf(&b, "line %d: ", f.Line)
+	}
+	if f.Place != "" {
+		b.WriteString(f.Place + ": ")
+	}
+	b.WriteString(f.Problem)
+	return b.String()
+}
+
+// Findings is every mistake of a manifest, in the order of lines. As an error it is never empty.
+type Findings []Finding
+
+// Error returns one line per finding.
+func (f Findings) Error() string {
+	lines := make([]string, 0, len(f))
+	for _, one := range f {
+		lines = append(lines, one.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+func (f Findings) sort() {
+	slices.SortStableFunc(f, func(a, b Finding) int { return cmp.Compare(a.Line, b.Line) })
+}
+
+// err returns the findings as an error, or nil if there are none.
+func (f Findings) err() error {
+	if len(f) == 0 {
+		return nil
+	}
+	return f
+}
--- /dev/null
+++ b/internal/manifest/index.go
@@ -0,0 +1,164 @@
+package manifest
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+)
+
+// Index answers the look-ups of the run time on one manifest. It is immutable and safe for
+// concurrent use; the manifest must not be changed afterwards.
+type Index struct {
+	Manifest  *Manifest
+	tenants   map[string]*Tenant
+	duties    map[string]*Duty
+	pools     map[string]*Pool
+	endpoints map[string]*Endpoint
+	byPool    map[string][]*Endpoint
+	services  map[string]*Service
+	keys      map[keyPrefix][]tenantKey
+}
+
+// keyPrefix selects the candidates of a key digest. Keys are secret, but the first bytes of their
+// SHA-256 tell nothing useful about them, so the time of the map look-up may depend on them.
+type keyPrefix [4]byte
+
+type tenantKey struct {
+	digest [sha256.Size]byte
+	tenant *Tenant
+}
+
+// NewIndex builds the index. Of entries with the same name, which Check refuses, the last one counts.
+func NewIndex(m *Manifest) *Index {
+	x := &Index{
+		Manifest:  m,
+		tenants:   make(map[string]*Tenant, len(m.Tenants)),
+		duties:    make(map[string]*Duty, len(m.Duties)),
+		pools:     make(map[string]*Pool, len(m.Pools)),
+		endpoints: make(map[string]*Endpoint, len(m.Endpoints)),
+		byPool:    make(map[string][]*Endpoint, len(m.Pools)),
+		services:  make(map[string]*Service, len(m.Services)),
+		keys:      make(map[keyPrefix][]tenantKey, len(m.Tenants)),
+	}
+	for i := range m.Tenants {
+		x.addTenant(&m.Tenants[i])
+	}
+	for i := range m.Duties {
+		x.duties[m.Duties[i].Name] = &m.Duties[i]
+	}
+	for i := range m.Pools {
+		x.pools[m.Pools[i].Name] = &m.Pools[i]
+	}
+	for i := range m.Endpoints {
+		e := &m.Endpoints[i]
+		x.endpoints[e.Name] = e
+		x.byPool[e.Pool] = append(x.byPool[e.Pool], e)
+	}
+	for i := range m.Services {
+		x.services[m.Services[i].Pool] = &m.Services[i]
+	}
+	return x
+}
+
+func (x *Index) addTenant(t *Tenant) {
+	x.tenants[t.Name] = t
+	for _, text := range t.KeyDigests {
+		raw, err := hex.DecodeString(text)
+		if err != nil || len(raw) != sha256.Size {
+			continue // refused by Check; such a key matches nothing
+		}
+		k := tenantKey{digest: [sha256.Size]byte(raw), tenant: t}
+		x.keys[keyPrefix(raw)] = append(x.keys[keyPrefix(raw)], k)
+	}
+}
+
+// TenantByKey returns the tenant of a bearer key, or nil. The comparison of digests takes constant
+// time for each candidate.
+func (x *Index) TenantByKey(key string) *Tenant {
+	sum := sha256.Sum256([]byte(key))
+	var found *Tenant
+	for _, k := range x.keys[keyPrefix(sum[:])] {
+		if subtle.ConstantTimeCompare(k.digest[:], sum[:]) == 1 {
+			found = k.tenant
+		}
+	}
+	return found
+}
+
+// KeyDigest returns the digest of a bearer key as the manifest holds it.
+func KeyDigest(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// Tenant returns the tenant of that name, or nil.
+func (x *Index) Tenant(name string) *Tenant { return x.tenants[name] }
+
+// Duty returns the duty of that name, or nil.
+func (x *Index) Duty(name string) *Duty { return x.duties[name] }
+
+// DutyOf returns the duty if the tenant may use it, or nil. An empty name means the tenant's
+// default duty.
+func (x *Index) DutyOf(t *Tenant, name string) *Duty {
+	if name == "" {
+		name = t.DefaultDuty
+	}
+	d := x.duties[name]
+	if d == nil || !contains(d.Tenants, t.Name) {
+		return nil
+	}
+	return d
+}
+
+// Pool returns the pool of that name, or nil.
+func (x *Index) Pool(name string) *Pool { return x.pools[name] }
+
+// PoolOf returns the pool if the duty's programs may use it and it is of the kind, or nil.
+func (x *Index) PoolOf(d *Duty, name string, kind PoolKind) *Pool {
+	p := x.pools[name]
+	if p == nil || p.Kind != kind || !contains(d.Pools, name) {
+		return nil
+	}
+	return p
+}
+
+// Endpoint returns the endpoint of that name, or nil.
+func (x *Index) Endpoint(name string) *Endpoint { return x.endpoints[name] }
+
+// EndpointsOf returns the endpoints of a pool in the order of the manifest. The caller must not
+// change the slice.
+func (x *Index) EndpointsOf(pool string) []*Endpoint { return x.byPool[pool] }
+
+// DutiesOf returns the duties whose programs may use a pool, in the order of the manifest.
+func (x *Index) DutiesOf(pool string) []*Duty {
+	var duties []*Duty
+	for i := range x.Manifest.Duties {
+		if d := &x.Manifest.Duties[i]; contains(d.Pools, pool) {
+			duties = append(duties, d)
+		}
+	}
+	return duties
+}
+
+// Operation returns an operation of a service, or nil.
+func (x *Index) Operation(service, operation string) *Operation {
+	s := x.services[service]
+	if s == nil {
+		return nil
+	}
+	for i := range s.Operations {
+		if s.Operations[i].Name == operation {
+			return &s.Operations[i]
+		}
+	}
+	return nil
+}
+
+func contains(list []string, want string) bool {
+	for _, s := range list {
+		if s == want {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/manifest/types.go
+++ b/internal/manifest/types.go
@@ -9,7 +9,8 @@
 )
 
 // Manifest is the configuration of one deployment. It is generated from the operators' sources and
-// published as a whole; nothing in it is edited by hand.
+// published as a whole; nothing in it is edited by hand. In YAML and JSON, durations are text such as
+// "30s". Fields that are added later must have omitempty, so that digests of manifests without them stay.
 type Manifest struct {
 	Deployment string     `json:"deployment" yaml:"deployment"`
 	Source     Source     `json:"source" yaml:"source"`
@@ -19,6 +20,7 @@
 	Pools      []Pool     `json:"pools" yaml:"pools"`
 	Endpoints  []Endpoint `json:"endpoints" yaml:"endpoints"`
 	Services   []Service  `json:"services" yaml:"services"`
+	Orders     Orders     `json:"orders,omitempty" yaml:"orders"`
 }
 
 // Source tells what the manifest was generated from.
@@ -79,6 +81,35 @@
 	CacheTokens  int64  `json:"cache_tokens,omitempty" yaml:"cache_tokens"`   // prefix memory
 	IgnoresFence bool   `json:"ignores_fence,omitempty" yaml:"ignores_fence"` // it accepts orders with an old fencing number
 	CanExport    bool   `json:"can_export,omitempty" yaml:"can_export"`       // it exports and imports cache
+	Engine       Engine `json:"engine,omitempty" yaml:"engine"`               // what it should have loaded; model engines only
+}
+
+// Role tells which phase of a call an engine runs.
+type Role string
+
+// Roles of engines.
+const (
+	RoleMixed   Role = "mixed"
+	RolePrefill Role = "prefill"
+	RoleDecode  Role = "decode"
+)
+
+// Engine is the desired state of a model engine. The zero value means that the engine gets no orders.
+type Engine struct {
+	Model    string   `json:"model,omitempty" yaml:"model"`
+	Version  string   `json:"version,omitempty" yaml:"version"`
+	Adapters []string `json:"adapters,omitempty" yaml:"adapters"`
+	Role     Role     `json:"role,omitempty" yaml:"role"`
+}
+
+// Managed tells whether the engine gets orders.
+func (e Engine) Managed() bool { return e.Model != "" }
+
+// Orders bounds the orders to engines and the fetches from the weight store. It is required when
+// an endpoint has a desired engine state.
+type Orders struct {
+	FetchInterval time.Duration `json:"fetch_interval,omitempty" yaml:"fetch_interval"` // at least this long between two fetches of the whole deployment
+	Timeout       time.Duration `json:"timeout,omitempty" yaml:"timeout"`               // longest time that an order may take effect after it was sent
 }
 
 // Service describes the operations of a service pool.
