wire: let CopyDrop name the epochs that are over

Cause: after a take-over the new holder drops the copies of earlier sessions, whose references it does not know; program.DropCopies has Below for this. Change: CopyDrop carries Below; an empty one changes nothing.

--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -211,11 +211,13 @@
 	More   bool   `msgpack:"m"`
 }
 
-// CopyDrop lets a peer forget copies that were read back from the log. An Ack answers it.
+// CopyDrop lets a peer forget copies that were read back from the log: those of the session with the
+// given Refs, and those of any session under an epoch below Below. An Ack answers it.
 type CopyDrop struct {
 	Slot    id.Slot    `msgpack:"sl"`
 	Session id.Session `msgpack:"ss"`
 	Refs    []uint64   `msgpack:"rf"`
+	Below   id.Epoch   `msgpack:"bl,omitempty"`
 }
 
 // ManifestGet asks for the manifest in force if its version is at least Min. Manifest answers it.
