--- a/internal/server/config.go
+++ b/internal/server/config.go
@@ -44,6 +44,7 @@
 	DrainWait    time.Duration
 	DrainTimeout time.Duration
 	ListInterval time.Duration
+	Reconcile    time.Duration // between comparisons of what engines hold with what they may hold
 
 	Log *logrus.Logger
 
@@ -77,6 +78,7 @@
 		{"drain-wait", &c.DrainWait, DefaultDrainWait},
 		{"drain-timeout", &c.DrainTimeout, DefaultDrainTimeout},
 		{"list-interval", &c.ListInterval, DefaultListInterval},
+		{"reconcile", &c.Reconcile, DefaultReconcile},
 	} {
 		need(*d.value >= 0, "%s: %s is negative", d.name, *d.value)
 		if *d.value == 0 {
--- a/internal/server/config_stream.go
+++ b/internal/server/config_stream.go
@@ -47,7 +47,7 @@
 	if m.Version <= c.manifestVersion {
 		return
 	}
-	parsed, err := manifestFromLog(m.Data)
+	parsed, err := manifest.FromLog(m.Data, m.Digest)
 	if err != nil {
 		// The publisher checked it, so it was written by a newer binary or by something else.
 		c.inst.log.WithField("version", m.Version).WithField("reason", err.Error()).Error("manifest can't be used")
--- a/internal/server/copies.go
+++ b/internal/server/copies.go
@@ -80,13 +80,18 @@
 	})
 }
 
-// drop forgets copies that their owner read back from the log.
+// drop forgets copies that their owner read back from the log, and those of earlier holders.
 func (s *copyStore) drop(d wire.CopyDrop) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, ref := range d.Refs {
 		s.remove(copyKey{slot: d.Slot, session: d.Session, ref: ref})
 	}
+	for key, c := range s.copies {
+		if key.slot == d.Slot && c.Epoch < d.Below {
+			s.remove(key)
+		}
+	}
 }
 
 func (s *copyStore) remove(key copyKey) {
--- a/internal/server/copying.go
+++ b/internal/server/copying.go
@@ -110,7 +110,7 @@
 }
 
 func (c *core) dropCopies(a program.DropCopies) {
-	m := wire.CopyDrop{Slot: a.Slot, Session: c.inst.session, Refs: a.Refs}
+	m := wire.CopyDrop{Slot: a.Slot, Session: c.inst.session, Refs: a.Refs, Below: a.Below}
 	for _, to := range c.members.live() {
 		go func() {
 			ctx, cancel := context.WithTimeout(c.inst.ctx, copyTimeout)
@@ -123,6 +123,7 @@
 
 // fetchCopies collects the copies of a slot from all live peers and from this instance.
 func (c *core) fetchCopies(a program.FetchCopies) {
+	c.inst.reconcileNow.Store(true) // a take-over: the last holder may have left cache behind
 	go func() {
 		found := map[copyKey]wire.Copy{}
 		add := func(copies []wire.Copy) {
--- a/internal/server/dispatch.go
+++ b/internal/server/dispatch.go
@@ -145,6 +145,7 @@
 	out    []sched.Action
 	grants map[id.Attempt]grant
 	owners map[id.Session]bool
+	queued map[id.Attempt]bool
 }
 
 // grant is a granted call that its owner has not reported as done.
@@ -158,7 +159,7 @@
 func (c *core) dispatcher(pool string) *dispatcher {
 	d := c.dispatchers[pool]
 	if d == nil {
-		d = &dispatcher{c: c, pool: pool, sched: sched.New(c.poolConfig(pool)), grants: map[id.Attempt]grant{}, owners: map[id.Session]bool{}}
+		d = &dispatcher{c: c, pool: pool, sched: sched.New(c.poolConfig(pool)), grants: map[id.Attempt]grant{}, owners: map[id.Session]bool{}, queued: map[id.Attempt]bool{}}
 		c.dispatchers[pool] = d
 	}
 	return d
@@ -173,6 +174,9 @@
 			d.send(g)
 			return
 		}
+		d.queued[e.Request.ID] = true
+	case sched.Withdraw:
+		delete(d.queued, e.ID)
 	case sched.Running:
 		d.owners[from] = true
 		d.grants[e.Request.ID] = grant{Grant: sched.Grant{Request: e.Request, Endpoint: e.Endpoint}, owner: from}
@@ -197,8 +201,10 @@
 	case sched.Grant:
 		g := grant{Grant: a, owner: a.Request.Owner}
 		d.grants[a.Request.ID] = g
+		delete(d.queued, a.Request.ID)
 		d.send(g)
 	case sched.Refuse:
+		delete(d.queued, a.Request.ID)
 		if a.Request.Owner == d.c.inst.session {
 			d.c.events.later(func() { d.c.refused(d.c.inst.session, a) })
 			return
--- a/internal/server/endpoints.go
+++ b/internal/server/endpoints.go
@@ -5,19 +5,28 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"ragwortstile/internal/endpoint"
+	"ragwortstile/internal/engine"
 	"ragwortstile/internal/id"
 	"ragwortstile/internal/manifest"
 	"ragwortstile/internal/program"
+	"ragwortstile/internal/service"
 )
 
 // endpoints carries out the owner's actions at engines and services, each in its own goroutine.
 type endpoints struct {
-	inst *Instance
-	wg   sync.WaitGroup
+	inst     *Instance
+	http     *endpoint.Client
+	engines  *engine.Client
+	services *service.Client
+	wg       sync.WaitGroup
 
 	mu      sync.Mutex
 	byName  map[string]manifest.Endpoint
 	byPool  map[string][]manifest.Endpoint
+	models  map[string]bool // model pools
 	running map[id.Attempt]*runningAttempt
 	closed  bool
 }
@@ -26,7 +35,38 @@
 type runningAttempt struct{ cancel context.CancelFunc }
 
 func newEndpoints(i *Instance) *endpoints {
-	return &endpoints{inst: i, running: map[id.Attempt]*runningAttempt{}}
+	e := &endpoints{inst: i, http: endpoint.New(endpoint.Options{}), running: map[id.Attempt]*runningAttempt{}}
+	failed := func(attempt id.Attempt, err error) {
+		i.log.WithFields(logrus.Fields{"call": attempt, "reason": err.Error()}).Debug("attempt failed")
+	}
+	e.engines = engine.New(engine.Config{HTTP: e.http, URL: e.url, Failed: failed})
+	e.services = service.New(service.Config{HTTP: e.http, URL: e.url, Failed: failed})
+	return e
+}
+
+func (e *endpoints) url(name string) (string, bool) {
+	ep, ok := e.find(name)
+	return ep.URL, ok
+}
+
+// isEngine tells whether an endpoint belongs to a model pool.
+func (e *endpoints) isEngine(name string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.models[e.byName[name].Pool]
+}
+
+// all returns the model engines.
+func (e *endpoints) all() []manifest.Endpoint {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var out []manifest.Endpoint
+	for _, ep := range e.byName {
+		if e.models[ep.Pool] {
+			out = append(out, ep)
+		}
+	}
+	return out
 }
 
 // setManifest replaces the endpoints.
@@ -37,9 +77,13 @@
 		byName[ep.Name] = ep
 		byPool[ep.Pool] = append(byPool[ep.Pool], ep)
 	}
+	models := map[string]bool{}
+	for _, p := range m.Pools {
+		models[p.Name] = p.Kind == manifest.PoolModel
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.byName, e.byPool = byName, byPool
+	e.byName, e.byPool, e.models = byName, byPool, models
 }
 
 func (e *endpoints) find(name string) (manifest.Endpoint, bool) {
@@ -68,6 +112,7 @@
 	e.closed = true
 	e.mu.Unlock()
 	e.wg.Wait()
+	e.http.Close()
 }
 
 // spawn runs work that ends with the instance. It does nothing when the instance has stopped.
--- a/internal/server/instance.go
+++ b/internal/server/instance.go
@@ -67,6 +67,8 @@
 	httpListener net.Listener
 	peerListener net.Listener
 
+	reconcileNow atomic.Bool // compare the engines' caches at the next poll
+
 	gate    sync.RWMutex // held while the instance is paused; work outside the loop passes through it
 	stopped chan struct{}
 	started atomic.Bool
@@ -287,7 +289,7 @@
 	loops := suture.New("core loops", suture.Spec{EventHook: i.supervisorEvent, Timeout: stopTimeout, PassThroughPanics: true})
 	loops.Add(coreLoop{i.core})
 	root.Add(loops)
-	add("front", &frontService{i}, &pollers{i})
+	add("front", &frontService{i}, &pollers{i: i})
 	return root
 }
 
--- /dev/null
+++ b/internal/server/thin_test.go
@@ -0,0 +1,139 @@
+package server_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"ragwortstile/internal/manifest"
+	"ragwortstile/internal/trial"
+)
+
+// testWait bounds a wait for a condition. It is far above what the condition takes.
+const testWait = 40 * time.Second
+
+const (
+	tenantKey = "tenant-key-one"
+	otherKey  = "tenant-key-two"
+)
+
+// smallManifest is one model and one service with a number of endpoints each.
+func smallManifest(t *testing.T, engines, services int) *manifest.Manifest {
+	t.Helper()
+	var b strings.Builder
+	fmt.Fprintf(&b, `
+deployment: test
+source: {revision: r1}
+weights: {program_latency: 0.5, wasted_cache: 0.5}
+tenants:
+  - {name: one, key_digests: [%s], default_duty: work}
+  - {name: two, key_digests: [%s], default_duty: work}
+duties:
+  - {name: work, tenants: [one, two], share: 0.5, limits: {tokens: 100000, calls: 200, charge_cents: 100000, wall_time: 10m}, pools: [m, s]}
+  - {name: tight, tenants: [one], share: 0.1, limits: {tokens: 400, calls: 6, charge_cents: 1000}, pools: [m, s]}
+pools:
+  - {name: m, kind: model, queue_limit: 200, max_tokens: 200, timeout: 30s}
+  - {name: s, kind: service, queue_limit: 200, timeout: 10s}
+services:
+  - pool: s
+    operations:
+      - {name: look, idempotent: true}
+      - {name: charge, idempotent: false, can_be_asked: true, charge_cents: 400}
+      - {name: press, idempotent: false}
+endpoints:
+`, digestOf(tenantKey), digestOf(otherKey))
+	for n := range engines {
+		fmt.Fprintf(&b, "  - {name: e%d, pool: m, url: \"http://127.0.0.1:%d\", zone: z%d, max_in_flight: 8, cache_tokens: 100000}\n", n, n+1, n)
+	}
+	for n := range services {
+		fmt.Fprintf(&b, "  - {name: s%d, pool: s, url: \"http://127.0.0.1:%d\", zone: z%d, max_in_flight: 8}\n", n, 1000+n, n)
+	}
+	m, err := manifest.Parse([]byte(b.String()))
+	must.NoError(t, err)
+	return m
+}
+
+func digestOf(key string) string { return manifest.KeyDigest(key) }
+
+// cluster starts a deployment with a number of instances a, b, c, ... in zones z0, z1, ... and waits
+// until it serves.
+func cluster(t *testing.T, instances int, change func(*trial.Settings)) *trial.Deployment {
+	t.Helper()
+	s := trial.Settings{Manifest: smallManifest(t, 2, 2)}
+	if change != nil {
+		change(&s)
+	}
+	d, err := trial.Start(s)
+	must.NoError(t, err)
+	t.Cleanup(d.Close)
+	ctx := waitContext(t)
+	must.NoError(t, d.Publish(ctx))
+	for n := range instances {
+		_, err := d.AddInstance(string(rune('a'+n)), fmt.Sprintf("z%d", n))
+		must.NoError(t, err)
+	}
+	must.NoError(t, d.AwaitReady(ctx))
+	return d
+}
+
+func waitContext(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testWait)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func await(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(testWait)
+	for !ok() {
+		if time.Now().After(deadline) {
+			t.Fatalf("timeout waiting for: %s", what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func caller(t *testing.T, d *trial.Deployment) *trial.Caller {
+	t.Helper()
+	c := trial.NewCaller(tenantKey, d.Bases)
+	t.Cleanup(c.Close)
+	return c
+}
+
+// Guards against a break anywhere on the way of a call: front, forwarding, owner, dispatcher, engine,
+// service, log and back, streamed and whole.
+func TestWholePath(t *testing.T) {
+	t.Parallel()
+	d := cluster(t, 2, func(s *trial.Settings) { s.Manifest = smallManifest(t, 1, 1) })
+	ctx := waitContext(t)
+	c := caller(t, d)
+	prog, err := c.Open(ctx, "work", "open-1")
+	must.NoError(t, err)
+	again, err := c.Open(ctx, "work", "open-1") // at the other instance
+	must.NoError(t, err)
+	must.Eq(t, prog, again)
+	whole, err := c.Model(ctx, trial.ModelCall{Program: prog, Key: "k1", Model: "m", Say: "one", MaxTokens: 20})
+	must.NoError(t, err)
+	must.StrContains(t, string(whole.Body), `"choices"`)
+	streamed, err := c.Model(ctx, trial.ModelCall{Program: prog, Key: "k2", Model: "m", Say: "two", MaxTokens: 20, Stream: true})
+	must.NoError(t, err)
+	must.StrHasSuffix(t, "data: [DONE]\n\n", string(streamed.Body))
+	repeated, err := c.Model(ctx, trial.ModelCall{Program: prog, Key: "k2", Model: "m", Say: "two", MaxTokens: 20, Stream: true})
+	must.NoError(t, err)
+	must.Eq(t, string(streamed.Body), string(repeated.Body))
+	charged, err := c.Service(ctx, prog, "", "k3", "s", "charge", []byte(`{"order":1}`))
+	must.NoError(t, err)
+	must.Eq(t, 200, charged.Status)
+	history, err := c.History(ctx, prog, "")
+	must.NoError(t, err)
+	must.Len(t, 4, history)
+	must.Eq(t, 2, d.Engines["e0"].Stats().Requests)
+	must.Eq(t, 1, d.Services["s0"].Count("charge"))
+	must.NoError(t, c.End(ctx, prog))
+	await(t, "engine memory released", func() bool { return len(d.Engines["e0"].Held()) == 0 })
+}
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -5,17 +5,18 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"ragwortstile/internal/api"
+	"ragwortstile/internal/id"
 	"ragwortstile/internal/manifest"
 	"ragwortstile/internal/peer"
 	"ragwortstile/internal/platform"
@@ -32,45 +33,306 @@
 // OperatorKey is the operator's bearer key of trial deployments.
 const OperatorKey = "operator-demo-key"
 
-// peerKey is the pre-shared key of trial deployments.
-const peerKey = "trial deployments on loopback only"
+// PeerKey is the pre-shared key of trial deployments.
+const PeerKey = "trial deployments on loopback only"
+
+// Settings of a Deployment.
+type Settings struct {
+	Manifest *manifest.Manifest
+	// FixedPorts serves engines and services at the addresses of the manifest. Otherwise they get
+	// free ports, and the manifest is changed accordingly.
+	FixedPorts bool
+	// LogAddr, ListAddr and WeightsAddr are the addresses of the platform's stand-ins; empty: free ports.
+	LogAddr, ListAddr, WeightsAddr string
+	LogRate                        float64       // appends per second; 0: no limit
+	Retention                      time.Duration // of the log; 0: for ever
+	ListLag                        time.Duration
+	Engine                         func(name string) enginestand.Settings  // nil: defaults
+	Service                        func(name string) servicestand.Settings // nil: defaults
+	Logger                         *logrus.Logger                          // nil: nothing is logged
+	// Instance changes the settings of an instance before it starts. It may be nil.
+	Instance func(*server.Config)
+}
+
+// Deployment is a running trial.
+type Deployment struct {
+	Log      *logstand.Log
+	List     *liststand.List
+	Weights  *weightstand.Store
+	Engines  map[string]*enginestand.Engine
+	Services map[string]*servicestand.Service
+	Manifest *manifest.Manifest
+
+	settings Settings
+	log      *host
+	list     *host
+	weights  *host
+
+	mu        sync.Mutex
+	hosts     map[string]*host // of engines and services
+	instances map[string]*server.Instance
+	order     []string
+	version   uint64
+}
 
 // host is a stand-in that is served on loopback.
 type host struct {
 	server   *http.Server
 	listener net.Listener
+	done     chan struct{}
 }
 
 func serveAt(addr string, h http.Handler) (*host, error) {
+	if addr == "" {
+		addr = "127.0.0.1:0"
+	}
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	s := &host{server: &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}, listener: l}
-	go func() { _ = s.server.Serve(l) }()
+	quiet := logrus.New()
+	quiet.SetOutput(io.Discard)
+	s := &host{listener: l, done: make(chan struct{})}
+	s.server = &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	go func() {
+		defer close(s.done)
+		_ = s.server.Serve(l)
+	}()
 	return s, nil
 }
 
 func (s *host) url() string { return "http://" + s.listener.Addr().String() }
 
-func (s *host) close() { _ = s.server.Close() }
+func (s *host) close() {
+	if s == nil {
+		return
+	}
+	_ = s.server.Close()
+	<-s.done
+}
 
-// Deployment is a running trial.
-type Deployment struct {
-	Log      *logstand.Log
-	List     *liststand.List
-	Weights  *weightstand.Store
-	Engines  map[string]*enginestand.Engine
-	Services map[string]*servicestand.Service
-	Manifest *manifest.Manifest
+// Start serves the stand-ins. Instances are added by AddInstance.
+func Start(s Settings) (*Deployment, error) {
+	if s.Logger == nil {
+		s.Logger = logrus.New()
+		s.Logger.SetOutput(io.Discard)
+	}
+	d := &Deployment{
+		Log:       logstand.New(logstand.Settings{Retention: s.Retention, Rate: s.LogRate}),
+		List:      liststand.New(standin.Scale(1), s.ListLag),
+		Weights:   weightstand.New(standin.Scale(1), time.Second, 2),
+		Engines:   map[string]*enginestand.Engine{},
+		Services:  map[string]*servicestand.Service{},
+		Manifest:  s.Manifest,
+		settings:  s,
+		hosts:     map[string]*host{},
+		instances: map[string]*server.Instance{},
+	}
+	var err error
+	if d.log, err = serveAt(s.LogAddr, d.Log); err != nil {
+		return nil, err
+	}
+	if d.list, err = serveAt(s.ListAddr, d.List); err != nil {
+		d.Close()
+		return nil, err
+	}
+	if d.weights, err = serveAt(s.WeightsAddr, d.Weights); err != nil {
+		d.Close()
+		return nil, err
+	}
+	if err := d.serveEndpoints(); err != nil {
+		d.Close()
+		return nil, err
+	}
+	return d, nil
+}
 
-	logger  *logrus.Logger
-	log     *host
-	list    *host
-	weights *host
+// serveEndpoints starts a stand-in for each endpoint of the manifest.
+func (d *Deployment) serveEndpoints() error {
+	kinds := map[string]manifest.PoolKind{}
+	for _, p := range d.Manifest.Pools {
+		kinds[p.Name] = p.Kind
+	}
+	ledgers := map[string]*servicestand.Ledger{}
+	for n := range d.Manifest.Endpoints {
+		ep := &d.Manifest.Endpoints[n]
+		var h http.Handler
+		if kinds[ep.Pool] == manifest.PoolModel {
+			h = d.newEngine(ep)
+		} else {
+			h = d.newService(ep, ledgers)
+		}
+		addr := ""
+		if d.settings.FixedPorts {
+			u, err := url.Parse(ep.URL)
+			if err != nil {
+				return fmt.Errorf("endpoint %s: %w", ep.Name, err)
+			}
+			addr = u.Host
+		}
+		s, err := serveAt(addr, h)
+		if err != nil {
+			return fmt.Errorf("endpoint %s: %w", ep.Name, err)
+		}
+		d.hosts[ep.Name] = s
+		ep.URL = s.url()
+		d.List.PutEndpoint(platform.Endpoint{Name: ep.Name, Zone: ep.Zone, URL: ep.URL, State: platform.StateLive})
+	}
+	return nil
+}
 
-	mu        sync.Mutex
-	hosts     map[string]*host // of engines and services
-	instances map[string]*server.Instance
-	version   uint64
+func (d *Deployment) newEngine(ep *manifest.Endpoint) http.Handler {
+	var s enginestand.Settings
+	if d.settings.Engine != nil {
+		s = d.settings.Engine(ep.Name)
+	}
+	if s.CacheTokens == 0 {
+		s.CacheTokens = ep.CacheTokens
+	}
+	e := enginestand.New(s)
+	d.Engines[ep.Name] = e
+	return e
+}
+
+// LogURL returns the address of the log.
+func (d *Deployment) LogURL() string { return d.log.url() }
+
+// ListURL returns the address of the list.
+func (d *Deployment) ListURL() string { return d.list.url() }
+
+// WeightsURL returns the address of the weight store.
+func (d *Deployment) WeightsURL() string { return d.weights.url() }
+
+// Publish puts the manifest in force as the next version.
+func (d *Deployment) Publish(ctx context.Context) error {
+	version, err := publish.Publish(ctx, platform.NewLogClient(d.LogURL(), http.DefaultClient), publish.Request{
+		Expected: d.version, Data: d.Manifest.Canonical(), Digest: d.Manifest.Digest(), Operator: "trial",
+	})
+	if err == nil {
+		d.version = version
+	}
+	return err
+}
+
+// AddInstance starts an instance and lists it.
+func (d *Deployment) AddInstance(name, zone string) (*server.Instance, error) {
+	keys, err := peer.NewKeyring([]byte(PeerKey))
+	if err != nil {
+		return nil, err
+	}
+	cfg := server.Config{
+		Instance: name, Zone: zone, HTTPListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0",
+		LogURL: d.LogURL(), ListURL: d.ListURL(), WeightsURL: d.WeightsURL(), Keys: keys,
+		OperatorDigest: api.KeyDigest(OperatorKey), DrainWait: 100 * time.Millisecond, DrainTimeout: 30 * time.Second,
+		ListInterval: 200 * time.Millisecond, Log: d.settings.Logger,
+	}
+	if d.settings.Retention > 0 {
+		cfg.Retention = d.settings.Retention
+	}
+	if d.settings.Instance != nil {
+		d.settings.Instance(&cfg)
+	}
+	i, err := server.New(cfg)
+	if err != nil {
+		return nil, err
+	}
+	d.List.PutInstance(platform.Instance{Name: name, Zone: zone, PeerAddr: i.PeerAddr(), HTTPAddr: i.HTTPAddr(), State: platform.StateLive})
+	d.mu.Lock()
+	if d.instances[name] == nil {
+		d.order = append(d.order, name)
+	}
+	d.instances[name] = i
+	d.mu.Unlock()
+	i.Start()
+	return i, nil
+}
+
+// Instance returns an instance by name, or nil.
+func (d *Deployment) Instance(name string) *server.Instance {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.instances[name]
+}
+
+// Kill stops an instance abruptly. The list goes on showing it until Unlist.
+func (d *Deployment) Kill(name string) {
+	if i := d.Instance(name); i != nil {
+		i.Kill()
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.instances, name)
+}
+
+// Unlist removes an instance from the list, as the platform does some time after its death.
+func (d *Deployment) Unlist(name string) { d.List.Remove(name) }
+
+// Bases returns the base URLs of the running instances, as a balancer knows them.
+func (d *Deployment) Bases() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []string
+	for _, name := range d.order {
+		if i := d.instances[name]; i != nil {
+			out = append(out, "http://"+i.HTTPAddr())
+		}
+	}
+	return out
+}
+
+// Running returns the running instances.
+func (d *Deployment) Running() []*server.Instance {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []*server.Instance
+	for _, name := range d.order {
+		if i := d.instances[name]; i != nil {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// AwaitReady waits until all instances are ready and all slots are held.
+func (d *Deployment) AwaitReady(ctx context.Context) error {
+	for {
+		held, ready := 0, true
+		for _, i := range d.Running() {
+			held += len(i.Slots())
+			ready = ready && i.Ready() == nil
+		}
+		if ready && held == id.Slots {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%d of %d slots are held: %w", held, id.Slots, ctx.Err())
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+// Close stops everything.
+func (d *Deployment) Close() {
+	var wg sync.WaitGroup
+	for _, i := range d.Running() {
+		wg.Go(i.Kill)
+	}
+	wg.Wait()
+	for _, e := range d.Engines {
+		e.Close()
+	}
+	for _, h := range d.hosts {
+		h.close()
+	}
+	d.weights.close()
+	d.list.close()
+	d.log.close()
+	d.Log.Close()
+}
+
+func (d *Deployment) newService(ep *manifest.Endpoint, ledgers map[string]*servicestand.Ledger) http.Handler {
+	s := &servicestand.Service{}
+	d.Services[ep.Name] = s
+	return s
 }
