Doubt a slot after a lease gap until a record was read back

Cause: the rapid test found that a holder that was paused and deposed refused a key as not run after its successor had run it, and its renewed lease would have allowed a dispatch. Change: executed: no, copies as acknowledgement and non-idempotent dispatches need a lease without a gap, or a claim refresh read back since.

--- a/internal/program/attempt.go
+++ b/internal/program/attempt.go
@@ -103,7 +103,7 @@
 		return // repeated grant
 	}
 	cl := a.call
-	if cl.nonIdempotent && c.now >= c.lease {
+	if cl.nonIdempotent && !c.leased(a.prog.slot) {
 		a.endpoint = g.Endpoint
 		c.closeAttempt(a, sched.ResultCanceled, Finished{})
 		c.refuseIntent(cl, problem(ProblemLease, 503, record.ExecutedNo, "the instance's lease lapsed before the dispatch"), time.Second)
--- a/internal/program/call.go
+++ b/internal/program/call.go
@@ -140,6 +140,9 @@
 // request with the same key may have been run and not recorded, by this holder or the last one; a
 // non-idempotent one cannot, because its intent would be recorded.
 func (c *Core) notRun(p *prog, key string, nonIdempotent bool) record.Executed {
+	if !c.sure(p.slot) {
+		return record.ExecutedUnknown
+	}
 	if nonIdempotent {
 		return record.ExecutedNo
 	}
--- a/internal/program/close.go
+++ b/internal/program/close.go
@@ -16,6 +16,7 @@
 		return
 	}
 	p := cl.prog
+	pr = c.certainly(p.slot, pr)
 	for _, w := range cl.waiters {
 		if w.begun {
 			c.emit(StreamEnd{Req: w.req, Problem: pr})
--- a/internal/program/commit.go
+++ b/internal/program/commit.go
@@ -44,6 +44,8 @@
 	switch r := rec.(type) {
 	case record.Handover:
 		set(r.Holder, "", "", 0)
+	case record.ClaimRefresh:
+		set(r.Holder, "", "", 0)
 	case record.Open:
 		set(r.Holder, r.Program, "", 0)
 	case record.Branch:
@@ -72,7 +74,7 @@
 type pend struct {
 	rec    record.Record
 	key    recordKey
-	prog   *prog // nil for Handover
+	prog   *prog // nil for records of a slot
 	at     time.Duration
 	ref    uint64 // of the copies, 0: none
 	copied bool
@@ -124,7 +126,7 @@
 		return
 	}
 	switch e.Record.(type) {
-	case record.Claim, record.ClaimRefresh, record.OrderIntent:
+	case record.Claim, record.OrderIntent:
 		return
 	}
 	key := keyOf(e.Record)
@@ -228,7 +230,7 @@
 // is acknowledged after all earlier ones of its program, because it is invalid without them.
 func (c *Core) onCopied(e Copied) {
 	s := c.pending.copies[e.Ref]
-	if s == nil || !c.slots[s.slot].holds(s.epoch) || c.now >= c.lease {
+	if s == nil || !c.slots[s.slot].holds(s.epoch) || !c.leased(s.slot) {
 		return
 	}
 	s.copied = true
--- a/internal/program/core.go
+++ b/internal/program/core.go
@@ -106,7 +106,7 @@
 	case CopiesFetched:
 		c.onCopiesFetched(e)
 	case LeaseChanged:
-		c.lease = e.Until
+		c.onLease(e)
 	case Granted:
 		c.onGranted(e.Grant)
 	case Refused:
--- a/internal/program/core_test.go
+++ b/internal/program/core_test.go
@@ -15,7 +15,7 @@
 	w.nextID++
 	pid := id.NewProgram(testSlot, fmt.Sprintf("%d", w.nextID))
 	req := w.oracle.ask(request{owner: o, program: pid, kind: "open"})
-	o.step(OpenProgram{Req: req, Program: pid, Tenant: "t", Duty: "d", Limits: limits, Now: w.wall()})
+	w.to(o, OpenProgram{Req: req, Program: pid, Tenant: "t", Duty: "d", Limits: limits, Now: w.wall()})
 	w.pump()
 	if !w.oracle.reqs[req].ok {
 		w.t.Fatalf("open %s: %+v", pid, w.oracle.reqs[req].problem)
@@ -23,10 +23,19 @@
 	return pid
 }
 
+// to passes a caller's request to an instance; a paused one takes it later.
+func (w *world) to(o *owner, ev Event) {
+	if o.paused {
+		w.send(o, func() { o.step(ev) })
+		return
+	}
+	o.step(ev)
+}
+
 func (w *world) model(o *owner, pid id.Program, branch, key string, stream bool) *request {
 	req := w.oracle.ask(request{owner: o, program: pid, branch: branch, key: key, kind: "model"})
 	raw := fmt.Appendf(nil, `{"role":"user","content":"%s %s/%s"}`, key, pid, branch)
-	o.step(ModelCall{
+	w.to(o, ModelCall{
 		Req: req, Tenant: "t", Program: pid, Branch: branch, Key: key, Digest: 7, Model: "m",
 		Messages: []record.Message{{Raw: raw}}, History: HistoryAppend, MaxTokens: 20, Stream: stream,
 	})
@@ -35,7 +44,7 @@
 
 func (w *world) service(o *owner, pid id.Program, branch, key, op string) *request {
 	req := w.oracle.ask(request{owner: o, program: pid, branch: branch, key: key, kind: "service", body: key})
-	o.step(ServiceCall{
+	w.to(o, ServiceCall{
 		Req: req, Tenant: "t", Program: pid, Branch: branch, Key: key, Digest: 9, Service: "s", Operation: op,
 		Body: []byte(key),
 	})
@@ -44,7 +53,7 @@
 
 func (w *world) end(o *owner, pid id.Program) *request {
 	req := w.oracle.ask(request{owner: o, program: pid, kind: "other"})
-	o.step(EndProgram{Req: req, Tenant: "t", Program: pid})
+	w.to(o, EndProgram{Req: req, Tenant: "t", Program: pid})
 	return w.oracle.reqs[req]
 }
 
--- a/internal/program/open.go
+++ b/internal/program/open.go
@@ -253,7 +253,7 @@
 		c.refuse(e.Req, &Problem{Type: ProblemBranchNotFound, Status: 404, Detail: "no such parent branch", Place: "parent", Executed: record.ExecutedNo}, 0)
 		return
 	case st.Ended() || c.slots[p.slot].moveTo != "":
-		c.refuse(e.Req, problem(ProblemEnded, 409, record.ExecutedNo, "the program ended or its slot is moving"), 0)
+		c.refuse(e.Req, c.certainly(p.slot, problem(ProblemEnded, 409, record.ExecutedNo, "the program ended or its slot is moving")), 0)
 		return
 	}
 	rec := record.Branch{Holder: c.holder(p.slot), Program: p.id, Name: e.Name, Parent: parent, Key: e.Key}
--- a/internal/program/problem.go
+++ b/internal/program/problem.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"ragwortstile/internal/id"
 	"ragwortstile/internal/record"
 )
 
@@ -44,6 +45,22 @@
 	return &Problem{Type: kind, Status: status, Executed: x, Detail: detail}
 }
 
+// sure tells whether this session certainly holds a slot. Once its lease has lapsed or it has given
+// the slot away, another holder may have run a call whose key was repeated there.
+func (c *Core) sure(s id.Slot) bool {
+	return c.leased(s) && !c.slots[s].moved
+}
+
+// certainly returns the problem with what can be said of a call of a program in slot s.
+func (c *Core) certainly(s id.Slot, p *Problem) *Problem {
+	if p.Executed != record.ExecutedNo || c.sure(s) {
+		return p
+	}
+	q := *p
+	q.Executed = record.ExecutedUnknown
+	return &q
+}
+
 // refuse answers a request that is not attached to a call.
 func (c *Core) refuse(req ReqID, p *Problem, retryAfter time.Duration) {
 	c.emit(Reply{Req: req, Status: p.Status, Problem: p, RetryAfter: retryAfter})
--- a/internal/program/read.go
+++ b/internal/program/read.go
@@ -108,7 +108,7 @@
 	due := c.fold.Due(c.cfg.Session, c.wallNow(), dueBatch)
 	for _, r := range due.Claims {
 		if c.slots[r.Slot].holds(r.Epoch) && !c.slots[r.Slot].moved {
-			c.emit(Append{Records: []record.Record{r}})
+			c.refreshClaim(r.Slot, nil)
 		}
 	}
 	for _, pid := range due.Programs {
--- a/internal/program/slot.go
+++ b/internal/program/slot.go
@@ -13,10 +13,45 @@
 	epoch  id.Epoch
 	moveTo id.Session // hand-over asked for; no new call starts
 	moved  bool       // Handover was appended
+	// doubt is set when the lease lapsed and was renewed, until a record appended since then was read
+	// back: another session may have claimed the slot in the gap.
+	doubt bool
 }
 
 func (s *slot) holds(e id.Epoch) bool { return s.held && s.epoch == e }
 
+// leased tells whether the session holds a slot and no other session can have claimed it.
+func (c *Core) leased(s id.Slot) bool {
+	return c.now < c.lease && c.slots[s].held && !c.slots[s].doubt
+}
+
+// onLease renews the lease. After a gap every slot is in doubt until a claim refresh was read back.
+func (c *Core) onLease(e LeaseChanged) {
+	lapsed := c.now >= c.lease
+	c.lease = e.Until
+	if !lapsed {
+		return
+	}
+	for s := range c.slots {
+		sl := &c.slots[s]
+		if !sl.held {
+			continue
+		}
+		sl.doubt = true
+		epoch := sl.epoch
+		c.refreshClaim(id.Slot(s), func(r commitResult) {
+			if r == committed && sl.holds(epoch) {
+				sl.doubt = false
+			}
+		})
+	}
+}
+
+func (c *Core) refreshClaim(s id.Slot, done func(commitResult)) {
+	rec := record.ClaimRefresh{Holder: c.holder(s), Session: c.cfg.Session}
+	c.push(&pend{rec: rec, key: keyOf(rec), at: c.now, done: done})
+}
+
 // syncSlots follows the fold for the slot that a record concerns.
 func (c *Core) syncSlots(e fsm.Effect) {
 	var s id.Slot
@@ -27,9 +62,6 @@
 		s = r.Slot
 	default:
 		s = keyOf(r).slot
-		if cr, ok := r.(record.ClaimRefresh); ok {
-			s = cr.Slot
-		}
 	}
 	if s >= id.Slots {
 		return
