--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -1,9 +1,11 @@
 package api
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -231,3 +233,24 @@
 	case <-time.After(50 * time.Millisecond):
 	}
 }
+
+// Guards against an answer that is cut off when its instance stops and looks whole to the caller.
+func TestInterruptedAnswerBreaksTheConnection(t *testing.T) {
+	b := &fakeBackend{answer: func(program.Event, Sink) {}}
+	stop, cancel := context.WithCancel(context.Background())
+	s := httptest.NewUnstartedServer(New(b, ""))
+	s.Config.BaseContext = func(net.Listener) context.Context { return stop }
+	s.Start()
+	t.Cleanup(s.Close)
+	for _, path := range []string{"/v1/chat/completions", "/v1/programs/" + testProgram + "/chat/completions"} {
+		req, err := http.NewRequest("POST", s.URL+path, strings.NewReader(`{"model":"m","messages":[{"role":"user","content":"x"}]}`))
+		must.NoError(t, err)
+		req.Header.Set("Authorization", "Bearer key")
+		time.AfterFunc(50*time.Millisecond, cancel)
+		resp, err := http.DefaultClient.Do(req)
+		if err == nil {
+			_ = resp.Body.Close()
+			t.Fatalf("%s: status %d without an answer", path, resp.StatusCode)
+		}
+	}
+}
--- a/internal/api/implicit.go
+++ b/internal/api/implicit.go
@@ -74,7 +74,7 @@
 		Now:     time.Now(),
 	})
 	if !ok {
-		return
+		abort()
 	}
 	if reply.Problem != nil {
 		writeReply(w, reply)
@@ -90,6 +90,7 @@
 	gone := f.backend.Submit(call, sink)
 	if !copyAnswer(r.Context(), w, box, call.Key) {
 		gone()
+		abort()
 	}
 }
 
--- a/internal/api/stream.go
+++ b/internal/api/stream.go
@@ -116,9 +116,14 @@
 	gone := f.backend.Submit(ev, box)
 	if !copyAnswer(r.Context(), w, box, key) {
 		gone()
+		abort()
 	}
 }
 
+// abort ends the connection of a request whose answer is not whole. A handler that just returned
+// would end the answer as if it were.
+func abort() { panic(http.ErrAbortHandler) }
+
 // copyAnswer writes the answers of a mailbox. It returns false when the caller left before the end.
 func copyAnswer(ctx context.Context, w http.ResponseWriter, box *mailbox, key string) bool {
 	if key != "" {
--- a/internal/server/claims.go
+++ b/internal/server/claims.go
@@ -19,6 +19,9 @@
 	// moveAfter is how long another instance must have been the better holder before a slot moves
 	// to it, so that a short absence causes no moves.
 	moveAfter = 3 * time.Second
+	// startWait is how long a starting instance waits for the other listed ones before it claims slots
+	// that never had a holder, so that a deployment that starts is spread evenly at once.
+	startWait = 3 * time.Second
 	// maxMoving bounds the slots that move at the same time, since a moving slot takes no calls.
 	maxMoving = 8
 )
@@ -113,6 +116,9 @@
 	if c.draining || c.manifest == nil || now > c.lease {
 		return false
 	}
+	if state.Epoch == 0 && now < startWait && !c.members.complete() {
+		return false
+	}
 	if c.claims.asked[s] > 0 && now-c.claims.asked[s] < claimRetry {
 		return false
 	}
--- a/internal/server/dispatching.go
+++ b/internal/server/dispatching.go
@@ -8,8 +8,6 @@
 	"ragwortstile/internal/id"
 	"ragwortstile/internal/program"
 	"ragwortstile/internal/record"
-	"ragwortstile/internal/sched"
-	"ragwortstile/internal/service"
 )
 
 // controlTimeout bounds orders to endpoints that are not calls.
@@ -34,6 +32,7 @@
 func (e *endpoints) dispatchService(a program.DispatchService) {
 	e.start(a.Attempt, a.Timeout, func(ctx context.Context) program.Finished {
 		e.inst.passGate()
+		// A paused process passes the gate before the check of the lease, as a stopped one would.
 		return e.services.Call(ctx, a, func() error {
 			e.inst.passGate()
 			if !a.Idempotent && e.inst.now() >= a.NotAfter {
@@ -70,12 +69,12 @@
 		defer cancel()
 		answer := program.Asked{Attempt: a.Attempt, Executed: record.ExecutedNo}
 		for _, ep := range servers {
-			got := e.services.Ask(ctx, ep.Name, a.Attempt)
-			if got.Executed == record.ExecutedYes {
+			got, err := e.services.Ask(ctx, ep.Name, a.Attempt)
+			if err == nil && got.Executed == record.ExecutedYes {
 				answer = got
 				break
 			}
-			if got.Executed == record.ExecutedUnknown {
+			if err != nil || got.Executed == record.ExecutedUnknown {
 				answer.Executed = record.ExecutedUnknown
 			}
 		}
@@ -107,6 +106,3 @@
 		e.inst.core.events.post(func() { e.inst.core.step(released) })
 	})
 }
-
-var _ = sched.ResultOK
-var _ = service.New
--- a/internal/server/endpoints.go
+++ b/internal/server/endpoints.go
@@ -40,7 +40,7 @@
 		i.log.WithFields(logrus.Fields{"call": attempt, "reason": err.Error()}).Debug("attempt failed")
 	}
 	e.engines = engine.New(engine.Config{HTTP: e.http, URL: e.url, Failed: failed})
-	e.services = service.New(service.Config{HTTP: e.http, URL: e.url, Failed: failed})
+	e.services = service.New(service.Config{HTTP: e.http, URL: e.url, Now: i.now, Failed: failed})
 	return e
 }
 
--- a/internal/server/members.go
+++ b/internal/server/members.go
@@ -124,6 +124,9 @@
 	return out
 }
 
+// complete tells whether all listed instances are candidates or this one.
+func (m *members) complete() bool { return m.hasList && len(m.candidates())+1 >= len(m.listed) }
+
 // majority tells whether a number of instances, this one included, is more than half of the listed.
 func (m *members) majority(n int) bool { return n > len(m.listed)/2 }
 
--- a/internal/trial/runner.go
+++ b/internal/trial/runner.go
@@ -22,12 +22,21 @@
 	Settled int           // outcomes that the caller had to find out
 	Latency time.Duration // from the first call to the last answer
 	// Said is what the caller saw of each branch: user message, answer, and so on.
-	Said map[string][]string
-	Err  error
+	Said    map[string][]string
+	Effects []Effect
+	Err     error
 }
 
-// Finder tells whether a service ran a call, as a person who looks it up does.
-type Finder func(service, operation string, p id.Program, key string) bool
+// Effect is what a service call of an example program brings about. It is the same for all attempts
+// and repeats of the step, so that a second execution shows at the stand-ins.
+type Effect struct {
+	Service   string
+	Operation string
+	Name      string
+}
+
+// Finder returns how often an effect was executed, as a person finds out who looks it up.
+type Finder func(effect string) int
 
 // RunProgram makes the calls of an example program one after the other and ends the program.
 func RunProgram(ctx context.Context, c *Caller, u examples.User, p examples.Program, serial int, find Finder) Run {
@@ -91,8 +100,14 @@
 // service makes a service call. When its outcome is unknown, it looks up what happened, as a person
 // does, tells the scheduler, and makes the call again under a new key if it was not run.
 func (r *Run) service(ctx context.Context, c *Caller, s examples.Step, key string, find Finder) error {
+	effect := Effect{Service: s.Service, Operation: s.Operation, Name: string(r.Program) + "/" + key}
+	body, err := withEffect(s.Body, effect.Name)
+	if err != nil {
+		return err
+	}
+	r.Effects = append(r.Effects, effect)
 	for {
-		_, err := c.Service(ctx, r.Program, s.Branch, key, s.Service, s.Operation, []byte(s.Body))
+		_, err := c.Service(ctx, r.Program, s.Branch, key, s.Service, s.Operation, body)
 		var p *Problem
 		if err == nil || !errors.As(err, &p) || p.Code() != "outcome_unknown" {
 			return err
@@ -100,21 +115,32 @@
 		r.Settled++
 		// A request that was held up may still arrive until its expiry time.
 		sleep(ctx, settleWait)
-		ran := find(s.Service, s.Operation, r.Program, key)
 		executed := "no"
-		if ran {
+		if find(effect.Name) > 0 {
 			executed = "yes"
 		}
 		if err := c.Settle(ctx, r.Program, key, executed); err != nil {
 			return fmt.Errorf("settle: %w", err)
 		}
-		if ran {
+		if executed == "yes" {
 			return nil
 		}
 		key += "-again"
 	}
 }
 
+// withEffect adds the effect to the JSON object of a service call.
+func withEffect(body, effect string) ([]byte, error) {
+	members := map[string]any{}
+	if body != "" {
+		if err := json.Unmarshal([]byte(body), &members); err != nil {
+			return nil, fmt.Errorf("body %q: %w", body, err)
+		}
+	}
+	members["effect"] = effect
+	return json.Marshal(members)
+}
+
 // settleWait is longer than the lease, after which no service takes an old request any more.
 const settleWait = 4 * time.Second
 
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -90,8 +90,6 @@
 	if err != nil {
 		return nil, err
 	}
-	quiet := logrus.New()
-	quiet.SetOutput(io.Discard)
 	s := &host{listener: l, done: make(chan struct{})}
 	s.server = &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
 	go func() {
@@ -153,14 +151,13 @@
 	for _, p := range d.Manifest.Pools {
 		kinds[p.Name] = p.Kind
 	}
-	ledgers := map[string]*servicestand.Ledger{}
 	for n := range d.Manifest.Endpoints {
 		ep := &d.Manifest.Endpoints[n]
 		var h http.Handler
 		if kinds[ep.Pool] == manifest.PoolModel {
 			h = d.newEngine(ep)
 		} else {
-			h = d.newService(ep, ledgers)
+			h = d.newService(ep)
 		}
 		addr := ""
 		if d.settings.FixedPorts {
@@ -331,8 +328,21 @@
 	d.Log.Close()
 }
 
-func (d *Deployment) newService(ep *manifest.Endpoint, ledgers map[string]*servicestand.Ledger) http.Handler {
-	s := &servicestand.Service{}
-	d.Services[ep.Name] = s
-	return s
+func (d *Deployment) newService(ep *manifest.Endpoint) http.Handler {
+	s := servicestand.Settings{ChecksFence: true, ChecksExpiry: true, CanBeAsked: true, AskFences: true}
+	if d.settings.Service != nil {
+		s = d.settings.Service(ep.Name)
+	}
+	v := servicestand.New(s)
+	d.Services[ep.Name] = v
+	return v
+}
+
+// Executed returns how often an effect was executed at all servers together.
+func (d *Deployment) Executed(effect string) int {
+	n := 0
+	for _, s := range d.Services {
+		n += s.Effect(effect)
+	}
+	return n
 }
