--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -238,6 +238,7 @@
 func TestInterruptedAnswerBreaksTheConnection(t *testing.T) {
 	b := &fakeBackend{answer: func(program.Event, Sink) {}}
 	stop, cancel := context.WithCancel(context.Background())
+	defer cancel()
 	s := httptest.NewUnstartedServer(New(b, ""))
 	s.Config.BaseContext = func(net.Listener) context.Context { return stop }
 	s.Start()
--- a/internal/server/claims.go
+++ b/internal/server/claims.go
@@ -21,7 +21,7 @@
 	moveAfter = 3 * time.Second
 	// startWait is how long a starting instance waits for the other listed ones before it claims slots
 	// that never had a holder, so that a deployment that starts is spread evenly at once.
-	startWait = 3 * time.Second
+	startWait = 2 * time.Second
 	// maxMoving bounds the slots that move at the same time, since a moving slot takes no calls.
 	maxMoving = 8
 )
@@ -116,7 +116,7 @@
 	if c.draining || c.manifest == nil || now > c.lease {
 		return false
 	}
-	if state.Epoch == 0 && now < startWait && !c.members.complete() {
+	if state.Epoch == 0 && now < startWait && (len(c.members.listed) == 1 || !c.members.complete()) {
 		return false
 	}
 	if c.claims.asked[s] > 0 && now-c.claims.asked[s] < claimRetry {
