--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -135,6 +135,12 @@
 	}
 }
 
+func current(n *testNode, instance string) *conn {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.conns[instance]
+}
+
 func link(t *testing.T, a, b *testNode) {
 	t.Helper()
 	a.SetPeers([]Peer{{Instance: b.cfg.Session.Instance(), Addr: b.addr}})
@@ -233,7 +239,7 @@
 		t.Fatal("replier was not cancelled")
 	}
 	waitFor(t, "no exchange left", func() bool {
-		return a.conns["b"].exchanges() == 0 && b.conns["a"].exchanges() == 0
+		return current(a, "b").exchanges() == 0 && current(b, "a").exchanges() == 0
 	})
 	_, err = ask(t, a, "b.1", wire.StatusGet{})
 	must.NoError(t, err)
@@ -275,8 +281,8 @@
 			_, goneB, _ := b.handler.count()
 			return goneA == 1 && goneB == 1 && len(a.Connected()) == 1 && len(b.Connected()) == 1
 		})
-		must.True(t, a.conns["b"].dialed)
-		must.False(t, b.conns["a"].dialed)
+		must.True(t, current(a, "b").dialed)
+		must.False(t, current(b, "a").dialed)
 		a.stop()
 		b.stop()
 		wg.Wait()
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -81,25 +81,32 @@
 	Calls int    `msgpack:"c"`
 }
 
+// LeavingMark tells that an endpoint is leaving, as some instance has observed.
+type LeavingMark struct {
+	Endpoint string `msgpack:"e"`
+	AgeMS    uint64 `msgpack:"a"` // since the first instance observed it
+}
+
 // Heartbeat is sent to every peer each 500 ms. Session and availability zone of the sender are those
 // of the connection's Hello. The lists are packed because heartbeats are most of the control bytes
 // of an idle instance.
 type Heartbeat struct {
-	Round           uint64        `msgpack:"n"`  // rises by 1 with each round of the session
-	Sent            time.Duration `msgpack:"at"` // on the sender's monotonic clock
+	Round           uint64        `msgpack:"n"` // rises by 1 with each round of the session
 	ManifestVersion uint64        `msgpack:"mv,omitempty"`
 	Draining        bool          `msgpack:"dr,omitempty"`
 	Slots           SlotEpochs    `msgpack:"sl,omitempty"`
-	Leaving         []string      `msgpack:"lv,omitempty"` // endpoints marked as leaving
+	Leaving         []LeavingMark `msgpack:"lv,omitempty"`
 	// Running lists the sender's running calls of the pools that the recipient dispatches. Listing
 	// all pools to everyone would take 39 entries in every heartbeat.
 	Running []PoolCount `msgpack:"rn,omitempty"`
-	Heard   HeardList   `msgpack:"hd,omitempty"`
 }
 
-// HeartbeatAck tells that a round has arrived.
+// HeartbeatAck answers a round. It carries the heard peers, because only an answer to an own round
+// tells a claimant how fresh this information is: a heartbeat can arrive late by any time.
 type HeartbeatAck struct {
-	Round uint64 `msgpack:"n"`
+	Round  uint64        `msgpack:"n"`
+	Uptime time.Duration `msgpack:"u"` // of the session that answers
+	Heard  HeardList     `msgpack:"hd,omitempty"`
 }
 
 // Forward passes one authenticated caller request to the owner of its program. Exactly one field is
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -26,7 +26,7 @@
 	return []Message{
 		Hello{Session: "a.1", Zone: "z1", MinVersion: 1, MaxVersion: 2, Nonce: []byte{1}, KeyIDs: [][]byte{{2}}, Proof: []byte{3}},
 		Proof{Proof: []byte{1}}, Ready{}, Error{Code: CodeBusy, Detail: "d", Holder: "b.1"}, Cancel{}, Credit{Bytes: 5}, Ping{}, Ack{},
-		sampleHeartbeat(12, 5, 4), HeartbeatAck{Round: 1 << 40},
+		sampleHeartbeat(5, 4), Heartbeat{Leaving: []LeavingMark{{Endpoint: "e1", AgeMS: 9}}}, sampleAck(12),
 		Forward{Model: &model}, Chunk{Reply: &program.Reply{Req: 1, Problem: problem, RetryAfter: time.Second, Call: call}},
 		Submit{Pool: "m", Request: request}, Withdraw{Pool: "m", ID: request.ID},
 		Done{Pool: "m", Done: sched.Done{ID: request.ID, Result: sched.ResultOK, Total: time.Minute}},
@@ -43,18 +43,24 @@
 	}
 }
 
-func sampleHeartbeat(peers, slots, pools int) Heartbeat {
-	h := Heartbeat{Round: 170_000, Sent: 24 * time.Hour, ManifestVersion: 4100}
+func sampleHeartbeat(slots, pools int) Heartbeat {
+	h := Heartbeat{Round: 170_000, ManifestVersion: 4100}
 	for i := range slots {
 		h.Slots = append(h.Slots, SlotEpoch{Slot: id.Slot(i), Epoch: id.Epoch(40 + i)})
 	}
 	for i := range pools {
 		h.Running = append(h.Running, PoolCount{Pool: fmt.Sprintf("model-%02d", i), Calls: 17})
 	}
+	return h
+}
+
+func sampleAck(peers int) HeartbeatAck {
+	a := HeartbeatAck{Round: 170_000, Uptime: 24 * time.Hour}
 	for i := range peers {
-		h.Heard = append(h.Heard, Heard{Peer: SessionHash(id.Session(fmt.Sprintf("instance-%02d.5f3a9c21", i))), AgeMS: 230})
+		session := id.Session(fmt.Sprintf("instance-%02d.5f3a9c21", i))
+		a.Heard = append(a.Heard, Heard{Peer: SessionHash(session), AgeMS: 230})
 	}
-	return h
+	return a
 }
 
 // Guards against a kind without decoder, a kind number taken twice, and fields lost on the way.
@@ -86,7 +92,7 @@
 
 // Guards against end-of-stream errors that hide a truncated frame, and against wrong error types.
 func TestReadFrameErrors(t *testing.T) {
-	data, err := Encode(Envelope{Message: sampleHeartbeat(3, 3, 3)})
+	data, err := Encode(Envelope{Message: sampleHeartbeat(3, 3)})
 	must.NoError(t, err)
 	_, err = ReadFrame(bytes.NewReader(nil), MaxFrameBytes)
 	must.Eq(t, io.EOF, err)
@@ -181,18 +187,21 @@
 	})
 }
 
-// BenchmarkHeartbeatBytes reports the bytes of one heartbeat against peers, slots and pools.
+// BenchmarkHeartbeatBytes reports the frame bytes that one instance sends per second, for a round
+// each 500 ms to every peer and an answer to each round of every peer.
 func BenchmarkHeartbeatBytes(b *testing.B) {
 	for _, n := range []struct{ peers, slots, pools int }{
-		{0, 0, 0}, {12, 5, 1}, {12, 5, 4}, {12, 64, 4}, {12, 5, 39}, {9, 7, 1}, {9, 7, 39}, {409, 1, 1},
+		{8, 8, 1}, {12, 5, 1}, {12, 5, 4}, {12, 64, 4}, {9, 7, 1}, {9, 7, 39}, {409, 1, 1},
 	} {
 		b.Run(fmt.Sprintf("peers=%d/slots=%d/pools=%d", n.peers, n.slots, n.pools), func(b *testing.B) {
-			h := sampleHeartbeat(n.peers, n.slots, n.pools)
-			var data []byte
+			var beat, ack []byte
 			for b.Loop() {
-				data, _ = Encode(Envelope{Message: h})
+				beat, _ = Encode(Envelope{Message: sampleHeartbeat(n.slots, n.pools)})
+				ack, _ = Encode(Envelope{Message: sampleAck(n.peers)})
 			}
-			b.ReportMetric(float64(len(data)), "bytes/heartbeat")
+			b.ReportMetric(float64(len(beat)), "bytes/heartbeat")
+			b.ReportMetric(float64(len(ack)), "bytes/ack")
+			b.ReportMetric(float64(2*n.peers*(len(beat)+len(ack))), "bytes/s")
 		})
 	}
 }
