server: use the membership core for leases, claims and leaving marks

Change: the loop feeds it list answers, heartbeats and acknowledgements; routing keeps its own shorter view of liveness.

--- a/internal/server/claims.go
+++ b/internal/server/claims.go
@@ -106,14 +106,14 @@
 
 // mayClaim tells whether this instance is to claim a slot now.
 func (c *core) mayClaim(s id.Slot, state fsm.SlotState, now time.Duration, plan plan) bool {
-	if state.Epoch > 0 && !c.members.claimable(state.Holder) {
+	if state.Epoch > 0 && !c.members.core.Dead(now, state.Holder) {
 		c.claims.free[s] = 0
 		return false
 	}
 	if c.claims.free[s] == 0 {
 		c.claims.free[s] = now
 	}
-	if c.draining || c.manifest == nil || now > c.lease {
+	if c.draining || c.manifest == nil || c.members.core.Lease(now).Until <= now {
 		return false
 	}
 	if state.Epoch == 0 && now < startWait && (len(c.members.listed) == 1 || !c.members.complete()) {
--- a/internal/server/config_stream.go
+++ b/internal/server/config_stream.go
@@ -122,7 +122,7 @@
 	for _, e := range m.Endpoints {
 		if e.Pool == pool {
 			cfg.Endpoints = append(cfg.Endpoints, sched.Endpoint{Name: e.Name, Zone: e.Zone, MaxInFlight: e.MaxInFlight,
-				CacheTokens: e.CacheTokens, CanExport: e.CanExport, Leaving: c.members.leaving(e.Name)})
+				CacheTokens: e.CacheTokens, CanExport: e.CanExport, Leaving: c.members.core.EndpointIsLeaving(e.Name)})
 		}
 	}
 	return cfg
--- a/internal/server/drain.go
+++ b/internal/server/drain.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"ragwortstile/internal/membership"
 	"ragwortstile/internal/program"
 )
 
@@ -41,6 +42,8 @@
 		return
 	}
 	c.draining = true
+	c.members.core.Step(c.inst.now(), membership.Drain{})
+	c.members.next = 0 // tell the peers at once
 	c.step(program.Draining{})
 	c.publishView()
 }
@@ -72,8 +75,7 @@
 	if len(c.members.candidates()) == 0 {
 		return true
 	}
-	for s := range c.heldSlots() {
-		_ = s
+	for range c.heldSlots() {
 		return false
 	}
 	return true
--- a/internal/server/heartbeat.go
+++ b/internal/server/heartbeat.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"ragwortstile/internal/id"
+	"ragwortstile/internal/membership"
 	"ragwortstile/internal/platform"
 	"ragwortstile/internal/program"
 	"ragwortstile/internal/sched"
@@ -13,88 +14,44 @@
 
 // membershipTick sends a round of heartbeats when it is due and drops what dead instances left.
 func (c *core) membershipTick(now time.Duration) {
+	c.members.core.Step(now, membership.Tick{})
 	if now >= c.members.next {
-		c.members.next = now + heartbeatInterval
+		c.members.next = now + membership.HeartbeatInterval
 		c.sendRound(now)
 	}
+	c.renewLease()
 	for session := range c.lostOwners(now) {
 		for _, d := range c.dispatchers {
 			d.step(sched.OwnerLost{Session: session}, session)
 		}
 	}
-	before := len(c.members.marks)
-	c.members.expireMarks(now)
-	if len(c.members.marks) != before {
-		c.configurePools()
-	}
+	c.followLeaving()
 }
 
 func (c *core) sendRound(now time.Duration) {
-	m := c.members
-	m.round++
-	m.sent = now
-	m.rounds[m.round] = now
-	delete(m.rounds, m.round-roundsKept)
-	beat := wire.Heartbeat{
-		Round:           m.round,
-		Sent:            now,
-		ManifestVersion: c.manifestVersion,
-		Draining:        c.draining,
-		Leaving:         m.markedEndpoints(),
-	}
+	var slots wire.SlotEpochs
 	for s := range c.heldSlots() {
-		beat.Slots = append(beat.Slots, wire.SlotEpoch{Slot: s, Epoch: c.fold.Slot(s).Epoch})
-	}
-	for _, mb := range m.byName {
-		if mb.beat.Round > 0 && now-mb.heard <= deadAfter {
-			beat.Heard = append(beat.Heard, wire.Heard{Peer: wire.SessionHash(mb.session), AgeMS: uint64((now - mb.heard).Milliseconds())})
-		}
+		slots = append(slots, wire.SlotEpoch{Slot: s, Epoch: c.fold.Slot(s).Epoch})
 	}
+	beat := c.members.core.Beat(now, c.manifestVersion, slots)
 	if _, err := c.inst.node.Broadcast(beat); err != nil {
 		c.inst.log.WithField("reason", err.Error()).Error("heartbeat was not sent")
 	}
-	c.renewLease()
 }
 
-func (m *members) markedEndpoints() []string {
-	var out []string
-	for name := range m.marks {
-		out = append(out, name)
-	}
-	slices.Sort(out)
-	return out
-}
-
-// renewLease extends the lease to leaseTime after the latest moment since which a majority of the
-// listed instances, this one included, has acknowledged a heartbeat. It runs from the moment the
-// heartbeat was sent, so a late acknowledgement never makes it longer.
+// renewLease tells the owner core how long the lease holds, if it does.
 func (c *core) renewLease() {
-	sent := []time.Duration{c.members.sent} // the instance hears itself
-	for name, mb := range c.members.byName {
-		if _, listed := c.members.listed[name]; listed && mb.acked > 0 {
-			sent = append(sent, mb.acked)
-		}
-	}
-	need := len(c.members.listed)/2 + 1
-	if len(sent) < need {
-		return
-	}
-	slices.Sort(sent)
-	until := sent[len(sent)-need] + leaseTime
-	if until <= c.lease {
+	now := c.inst.now()
+	lease := c.members.core.Lease(now)
+	if !lease.Holds(now) || lease.Until <= c.lease {
 		return
 	}
-	c.lease = until
-	c.step(program.LeaseChanged{Until: until})
+	c.lease = lease.Until
+	c.step(program.LeaseChanged{Until: lease.Until})
 }
 
 func (c *core) heartbeatAck(from id.Session, a wire.HeartbeatAck) {
-	mb := c.members.byName[from.Instance()]
-	sent, known := c.members.rounds[a.Round]
-	if mb == nil || mb.session != from || !known {
-		return
-	}
-	mb.acked = max(mb.acked, sent)
+	c.members.core.Step(c.inst.now(), membership.HeartbeatAcked{From: from, Ack: a})
 	c.renewLease()
 }
 
@@ -104,53 +61,57 @@
 	if mb == nil || mb.session != from {
 		return // an older session of an instance that has restarted
 	}
-	if err := c.inst.node.Send(from, wire.HeartbeatAck{Round: beat.Round}); err != nil {
+	c.members.core.Step(now, membership.HeartbeatReceived{From: from, Zone: mb.zone, Beat: beat})
+	if err := c.inst.node.Send(from, c.members.core.Ack(now, beat.Round)); err != nil {
 		c.inst.log.WithField("peer", from).WithField("reason", err.Error()).Debug("heartbeat was not acknowledged")
 	}
 	mb.heard, mb.beat = now, beat
-	c.members.report(wire.SessionHash(from), now)
-	for _, h := range beat.Heard {
-		c.members.report(h.Peer, now-time.Duration(h.AgeMS)*time.Millisecond)
-	}
 	c.askManifest(from, beat.ManifestVersion)
-	fresh := false
-	for _, name := range beat.Leaving {
-		fresh = c.members.mark(name, now) || fresh
-	}
-	if fresh {
-		c.configurePools()
-	}
+	c.followLeaving()
 }
 
-// report notes when anyone heard a session. The latest report counts.
-func (m *members) report(hash uint32, at time.Duration) { m.reports[hash] = max(m.reports[hash], at) }
-
 // listed takes over the platform's list.
 func (c *core) listed(l platform.List) {
-	before := c.members.markedEndpoints()
-	c.members.useList(l, c.inst.now())
-	c.inst.node.SetPeers(c.inst.peersOf(l))
-	if !slices.Equal(before, c.members.markedEndpoints()) {
-		c.configurePools()
+	m := c.members
+	m.hasList = true
+	m.listed = map[string]bool{c.inst.cfg.Instance: true}
+	var answer membership.ListAnswer
+	for _, in := range l.Instances {
+		m.listed[in.Name] = true
+		answer.Instances = append(answer.Instances, membership.Instance{Name: in.Name, Leaving: in.State == platform.StateLeaving})
 	}
+	for _, e := range l.Endpoints {
+		answer.Endpoints = append(answer.Endpoints, membership.Endpoint{Name: e.Name, Leaving: e.State == platform.StateLeaving})
+	}
+	m.core.Step(c.inst.now(), answer)
+	c.inst.node.SetPeers(c.inst.peersOf(l))
+	c.followLeaving()
 }
 
-// endpointLeaves notes what an endpoint said about itself.
+// endpointLeaves notes what an endpoint said about itself, and tells the peers at once.
 func (c *core) endpointLeaves(name string) {
-	if c.members.mark(name, c.inst.now()) {
-		c.inst.log.WithField("endpoint", name).Info("endpoint is leaving")
-		c.configurePools()
-		c.members.next = 0 // tell the peers at once
+	if c.members.core.EndpointIsLeaving(name) {
+		return
 	}
+	c.inst.log.WithField("endpoint", name).Info("endpoint is leaving")
+	c.members.core.Step(c.inst.now(), membership.EndpointLeaving{Endpoint: name})
+	c.members.next = 0
+	c.followLeaving()
 }
 
-func (c *core) configurePools() {
+// followLeaving tells the dispatchers here when the set of leaving endpoints has changed.
+func (c *core) followLeaving() {
+	leaving := c.members.core.LeavingEndpoints()
+	if slices.Equal(leaving, c.members.leaving) {
+		return
+	}
+	c.members.leaving = leaving
 	for pool, d := range c.dispatchers {
 		d.step(sched.Configure{Config: c.poolConfig(pool)}, "")
 	}
 }
 
-// lostOwners yields the sessions with calls at a dispatcher here that were silent for deadAfter or
+// lostOwners yields the sessions with calls at a dispatcher here that were silent for DeadAfter or
 // whose instance has restarted.
 func (c *core) lostOwners(now time.Duration) func(func(id.Session) bool) {
 	return func(yield func(id.Session) bool) {
@@ -162,7 +123,7 @@
 				}
 				seen[owner] = true
 				mb := c.members.byName[owner.Instance()]
-				if mb != nil && mb.session == owner && mb.alive(now, deadAfter) {
+				if mb != nil && mb.session == owner && mb.alive(now, membership.DeadAfter) {
 					continue
 				}
 				if !yield(owner) {
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -19,9 +19,13 @@
 	errStarting   = errors.New("starting: the log has not been read to its end")
 	errNoManifest = errors.New("no manifest is in force")
 	errDraining   = errors.New("draining")
-	errNoOwners   = errors.New("no slot has a known holder")
+	errNoLease    = errors.New("starting: a majority of the listed instances has not been heard yet")
 )
 
+// leaseGrace ends the wait of a starting instance for its first lease: without a majority it can
+// still forward requests and serve those that may be repeated.
+const leaseGrace = 8 * time.Second
+
 // statusTimeout bounds how long a status waits for the other instances.
 const statusTimeout = time.Second
 
@@ -80,6 +84,8 @@
 		return errDraining
 	case c.manifest == nil:
 		return errNoManifest
+	case c.programsAtTail && c.lease == 0 && c.inst.now() < leaseGrace:
+		return errNoLease
 	case c.programsAtTail:
 		return nil
 	case c.members.knowsHolders():
