--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -34,7 +34,8 @@
 	}
 	slices.Sort(names)
 	names = slices.Compact(names)
-	if l.known && !slices.Equal(names, l.current) {
+	// Nobody can have had a majority of an empty list, so it binds nobody later.
+	if l.known && len(l.current) > 0 && !slices.Equal(names, l.current) {
 		l.past = append(l.past, pastList{names: l.current, until: now})
 	}
 	l.current, l.leaving, l.contentAt, l.known = names, leaving, contentAt, true
