trial: list all instances before the first one starts

Cause: an instance that reads a partial list needs majorities of it for 30 s. Change: AddInstances; the demo lets the list lag only once all are ready.

--- a/internal/command/demo.go
+++ b/internal/command/demo.go
@@ -28,6 +28,8 @@
 	demoStagger = 300 * time.Millisecond
 	// demoReleaseWait is how long engines may take to release the memory of ended programs.
 	demoReleaseWait = 8 * time.Second
+	// demoListLag is how far the platform's list lags behind.
+	demoListLag = time.Second
 	// leavingBound is the time after which a leaving endpoint may get no new work (guarantee P8).
 	leavingBound = 3 * time.Second
 
@@ -112,7 +114,6 @@
 	x.d, err = trial.Start(trial.Settings{
 		Manifest: m,
 		LogRate:  300,
-		ListLag:  time.Second,
 		Engine: func(name string) enginestand.Settings {
 			return enginestand.Settings{DecodeBase: demoDecode[name], DecodePerCall: time.Millisecond,
 				EventDelay: 300 * time.Millisecond, LoseEvery: 7, LoadLag: 500 * time.Millisecond}
@@ -127,18 +128,17 @@
 		return fmt.Errorf("publish the manifest: %w", err)
 	}
 	x.say("manifest published: %d duties, %d endpoints", len(m.Duties), len(m.Endpoints))
-	for _, in := range []struct{ name, zone string }{
-		{"instance-a", "zone-a"}, {"instance-b", "zone-b"}, {"instance-c", "zone-c"}, {"instance-d", "zone-a"},
-	} {
-		if _, err := x.d.AddInstance(in.name, in.zone); err != nil {
-			x.d.Close()
-			return err
-		}
+	err = x.d.AddInstances(trial.Place{Name: "instance-a", Zone: "zone-a"}, trial.Place{Name: "instance-b", Zone: "zone-b"},
+		trial.Place{Name: "instance-c", Zone: "zone-c"}, trial.Place{Name: "instance-d", Zone: "zone-a"})
+	if err != nil {
+		x.d.Close()
+		return err
 	}
 	if err := x.d.AwaitReady(ctx); err != nil {
 		x.d.Close()
 		return err
 	}
+	x.d.List.SetLag(demoListLag)
 	x.say("%d instances are ready and hold all %d slots", len(x.d.Running()), id.Slots)
 	return nil
 }
@@ -168,7 +168,7 @@
 func (x *demo) withdrawEndpoint(ctx context.Context) {
 	pause(ctx, demoWithdrawAfter)
 	x.d.List.SetState(demoWithdrawn, platform.StateLeaving)
-	x.say("%s is leaving; the list shows it after %s", demoWithdrawn, time.Second)
+	x.say("%s is leaving; the list shows it after %s", demoWithdrawn, demoListLag)
 	pause(ctx, leavingBound)
 	before := x.d.Engines[demoWithdrawn].Stats().Requests
 	pause(ctx, 2*time.Second)
--- a/internal/server/thin_test.go
+++ b/internal/server/thin_test.go
@@ -72,10 +72,11 @@
 	t.Cleanup(d.Close)
 	ctx := waitContext(t)
 	must.NoError(t, d.Publish(ctx))
+	var places []trial.Place
 	for n := range instances {
-		_, err := d.AddInstance(string(rune('a'+n)), fmt.Sprintf("z%d", n))
-		must.NoError(t, err)
+		places = append(places, trial.Place{Name: string(rune('a' + n)), Zone: fmt.Sprintf("z%d", n)})
 	}
+	must.NoError(t, d.AddInstances(places...))
 	must.NoError(t, d.AwaitReady(ctx))
 	return d
 }
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -211,14 +211,35 @@
 	return err
 }
 
-// AddInstance starts an instance and lists it.
-func (d *Deployment) AddInstance(name, zone string) (*server.Instance, error) {
+// Place is an instance to start and its availability zone.
+type Place struct{ Name, Zone string }
+
+// AddInstances starts instances that are all on the list before the first one reads it.
+func (d *Deployment) AddInstances(places ...Place) error {
+	var made []*server.Instance
+	for _, p := range places {
+		i, err := d.newInstance(p)
+		if err != nil {
+			for _, m := range made {
+				m.Kill()
+			}
+			return err
+		}
+		made = append(made, i)
+	}
+	for _, i := range made {
+		i.Start()
+	}
+	return nil
+}
+
+func (d *Deployment) newInstance(p Place) (*server.Instance, error) {
 	keys, err := peer.NewKeyring([]byte(PeerKey))
 	if err != nil {
 		return nil, err
 	}
 	cfg := server.Config{
-		Instance: name, Zone: zone, HTTPListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0",
+		Instance: p.Name, Zone: p.Zone, HTTPListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0",
 		LogURL: d.LogURL(), ListURL: d.ListURL(), WeightsURL: d.WeightsURL(), Keys: keys,
 		OperatorDigest: api.KeyDigest(OperatorKey), DrainWait: 100 * time.Millisecond, DrainTimeout: 30 * time.Second,
 		ListInterval: 200 * time.Millisecond, Log: d.settings.Logger,
@@ -233,14 +254,13 @@
 	if err != nil {
 		return nil, err
 	}
-	d.List.PutInstance(platform.Instance{Name: name, Zone: zone, PeerAddr: i.PeerAddr(), HTTPAddr: i.HTTPAddr(), State: platform.StateLive})
+	d.List.PutInstance(platform.Instance{Name: p.Name, Zone: p.Zone, PeerAddr: i.PeerAddr(), HTTPAddr: i.HTTPAddr(), State: platform.StateLive})
 	d.mu.Lock()
-	if d.instances[name] == nil {
-		d.order = append(d.order, name)
+	defer d.mu.Unlock()
+	if d.instances[p.Name] == nil {
+		d.order = append(d.order, p.Name)
 	}
-	d.instances[name] = i
-	d.mu.Unlock()
-	i.Start()
+	d.instances[p.Name] = i
 	return i, nil
 }
 
