sched: repair the prefill estimate and weigh lost prefixes

The learned prefill rate fed its own error back through the predicted queue and ran away, and calls left warm endpoints for faster ones. The rate now follows fast samples, a prefix is moved only when its endpoint is full, and memory beyond 75 % of an endpoint costs like a lost prefix.

--- a/internal/bench/engine.go
+++ b/internal/bench/engine.go
@@ -255,7 +255,7 @@
 		next := en.next
 		if en.pins == 0 {
 			e.remove(en)
-			e.sim.countWaste(e, en, false)
+			e.sim.countWaste(e, en)
 			if e.onEvict != nil {
 				e.onEvict(e, en)
 			}
@@ -272,13 +272,13 @@
 }
 
 // release drops the prefix of a branch at the dispatcher's or the owner's order.
-func (e *engine) release(k cacheKey, programEnd bool) {
+func (e *engine) release(k cacheKey) {
 	en := e.entries[k]
 	if en == nil || en.pins > 0 || e.dead {
 		return
 	}
 	e.remove(en)
-	e.sim.countWaste(e, en, programEnd)
+	e.sim.countWaste(e, en)
 }
 
 // importFrom takes over the prefix of a branch from another engine. The source gives its copy up.
--- a/internal/bench/program.go
+++ b/internal/bench/program.go
@@ -44,6 +44,7 @@
 	last     string // endpoint of the last model call
 	subsLeft int
 	pending  *call
+	ended    bool // a sub-agent that has finished
 }
 
 // call is a call of a branch over all its attempts.
@@ -339,6 +340,8 @@
 		b.program.finish()
 		return
 	}
+	b.ended = true
+	b.program.sim.branchEnded(b)
 	b.parent.subsLeft--
 	if b.parent.subsLeft == 0 {
 		b.parent.serviceOrPause()
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -72,7 +72,7 @@
 	for _, e := range s.engines {
 		r.FilledTokens += e.filled
 		for en := e.oldest; en != nil; en = en.next {
-			s.countWaste(e, en, false)
+			s.countWaste(e, en)
 		}
 	}
 	for _, e := range s.engines {
--- a/internal/sched/api.go
+++ b/internal/sched/api.go
@@ -147,6 +147,12 @@
 // ProgramEnded tells that the program needs no cache any more.
 type ProgramEnded struct{ Program id.Program }
 
+// BranchEnded tells that a sub-agent has finished and its cache is not needed any more.
+type BranchEnded struct {
+	Program id.Program
+	Branch  string
+}
+
 // EndpointLeaving stops new grants to an endpoint, ahead of the platform's list.
 type EndpointLeaving struct{ Endpoint string }
 
@@ -163,6 +169,7 @@
 func (CacheEvent) event()      {}
 func (ProgramPaused) event()   {}
 func (ProgramEnded) event()    {}
+func (BranchEnded) event()     {}
 func (EndpointLeaving) event() {}
 func (Tick) event()            {}
 
--- a/internal/sched/cache.go
+++ b/internal/sched/cache.go
@@ -31,6 +31,7 @@
 	tokens  int64 // context after the last call
 	copies  []*prefix
 	paused  bool
+	returns time.Duration // expected end of the pause
 }
 
 // prefix is a cached prefix of a branch at an endpoint, as the scheduler believes. The copies of an
@@ -49,7 +50,6 @@
 type copyList struct {
 	oldest, newest *prefix
 	tokens         int64
-	evictedAge     time.Duration // time since last use of the latest evicted copy
 }
 
 func (l *copyList) unlink(p *prefix) {
@@ -143,7 +143,6 @@
 	for p := ep.cache.oldest; p != nil && ep.CacheTokens > 0 && ep.cache.tokens > ep.CacheTokens; {
 		next := p.next
 		if p.pinned == 0 {
-			ep.cache.evictedAge = s.now - p.used
 			s.drop(p, true)
 		}
 		p = next
@@ -185,7 +184,6 @@
 	p := b.at(ep)
 	switch {
 	case e.Kind == CacheEvicted && p != nil && p.pinned == 0:
-		ep.cache.evictedAge = s.now - p.used
 		s.drop(p, true)
 	case e.Kind == CacheStored && p == nil:
 		s.store(b, ep, e.Tokens, 0)
@@ -203,34 +201,61 @@
 	ep.generation = e.Generation
 }
 
-// paused decides about the cache of a branch that waits for a tool. The copy is released when the
-// memory is full and the pause is longer than copies survive there: the engine would evict it before
-// the return, after it had pushed out copies that return earlier.
-func (s *Scheduler) paused(e ProgramPaused, out []Action) []Action {
+// pausedAt notes when a branch is expected back from a tool.
+func (s *Scheduler) pausedAt(e ProgramPaused) {
 	prog := s.programs[e.Program]
 	if prog == nil {
-		return out
+		return
 	}
-	b := prog.branch(e.Branch)
-	if b == nil {
-		return out
+	if b := prog.branch(e.Branch); b != nil {
+		b.paused, b.returns = true, s.now+e.Expected
+		prog.seen = s.now
 	}
-	b.paused = true
-	prog.seen = s.now
-	if s.opt.NoPauseRelease {
+}
+
+// maxVictims bounds the copies that one choice of a victim looks at.
+const maxVictims = 64
+
+// makeRoom releases copies of paused branches before a call is sent to an endpoint whose memory is
+// full. The engine would evict the least recently used copies; the scheduler knows which branches
+// return last.
+func (s *Scheduler) makeRoom(ep *endpoint, need int64, out []Action) []Action {
+	if s.opt.NoPauseRelease || ep.CacheTokens == 0 {
 		return out
 	}
-	for i := len(b.copies) - 1; i >= 0; i-- {
-		p := b.copies[i]
-		full := p.ep.CacheTokens > 0 && p.ep.cache.tokens > p.ep.CacheTokens*9/10
-		if p.pinned == 0 && full && e.Expected > p.ep.cache.evictedAge && p.ep.cache.evictedAge > 0 {
-			out = append(out, Release{Endpoint: p.ep.Name, Program: prog.id, Branch: b.name, Reason: ReasonLongPause})
-			s.drop(p, true)
+	for ep.cache.tokens+need > ep.CacheTokens {
+		v := s.victim(ep)
+		if v == nil {
+			return out
 		}
+		out = append(out, Release{Endpoint: ep.Name, Program: v.branch.program.id, Branch: v.branch.name, Reason: ReasonLongPause})
+		s.drop(v, true)
 	}
 	return out
 }
 
+// victim is the copy whose branch is expected back last. A branch that is overdue is expected to take
+// as long again as it is late, since long pauses are the ones that are left.
+func (s *Scheduler) victim(ep *endpoint) *prefix {
+	var best *prefix
+	var bestWait time.Duration
+	n := 0
+	for p := ep.cache.oldest; p != nil && n < maxVictims; p = p.next {
+		if p.pinned > 0 || !p.branch.paused {
+			continue
+		}
+		n++
+		wait := p.branch.returns - s.now
+		if wait < 0 {
+			wait = -wait
+		}
+		if best == nil || wait > bestWait {
+			best, bestWait = p, wait
+		}
+	}
+	return best
+}
+
 // ended forgets a program and asks its endpoints to drop its cache.
 func (s *Scheduler) ended(pid id.Program, out []Action) []Action {
 	prog := s.programs[pid]
@@ -248,13 +273,7 @@
 func (s *Scheduler) forget(prog *program, out []Action) []Action {
 	s.resize(prog, 0)
 	for _, b := range prog.branches {
-		for len(b.copies) > 0 {
-			p := b.copies[len(b.copies)-1]
-			if !s.opt.NoEndRelease {
-				out = append(out, Release{Endpoint: p.ep.Name, Program: prog.id, Branch: b.name, Reason: ReasonProgramEnd})
-			}
-			s.drop(p, false)
-		}
+		out = s.releaseAll(b, out)
 	}
 	if prog.started {
 		s.startedPrograms--
@@ -266,6 +285,33 @@
 	return out
 }
 
+// releaseAll forgets the copies of a branch that has ended and asks for their release.
+func (s *Scheduler) releaseAll(b *branch, out []Action) []Action {
+	for len(b.copies) > 0 {
+		p := b.copies[len(b.copies)-1]
+		if !s.opt.NoEndRelease {
+			out = append(out, Release{Endpoint: p.ep.Name, Program: b.program.id, Branch: b.name, Reason: ReasonProgramEnd})
+		}
+		s.drop(p, false)
+	}
+	return out
+}
+
+// branchEnded forgets a finished sub-agent.
+func (s *Scheduler) branchEnded(e BranchEnded, out []Action) []Action {
+	prog := s.programs[e.Program]
+	if prog == nil {
+		return out
+	}
+	b := prog.branch(e.Branch)
+	if b == nil {
+		return out
+	}
+	out = s.releaseAll(b, out)
+	s.resize(prog, prog.context(b, 0))
+	return out
+}
+
 // sweep forgets programs whose end was never reported.
 func (s *Scheduler) sweep(out []Action) []Action {
 	if s.now < s.nextSweep {
--- a/internal/sched/cost.go
+++ b/internal/sched/cost.go
@@ -13,11 +13,14 @@
 )
 
 const (
-	forget           = 0.97 // weight of the older observations in the decode fit
-	prefillLearnRate = 0.1
+	forget           = 0.99 // weight of the older observations in the decode fit
+	prefillRise      = 0.2  // a prompt is never computed faster than the engine can, but often later
+	prefillFall      = 0.02 // so the rate follows the fast samples
+	meanLearnRate    = 0.1
 	slowLearnRate    = 0.3
+	maxQueuePart     = 0.1 // predicted queue, as part of the time to first token, that a sample may hold
 	minPrefillSample = 100 // uncached tokens; shorter prompts measure the network
-	slowThreshold    = 1.5 // observed to predicted time above which an endpoint counts as slow
+	slowThreshold    = 2.5 // observed to predicted time above which an endpoint counts as slow
 )
 
 // costModel predicts the time of a call at one endpoint from the results of earlier calls there.
@@ -52,15 +55,23 @@
 	return 1
 }
 
-// observePrefill learns from the time to first token. queued is the prefill work, in tokens, that
-// was ahead of the call when it was granted.
-func (m *costModel) observePrefill(uncached, queued float64, first time.Duration) {
+// observePrefill learns from the time to first token. queue is the predicted time for the prompts
+// that were ahead of the call. A call that had to wait gives a lower bound of the rate only; taking
+// the wait out with the predicted queue would feed the rate's own error back into it.
+func (m *costModel) observePrefill(uncached, queue float64, first time.Duration) {
 	if uncached < minPrefillSample || first <= 0 {
 		return
 	}
-	rate := (uncached + queued) / first.Seconds()
+	rate := uncached / first.Seconds()
+	if queue > maxQueuePart*first.Seconds() && rate < m.prefillRate {
+		return
+	}
 	m.prefillSamples++
-	a := max(prefillLearnRate, 1/float64(m.prefillSamples))
+	a := prefillFall
+	if rate > m.prefillRate {
+		a = prefillRise
+	}
+	a = max(a, 1/float64(m.prefillSamples))
 	m.prefillRate += a * (rate - m.prefillRate)
 }
 
@@ -86,15 +97,15 @@
 	m.base, m.slope = mean-slope*meanN, slope
 }
 
-// observeRatio compares a whole call with its prediction. A slow call moves the ratio at once; the
-// fit itself moves slowly, so that it stands for the endpoint's past.
+// observeRatio compares a whole call with its prediction. The ratio follows the last few
+// calls, the fit the last hundred, so the ratio compares the endpoint with its own past.
 func (m *costModel) observeRatio(observed, predicted float64) {
 	if predicted <= 0 {
 		return
 	}
 	r := min(max(observed/predicted, 0.2), 10)
 	m.ratio += slowLearnRate * (r - m.ratio)
-	m.meanTotal += prefillLearnRate * (observed - m.meanTotal)
+	m.meanTotal += meanLearnRate * (observed - m.meanTotal)
 }
 
 // learn updates the model of the call's endpoint from its result.
@@ -106,14 +117,11 @@
 	n := float64(ep.inFlight+c.runningAtGrant) / 2
 	m := &ep.cost
 	m.observeRatio(d.Total.Seconds(), c.predicted)
-	if m.ratio > slowThreshold && m.samples > 20 && !s.opt.NoSlowCheck {
-		return // a slow phase does not become the endpoint's past
-	}
 	if !s.cfg.Model {
 		m.observeUnits(d.Total.Seconds(), n)
 		return
 	}
-	m.observePrefill(float64(d.PromptTokens-d.CachedTokens), c.prefillQueue*m.prefillRate, d.FirstToken)
+	m.observePrefill(float64(d.PromptTokens-d.CachedTokens), c.prefillQueue, d.FirstToken)
 	if d.OutputTokens > 0 {
 		m.observeUnits((d.Total-d.FirstToken).Seconds()/float64(d.OutputTokens), n)
 	}
--- a/internal/sched/grant.go
+++ b/internal/sched/grant.go
@@ -62,7 +62,7 @@
 		s.stopWaiting(c)
 		return out
 	}
-	s.commit(c, placement{ep: ep, reason: ReasonWarmWaited, time: s.estimate(ep, c, cached)})
+	out = s.commit(c, placement{ep: ep, reason: ReasonWarmWaited, time: s.estimate(ep, c, cached)}, out)
 	return append(out, s.grantOf(c, ReasonWarmWaited, nil))
 }
 
@@ -97,7 +97,7 @@
 	if owed && p.reason != ReasonProbe && p.reason != ReasonMove {
 		p.reason = ReasonOwedShare
 	}
-	s.commit(c, p)
+	out = s.commit(c, p, out)
 	return append(out, s.grantOf(c, p.reason, p.from)), true
 }
 
@@ -120,26 +120,31 @@
 }
 
 // commit books a grant.
-func (s *Scheduler) commit(c *call, p placement) {
+func (s *Scheduler) commit(c *call, p placement, out []Action) []Action {
 	ep := p.ep
 	s.dequeue(c)
 	c.predicted = p.time
 	if s.cfg.Model {
-		s.reserve(c, p)
+		out = s.reserve(c, p, out)
 	}
 	s.run(c, ep)
 	c.charged = s.work(c.predicted, c.req.PromptTokens-c.cachedAt(ep), int64(c.units))
 	s.charge(c.duty, c.charged)
+	return out
 }
 
 // reserve books the prompt's computation and the memory of a call.
-func (s *Scheduler) reserve(c *call, p placement) {
+func (s *Scheduler) reserve(c *call, p placement, out []Action) []Action {
 	ep := p.ep
 	if p.from != nil {
+		// Room comes before the move, which takes the memory at once.
+		out = s.makeRoom(ep, c.req.PromptTokens+int64(c.units), out)
 		if w := c.branch.at(p.from); w != nil {
 			s.store(c.branch, ep, w.tokens, w.tokens-w.unreused)
+			s.drop(w, false) // the source gives its copy up on export
 		}
 	}
+	out = s.makeRoom(ep, c.req.PromptTokens-c.cachedAt(ep)+int64(c.units), out)
 	c.prefillQueue = ep.prefillQueue(s.now)
 	uncached := c.req.PromptTokens - c.cachedAt(ep)
 	ep.prefillClear = max(ep.prefillClear, s.now) + seconds(float64(uncached)/ep.cost.prefillRate)
@@ -149,6 +154,7 @@
 		c.pinned.pinned++
 	}
 	s.resize(c.program, c.program.context(c.branch, c.req.PromptTokens))
+	return out
 }
 
 // context is the sum of the contexts of the program's branches, with a new size for one of them.
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -7,8 +7,9 @@
 
 // Placement constants.
 const (
-	neighbourWeight = 0.5 // weight of the time by which a call slows the others at its endpoint
-	wasteWeight     = 1.0 // weight of prefix memory lost, as time to compute it again
+	neighbourWeight = 1.0
+	wasteWeight     = 32.0
+	calmFill        = 0.75 // part of an endpoint's prefix memory that is filled without cost
 	maxParkWait     = 6 * time.Second
 )
 
@@ -122,7 +123,7 @@
 // moveTime is the predicted time with the prefix moved to ep, or -1 if it cannot be moved.
 func (s *Scheduler) moveTime(c *call, ep *endpoint, cached int64) float64 {
 	w := c.warm
-	if s.opt.NoMove || w == nil || w.ep == ep || !ep.CanExport || !w.ep.CanExport || w.tokens <= cached {
+	if s.opt.NoMove || w == nil || w.ep == ep || s.free(w.ep) || !ep.CanExport || !w.ep.CanExport || w.tokens <= cached {
 		return -1
 	}
 	move := transferSetup.Seconds() + float64(w.tokens)/transferRate
@@ -137,13 +138,14 @@
 	return max(c.warm.tokens-cached, 0)
 }
 
-// pushedOut is the number of cached tokens that the call's own memory evicts at ep.
+// pushedOut is the number of cached tokens that the call's own memory evicts at ep. It counts from a
+// part of the memory on, because the programs that are there grow.
 func (s *Scheduler) pushedOut(c *call, ep *endpoint, cached int64) int64 {
 	if ep.CacheTokens == 0 {
 		return 0
 	}
 	need := c.req.PromptTokens - cached + int64(c.units)
-	over := ep.cache.tokens + need - ep.CacheTokens
+	over := ep.cache.tokens + need - int64(calmFill*float64(ep.CacheTokens))
 	return min(max(over, 0), need)
 }
 
--- a/internal/sched/reason.go
+++ b/internal/sched/reason.go
@@ -29,5 +29,4 @@
 const (
 	ReasonProgramEnd Reason = "program_ended"
 	ReasonLongPause  Reason = "long_pause" // the prefix would be evicted before the program returns
-	ReasonMoved      Reason = "moved"      // the prefix now is at another endpoint
 )
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -110,9 +110,11 @@
 	case CacheEvent:
 		s.cacheEvent(e)
 	case ProgramPaused:
-		out = s.paused(e, out)
+		s.pausedAt(e)
 	case ProgramEnded:
 		out = s.ended(e.Program, out)
+	case BranchEnded:
+		out = s.branchEnded(e, out)
 	case EndpointLeaving:
 		if ep := s.byName[e.Endpoint]; ep != nil {
 			ep.Leaving = true
