--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -35,7 +35,7 @@
 }
 
 // Client sends requests over HTTP/1.1 and reuses connections. It follows no redirects, uses no
-// proxy and writes each request at most once. It is safe for concurrent use.
+// proxy and writes each request other than a GET at most once. It is safe for concurrent use.
 type Client struct {
 	http *http.Client
 }
@@ -74,11 +74,12 @@
 // Close closes the idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-// Send writes a request once and returns the answer's head. The check, if not nil, runs immediately
+// Send writes a request once and returns the answer's head. A GET without a body may be written again
+// when a reused connection turns out to be closed. The check, if not nil, runs immediately
 // before the first byte is written; its error prevents the write and comes back in a
 // NotAllowedError. sent is false only when it is certain that no byte reached the endpoint.
 func (c *Client) Send(req *http.Request, check func() error) (resp *http.Response, sent bool, err error) {
-	a := &attempt{check: check}
+	a := &attempt{check: check, safe: req.Method == http.MethodGet}
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if gc := unwrap(info.Conn); gc != nil {
 			gc.attempt.Store(a)
--- a/internal/endpoint/client_test.go
+++ b/internal/endpoint/client_test.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"io"
 	"net"
@@ -110,6 +112,16 @@
 	must.True(t, sent)
 	must.Eq(t, 2, count.Load())
 	must.Eq(t, sched.ResultFailed, ResultOf(t.Context(), err))
+
+	count.Store(0)
+	for range 2 { // a GET changes nothing and must survive the broken connection
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, url, nil)
+		must.NoError(t, err)
+		resp, _, err := c.Send(req, nil)
+		must.NoError(t, err)
+		resp.Body.Close()
+	}
+	must.Eq(t, 3, count.Load())
 }
 
 // Guards against a request that is written after the check failed, on a new and on a reused
@@ -134,6 +146,9 @@
 	must.ErrorIs(t, err, lapsed)
 	must.False(t, sent)
 	must.Eq(t, sched.ResultCanceled, ResultOf(t.Context(), err))
+	for deadline := time.Now().Add(5 * time.Second); opened.Load() == 0 && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond) // the server accepts the connection later than the client opens it
+	}
 	must.Eq(t, 1, opened.Load())
 
 	resp, sent, err := c.Send(post(t, t.Context(), server.URL), allow)
@@ -237,6 +252,36 @@
 	must.True(t, a.end())
 }
 
+// Guards against a check that is passed by because TLS hides the connection that it is bound to.
+func TestCheckOverTLS(t *testing.T) {
+	checkGoroutines(t)
+	var count atomic.Int64
+	server := httptest.NewTLSServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { count.Add(1) }))
+	t.Cleanup(server.Close)
+	roots := x509.NewCertPool()
+	roots.AddCert(server.Certificate())
+	c := New(Options{TLS: &tls.Config{RootCAs: roots}})
+	t.Cleanup(c.Close)
+	lapsed := errors.New("lease lapsed")
+	for range 2 {
+		_, sent, err := c.Send(post(t, t.Context(), server.URL), func() error { return lapsed })
+		must.ErrorIs(t, err, lapsed)
+		must.False(t, sent)
+		must.Eq(t, 0, count.Load())
+	}
+	for range 2 {
+		resp, sent, err := c.Send(post(t, t.Context(), server.URL), func() error { return nil })
+		must.NoError(t, err)
+		must.True(t, sent)
+		must.Eq(t, 1, resp.ProtoMajor)
+		resp.Body.Close()
+	}
+	_, sent, err := c.Send(post(t, t.Context(), server.URL), func() error { return lapsed })
+	must.ErrorIs(t, err, lapsed)
+	must.False(t, sent)
+	must.Eq(t, 2, count.Load())
+}
+
 // Guards against connections that are not reused, and against a redirect that repeats a request at
 // another endpoint.
 func TestReuseAndRedirect(t *testing.T) {
--- a/internal/endpoint/conn.go
+++ b/internal/endpoint/conn.go
@@ -31,6 +31,9 @@
 // and the check runs again.
 type attempt struct {
 	check func() error
+	// safe allows a second write: the request is a GET, which changes nothing, and a reused
+	// connection that the endpoint was closing must not fail it.
+	safe bool
 
 	mu      sync.Mutex
 	writer  *conn // connection that the request is written on
@@ -50,7 +53,7 @@
 		a.writing = true
 		return nil
 	}
-	if a.written > 0 || a.writing {
+	if (a.written > 0 || a.writing) && !a.safe {
 		return ErrSecondWrite
 	}
 	if a.check != nil {
--- a/internal/engine/complete.go
+++ b/internal/engine/complete.go
@@ -29,7 +29,7 @@
 // the same goroutine, with the raw bytes of a streamed answer as they come.
 //
 // The end of ctx gives up the attempt with ResultCanceled, d.Timeout with ResultTimeout; neither
-// stops the engine, which Cancel does. A failed move of the cache does not fail the attempt. With
+// stops the engine, which Cancel does. FirstToken and Total leave out the move. A failed move of the cache does not fail the attempt. With
 // Resume, progress may start below FromByte. Sent is always true then: the request went out before.
 func (c *Client) Complete(ctx context.Context, d program.DispatchModel, progress func(program.Progress)) program.Finished {
 	a := &attempt{client: c, d: d, progress: progress, start: time.Now()}
@@ -88,6 +88,7 @@
 		if err := a.client.Move(ctx, a.d.MoveFrom, a.d.Endpoint, a.d.CacheTag); err != nil {
 			a.report(fmt.Errorf("move cache: %w", err))
 		}
+		a.start = time.Now() // the speed of the engine is learned from FirstToken and Total
 	}
 	req, err := a.request(ctx, base)
 	if err != nil {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -24,8 +24,9 @@
 	// defaultMaxAnswer bounds an answer; it fits one frame of the peer protocol.
 	defaultMaxAnswer = 15 << 20
 	// defaultStall ends a stream that brings no byte, so that a hanging engine is noticed before the
-	// timeout of the attempt. It covers the longest prefill.
-	defaultStall = 60 * time.Second
+	// timeout of the attempt. It covers the longest prefill: 640,000 tokens at 8,000 per second take
+	// 80 s.
+	defaultStall = 2 * time.Minute
 	// defaultControl bounds every exchange other than a completion.
 	defaultControl = 2 * time.Second
 	// defaultMove bounds the export and import of a cache; after it the prefix is recomputed.
@@ -68,7 +69,7 @@
 	Failed func(attempt id.Attempt, err error)
 
 	MaxAnswerBytes int64         // default 15 MiB
-	StallTimeout   time.Duration // default 60 s
+	StallTimeout   time.Duration // default 2 min
 	ControlTimeout time.Duration // default 2 s
 	MoveTimeout    time.Duration // default 5 s
 }
@@ -168,7 +169,7 @@
 			return answer{}, err
 		}
 	}
-	req, err := http.NewRequestWithContext(ctx, method, u, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, u, bytes.NewReader(body)) // no bytes: no body
 	if err != nil {
 		return answer{}, err
 	}
--- a/internal/engine/stream_test.go
+++ b/internal/engine/stream_test.go
@@ -116,3 +116,19 @@
 		}
 	})
 }
+
+// BenchmarkStream gives the cost of one token of a relayed stream.
+func BenchmarkStream(b *testing.B) {
+	event := []byte("data: {\"id\":\"p00-x/main/1/e1.1\",\"object\":\"chat.completion.chunk\",\"model\":\"m1\",\"choices\":[{\"index\":0,\"delta\":{\"content\":\" word\"},\"finish_reason\":null}]}\n\n")
+	b.SetBytes(int64(len(event)))
+	b.ReportAllocs()
+	var s Stream
+	for i := 0; b.Loop(); i++ {
+		if i%1000 == 0 {
+			s = Stream{}
+		}
+		if err := s.Feed(event); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
