--- /dev/null
+++ b/internal/server/config_test.go
@@ -0,0 +1,121 @@
+package server_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"ragwortstile/internal/manifest"
+	"ragwortstile/internal/platform"
+	"ragwortstile/internal/publish"
+	"ragwortstile/internal/server"
+	"ragwortstile/internal/trial"
+)
+
+// inForceBound is the time of guarantee P10.
+const inForceBound = 4 * time.Second
+
+func publishAs(ctx context.Context, d *trial.Deployment, expected uint64, revision string) (uint64, error) {
+	m := *d.Manifest
+	m.Source = manifest.Source{Revision: revision}
+	return publish.Publish(ctx, platform.NewLogClient(d.LogURL(), http.DefaultClient), publish.Request{
+		Expected: expected, Data: m.Canonical(), Digest: m.Digest(), Operator: revision,
+	})
+}
+
+// Guards P10 against two operators that publish at once, lost answers and late repeats of an append:
+// one of each pair wins, the other is told so, and no instance ever goes back.
+func TestPublishersRace(t *testing.T) {
+	t.Parallel()
+	d := cluster(t, 3, nil)
+	ctx := waitContext(t)
+	stop := make(chan struct{})
+	var watchers, publishers sync.WaitGroup
+	for _, i := range d.Running() {
+		watchers.Go(func() {
+			last := uint64(0)
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(time.Millisecond):
+				}
+				v := i.ManifestVersion()
+				if v < last {
+					t.Errorf("instance %s went back from version %d to %d", i.Session(), last, v)
+					return
+				}
+				last = v
+			}
+		})
+	}
+	for version := uint64(1); version <= 5; version++ {
+		d.Log.LoseAnswers(1)
+		d.Log.Duplicate(2, 100*time.Millisecond)
+		results := make([]error, 2)
+		for n := range results {
+			publishers.Go(func() {
+				_, results[n] = publishAs(ctx, d, version, fmt.Sprintf("r%d-%d", version, n))
+			})
+		}
+		publishers.Wait()
+		accepted := time.Now()
+		won := 0
+		for _, err := range results {
+			var conflict *publish.ConflictError
+			switch {
+			case err == nil:
+				won++
+			case errors.As(err, &conflict):
+				must.Eq(t, version+1, conflict.Current)
+			default:
+				t.Fatalf("version %d: %v", version+1, err)
+			}
+		}
+		must.Eq(t, 1, won)
+		await(t, "the version at all instances", func() bool { return allHave(d.Running(), version+1) })
+		must.Less(t, inForceBound, time.Since(accepted))
+	}
+	close(stop)
+	watchers.Wait()
+}
+
+func allHave(instances []*server.Instance, version uint64) bool {
+	for _, i := range instances {
+		if i.ManifestVersion() != version {
+			return false
+		}
+	}
+	return true
+}
+
+// Guards P10 against an instance that can't read the log when a configuration is accepted: it gets
+// it from the others.
+func TestManifestReachesInstancesDuringOutage(t *testing.T) {
+	t.Parallel()
+	d := cluster(t, 2, nil)
+	ctx := waitContext(t)
+	_, err := publishAs(ctx, d, 1, "r2")
+	must.NoError(t, err)
+	await(t, "version 2", func() bool { return allHave(d.Running(), 2) })
+	d.Log.SetOutage(true)
+	must.NoError(t, d.AddInstances(trial.Place{Name: "c", Zone: "z2"}))
+	start := time.Now()
+	await(t, "version 2 at the new instance", func() bool { return d.Instance("c").ManifestVersion() == 2 })
+	must.Less(t, inForceBound, time.Since(start))
+	_, err = publishAs(ctx, d, 2, "r3")
+	must.Error(t, err)
+	must.True(t, allHave(d.Running(), 2))
+	d.Log.SetOutage(false)
+	_, err = publishAs(ctx, d, 2, "r3")
+	must.NoError(t, err)
+	accepted := time.Now()
+	await(t, "version 3", func() bool { return allHave(d.Running(), 3) })
+	must.Less(t, inForceBound, time.Since(accepted))
+}
--- /dev/null
+++ b/internal/server/endpoint_test.go
@@ -0,0 +1,115 @@
+package server_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"ragwortstile/internal/platform"
+	"ragwortstile/internal/standin/enginestand"
+	"ragwortstile/internal/trial"
+)
+
+// leavingBound is the time of guarantee P8.
+const leavingBound = 3 * time.Second
+
+// Guards P8 against a list that one instance reads late: the mark of another instance's list stops new
+// work everywhere within the bound. The dispatcher may be either instance.
+func TestLeavingEndpointGetsNoNewWork(t *testing.T) {
+	t.Parallel()
+	d := cluster(t, 3, nil)
+	ctx := waitContext(t)
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for n := range 4 {
+		wg.Go(func() {
+			c := trial.NewCaller(tenantKey, d.Bases)
+			defer c.Close()
+			for call := 0; ; call++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				_, err := c.Do(ctx, http.MethodPost, "/v1/chat/completions", fmt.Sprintf("k%d-%d", n, call),
+					[]byte(`{"model":"m","max_tokens":4,"messages":[{"role":"user","content":"x"}]}`), nil)
+				if err != nil {
+					t.Errorf("call %d-%d: %v", n, call, err)
+					return
+				}
+			}
+		})
+	}
+	await(t, "work at both engines", func() bool {
+		return d.Engines["e0"].Stats().Requests > 0 && d.Engines["e1"].Stats().Requests > 0
+	})
+	d.List.SetLag(time.Second)
+	d.List.SetState("e0", platform.StateLeaving)
+	time.Sleep(leavingBound)
+	before, other := d.Engines["e0"].Stats().Requests, d.Engines["e1"].Stats().Requests
+	await(t, "work at the other engine", func() bool { return d.Engines["e1"].Stats().Requests > other+5 })
+	must.Eq(t, before, d.Engines["e0"].Stats().Requests)
+	d.List.SetState("e0", platform.StateLive)
+	await(t, "work at the engine that is back", func() bool { return d.Engines["e0"].Stats().Requests > before })
+	close(stop)
+	wg.Wait()
+}
+
+// Guards P4 against memory that stays held: the owner dies right after the end of its programs, one
+// engine hangs during the release and another one restarts.
+func TestMemoryIsReleasedAfterTheEnd(t *testing.T) {
+	t.Parallel()
+	d := cluster(t, 3, nil)
+	ctx := waitContext(t)
+	c := caller(t, d)
+	for n := range 10 {
+		prog, err := c.Open(ctx, "work", fmt.Sprintf("o%d", n))
+		must.NoError(t, err)
+		for turn := range 2 {
+			_, err = c.Model(ctx, trial.ModelCall{Program: prog, Key: fmt.Sprintf("k%d", turn), Model: "m", Say: "x", MaxTokens: 4})
+			must.NoError(t, err)
+		}
+		if n == 8 {
+			d.Engines["e0"].SetDown(true)
+			d.Engines["e1"].Restart()
+		}
+		must.NoError(t, c.End(ctx, prog))
+		if n == 9 {
+			d.Kill(ownerOf(t, d, prog))
+		}
+	}
+	d.Engines["e0"].SetDown(false)
+	await(t, "released memory", func() bool {
+		return len(d.Engines["e0"].Held()) == 0 && len(d.Engines["e1"].Held()) == 0
+	})
+}
+
+// Guards P5 against a connection to an engine that breaks in the middle of an answer, and against an
+// engine that is gone: the caller gets a whole answer, and bytes that were shown never change.
+func TestEngineBreaksDuringAnswer(t *testing.T) {
+	t.Parallel()
+	d := cluster(t, 2, func(s *trial.Settings) {
+		s.Engine = func(string) enginestand.Settings { return enginestand.Settings{DecodeBase: 5 * time.Millisecond} }
+	})
+	ctx := waitContext(t)
+	c := caller(t, d)
+	prog, err := c.Open(ctx, "work", "o")
+	must.NoError(t, err)
+	for n := range 6 {
+		for _, e := range d.Engines {
+			e.BreakNext(1, 300*n)
+		}
+		m, body := longCall(prog, fmt.Sprintf("k%d", n), "x", 30)
+		a, err := c.Do(ctx, http.MethodPost, m.Path(), m.Key, body, trial.AppendHistory())
+		must.NoError(t, err)
+		must.StrHasSuffix(t, "data: [DONE]\n\n", string(a.Body))
+		again, err := c.Do(ctx, http.MethodPost, m.Path(), m.Key, body, trial.AppendHistory())
+		must.NoError(t, err)
+		must.Eq(t, string(again.Body), string(a.Body))
+	}
+	must.Len(t, 12, texts(t, c, ctx, prog, ""))
+}
--- /dev/null
+++ b/internal/server/service_test.go
@@ -0,0 +1,184 @@
+package server_test
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"ragwortstile/internal/standin/servicestand"
+	"ragwortstile/internal/trial"
+)
+
+// askable is a service that tells outcomes and checks neither fence nor expiry, so that only the
+// scheduler prevents a second execution.
+func askable(string) servicestand.Settings {
+	return servicestand.Settings{CanBeAsked: true, AskFences: true, Latency: 200 * time.Millisecond}
+}
+
+func effect(name string) []byte { return fmt.Appendf(nil, `{"effect":%q}`, name) }
+
+// Guards P7 and P5 against the death of the owner while a charge is under way: the caller repeats the
+// key, the service is asked, and the charge is made once.
+func TestOwnerDiesDuringCharge(t *testing.T) {
+	t.Parallel()
+	d := cluster(t, 3, func(s *trial.Settings) { s.Service = askable })
+	ctx := waitContext(t)
+	c := caller(t, d)
+	prog, err := c.Open(ctx, "work", "o")
+	must.NoError(t, err)
+	owner := ownerOf(t, d, prog)
+	other := base(otherThan(t, d, owner))
+	for _, s := range d.Services {
+		s.HangAfterNext(1)
+	}
+	first := make(chan error, 1)
+	go func() {
+		_, err := c.Once(ctx, other, http.MethodPost, "/v1/programs/"+string(prog)+"/services/s/charge", "k", effect("x"), nil)
+		first <- err
+	}()
+	await(t, "the execution", func() bool { return d.Executed("x") > 0 })
+	d.Kill(owner)
+	must.Error(t, <-first)
+	a, err := c.Service(ctx, prog, "", "k", "s", "charge", effect("x"))
+	must.NoError(t, err)
+	must.StrContains(t, string(a.Body), `"effect":"x"`)
+	must.Eq(t, 1, d.Executed("x"))
+	a, err = c.Service(ctx, prog, "", "k", "s", "charge", effect("x"))
+	must.NoError(t, err)
+	must.Eq(t, 1, d.Executed("x"))
+	_, err = c.Service(ctx, prog, "", "k", "s", "charge", effect("y"))
+	must.Eq(t, "key_reused", problemOf(t, err).Code())
+	must.Eq(t, 0, d.Executed("y"))
+	must.Eq(t, 200, a.Status)
+}
+
+// Guards P7 and P6 where the service can't be asked: the outcome stays unknown and blocks the branch
+// until the caller settles it; nothing is run a second time.
+func TestUnknownOutcomeBlocksUntilSettled(t *testing.T) {
+	t.Parallel()
+	d := cluster(t, 3, func(s *trial.Settings) {
+		s.Service = func(string) servicestand.Settings { return servicestand.Settings{} }
+	})
+	ctx := waitContext(t)
+	c := caller(t, d)
+	prog, err := c.Open(ctx, "work", "o")
+	must.NoError(t, err)
+	for _, s := range d.Services {
+		s.LoseAnswers(1)
+	}
+	_, err = c.Service(ctx, prog, "", "k", "s", "press", effect("x"))
+	must.Eq(t, "outcome_unknown", problemOf(t, err).Code())
+	must.Eq(t, "unknown", problemOf(t, err).Executed)
+	_, err = c.Service(ctx, prog, "", "k", "s", "press", effect("x"))
+	must.Eq(t, "outcome_unknown", problemOf(t, err).Code())
+	_, err = c.Service(ctx, prog, "", "k2", "s", "look", effect("z"))
+	must.Error(t, err)
+	must.NoError(t, c.Settle(ctx, prog, "k", "yes"))
+	_, err = c.Service(ctx, prog, "", "k3", "s", "look", effect("z"))
+	must.NoError(t, err)
+	must.Eq(t, 1, d.Executed("x"))
+}
+
+// Guards P6: a refusal that says "not run" is true, whether the service refuses, the connection breaks
+// before the execution or the answer is lost after it.
+func TestNotRunMeansNotRun(t *testing.T) {
+	t.Parallel()
+	d := cluster(t, 2, func(s *trial.Settings) { s.Service = askable })
+	ctx := waitContext(t)
+	for _, s := range d.Services {
+		s.RefuseNext(3, http.StatusServiceUnavailable)
+		s.DropNext(3)
+		s.LoseAnswers(3)
+	}
+	var wg sync.WaitGroup
+	for n := range 24 {
+		wg.Go(func() {
+			c := trial.NewCaller(tenantKey, d.Bases)
+			defer c.Close()
+			prog, err := c.Open(ctx, "work", fmt.Sprintf("o%d", n))
+			if err != nil {
+				t.Errorf("call %d: %v", n, err)
+				return
+			}
+			name := fmt.Sprintf("x%d", n)
+			_, err = c.Once(ctx, d.Bases()[n%2], http.MethodPost, "/v1/programs/"+string(prog)+"/services/s/charge", name, effect(name), nil)
+			ran := d.Executed(name)
+			var p *trial.Problem
+			switch {
+			case err == nil && ran == 1:
+			case errors.As(err, &p) && p.Executed == "no" && ran == 0:
+			case errors.As(err, &p) && p.Executed == "unknown" && ran <= 1:
+			default:
+				t.Errorf("call %d was executed %d times, the caller got: %v", n, ran, err)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// Guards P7 and P1 against a paused owner: it resumes after its slots were claimed, in the middle of
+// charges, and must send none that its successor also sends.
+func TestPausedOwnerSendsNothingLate(t *testing.T) {
+	t.Parallel()
+	d := cluster(t, 3, func(s *trial.Settings) { s.Service = askable })
+	ctx := waitContext(t)
+	const programs = 6
+	var wg sync.WaitGroup
+	first := caller(t, d)
+	progs := make([]string, programs)
+	for n := range programs {
+		p, err := first.Open(ctx, "work", fmt.Sprintf("o%d", n))
+		must.NoError(t, err)
+		progs[n] = string(p)
+	}
+	stop := make(chan struct{})
+	for n := range programs {
+		wg.Go(func() {
+			c := trial.NewCaller(tenantKey, d.Bases)
+			defer c.Close()
+			for call := 0; ; call++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				name := fmt.Sprintf("%s-%d", progs[n], call)
+				_, err := c.Do(ctx, http.MethodPost, "/v1/programs/"+progs[n]+"/services/s/charge", name, effect(name), nil)
+				if err == nil {
+					if got := d.Executed(name); got != 1 {
+						t.Errorf("%s was acknowledged and executed %d times", name, got)
+					}
+					continue
+				}
+				if ctx.Err() != nil {
+					t.Errorf("%s: %v", name, err)
+					return
+				}
+				// Unknown for now: the scheduler asks the service and finds out.
+				time.Sleep(100 * time.Millisecond)
+				call--
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	paused := d.Instance("a")
+	resume := paused.Pause()
+	held := len(paused.Slots())
+	must.Positive(t, held)
+	await(t, "the others hold all slots", func() bool {
+		return len(d.Instance("b").Slots())+len(d.Instance("c").Slots()) == 64
+	})
+	resume()
+	await(t, "the resumed instance has learned it", func() bool { return len(paused.Slots()) < held })
+	time.Sleep(500 * time.Millisecond)
+	close(stop)
+	wg.Wait()
+	for _, s := range d.Services {
+		must.SliceEmpty(t, s.Doubled())
+	}
+}
