platform: pace the reads at the tail

Each append of any instance woke each reader, which made up to 260 exchanges per second and instance. Reads at the tail now start at least 10 ms apart; the pages before the tail are not paced.

--- a/internal/platform/appender.go
+++ b/internal/platform/appender.go
@@ -110,7 +110,8 @@
 	}
 }
 
-// Add buffers records for the next batches, in order. It takes all of them or none. Errors:
+// Add buffers records for the next batches, in order. It takes all of them or none. They may end up
+// in several batches. Errors:
 // ErrBufferFull, ErrTooLarge for a record that fits no batch.
 func (a *Appender) Add(records ...record.Record) error {
 	sized := make([]sizedRecord, 0, len(records))
@@ -154,7 +155,7 @@
 	return record.MaxBatchBytes - a.baseBytes - batchOverheadBytes
 }
 
-// Seen tells that the reader read a batch of this session. Batches other than the one under way are
+// Seen tells that the reader read a batch of this session on this stream. Batches other than the one under way are
 // ignored.
 func (a *Appender) Seen(seq uint64) {
 	a.mu.Lock()
--- a/internal/platform/appender_test.go
+++ b/internal/platform/appender_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -230,3 +231,31 @@
 	must.Eq(t, want, slots(t, l))
 	must.Eq(t, l.Records(stream)[0], l.Records(stream)[1])
 }
+
+// Guards against 13 instances that exceed the append rate of the log, or that need more than one
+// batch for records that come at the rate of today's calls.
+func TestThirteenAppendersStayBelowRate(t *testing.T) {
+	checkGoroutines(t)
+	l, c := startLog(t, logstand.Settings{Rate: 300})
+	const instances, records = 13, 90 // 60 records per second for 1.5 s
+	var all []*platform.Appender
+	for i := range instances {
+		a, err := platform.NewAppender(platform.AppenderConfig{Client: c, Stream: stream, Session: id.Session(fmt.Sprintf("i%d.a", i))})
+		must.NoError(t, err)
+		run(t, a.Serve)
+		all = append(all, a)
+	}
+	start := time.Now()
+	for i := range records {
+		time.Sleep(time.Until(start.Add(time.Duration(i) * time.Second / 60)))
+		for _, a := range all {
+			must.NoError(t, a.Add(record.Claim{Slot: id.Slot(i % id.Slots), Session: "i1.a"}))
+		}
+	}
+	for _, a := range all {
+		flush(t, a)
+	}
+	must.Eq(t, instances*records, len(slots(t, l)))
+	must.Eq(t, 0, l.Stats().Limited)
+	t.Logf("%d appends in %s", l.Stats().Appends, time.Since(start))
+}
--- a/internal/platform/tailer.go
+++ b/internal/platform/tailer.go
@@ -15,6 +15,10 @@
 	// because a log that is slow, but answers, must still be read to the tail.
 	readSlack = 10 * time.Second
 
+	// readInterval paces the reads at the tail. Without it, each append of any instance costs each
+	// reader one exchange: 260 per second for 13 instances.
+	readInterval = 10 * time.Millisecond
+
 	readBackoffMin = 50 * time.Millisecond
 	readBackoffMax = time.Second
 )
@@ -37,6 +41,8 @@
 	Failed func(err error)
 	// Wait is the long poll of one read. Default 5 s.
 	Wait time.Duration
+	// Interval is the least time between the starts of two reads at the tail. Default 10 ms.
+	Interval time.Duration
 }
 
 // Tailer reads a stream from its earliest offset and delivers each entry in order, exactly once.
@@ -46,13 +52,13 @@
 	delivered bool // an entry was delivered
 	next      uint64
 	atTail    bool
+	last      time.Time // start of the last read
 }
 
 // NewTailer returns a Tailer that starts at the earliest offset.
 func NewTailer(cfg TailerConfig) *Tailer {
-	if cfg.Wait <= 0 {
-		cfg.Wait = readWait
-	}
+	setDefault(&cfg.Wait, readWait)
+	setDefault(&cfg.Interval, readInterval)
 	return &Tailer{cfg: cfg}
 }
 
@@ -90,12 +96,15 @@
 	if !t.started {
 		return t.start(ctx)
 	}
-	rctx, cancel := context.WithTimeout(ctx, t.cfg.Wait+readSlack)
-	defer cancel()
 	wait := t.cfg.Wait
 	if !t.atTail {
 		wait = 0 // the first report of the tail must not wait for an append
+	} else if !sleep(ctx, time.Until(t.last.Add(t.cfg.Interval))) {
+		return ctx.Err()
 	}
+	t.last = time.Now()
+	rctx, cancel := context.WithTimeout(ctx, t.cfg.Wait+readSlack)
+	defer cancel()
 	page, err := t.cfg.Client.Read(rctx, t.cfg.Stream, t.next, wait)
 	var expired *ExpiredError
 	if errors.As(err, &expired) {
--- a/internal/platform/tailer_test.go
+++ b/internal/platform/tailer_test.go
@@ -110,3 +110,20 @@
 	must.ErrorIs(t, tailer.Serve(context.Background()), broken)
 	must.Eq(t, []uint64{0, 1, 99, 2, 3}, got)
 }
+
+// Guards against one exchange per append: 13 instances append up to 260 times per second.
+func TestTailerPacesReads(t *testing.T) {
+	checkGoroutines(t)
+	l, c := startLog(t, logstand.Settings{})
+	got := &tailed{}
+	run(t, newTailer(c, got).Serve)
+	eventually(t, "the tail", func() bool { return len(got.tails.get()) == 1 })
+	start := time.Now()
+	before := l.Stats().Reads
+	const n = 300
+	appendN(t, c, n)
+	eventually(t, "all entries", func() bool { return len(got.offsets.get()) == n })
+	limit := int(time.Since(start)/(10*time.Millisecond)) + 2
+	must.LessEq(t, limit, l.Stats().Reads-before)
+	must.Eq(t, countTo(0, n), got.offsets.get())
+}
