--- a/internal/server/instance.go
+++ b/internal/server/instance.go
@@ -223,8 +223,8 @@
 
 // Kill stops the instance as the end of its process would: nothing is finished or handed over.
 func (i *Instance) Kill() {
-	i.closeListeners()
 	i.cancel()
+	i.closeListeners()
 	_ = i.front.Close()
 	if i.started.Load() {
 		<-i.stopped
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"sync"
 	"time"
 
@@ -257,7 +258,7 @@
 	d.List.PutInstance(platform.Instance{Name: p.Name, Zone: p.Zone, PeerAddr: i.PeerAddr(), HTTPAddr: i.HTTPAddr(), State: platform.StateLive})
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.instances[p.Name] == nil {
+	if !slices.Contains(d.order, p.Name) {
 		d.order = append(d.order, p.Name)
 	}
 	d.instances[p.Name] = i
