Answer a repeated key only from durable records; test the fold

Change: recorded answers wait for the program's records to be durable, a slot whose Handover was appended takes no further request, a new request resets the oracle's note of a refusal (trace: its caller lost the instance after the dispatch).

--- a/internal/program/call.go
+++ b/internal/program/call.go
@@ -198,7 +198,18 @@
 	return problem(ProblemBlocked, 409, record.ExecutedUnknown, "it is not known whether the call was run; ask the service and settle it")
 }
 
+// answerRecorded answers with a recorded outcome once it is durable.
 func (c *Core) answerRecorded(p *prog, w *waiter, o *fsm.Outcome) {
+	c.whenDurable(p, func(r commitResult) {
+		if r == rejected {
+			c.refuse(w.req, problem(ProblemOwnerChanged, 503, record.ExecutedUnknown, "the outcome was not recorded; repeat the key"), RetryAfterSlot)
+			return
+		}
+		c.answerDurable(w, o)
+	})
+}
+
+func (c *Core) answerDurable(w *waiter, o *fsm.Outcome) {
 	switch {
 	case o.Executed == record.ExecutedUnknown:
 		c.refuse(w.req, unknownOutcome(), time.Second)
--- a/internal/program/open.go
+++ b/internal/program/open.go
@@ -54,6 +54,8 @@
 		c.refuse(req, problem(ProblemNotHolder, 503, record.ExecutedUnknown, "another instance holds the slot"), RetryAfterSlot)
 	case !sl.ready:
 		c.refuse(req, problem(ProblemSlotNotReady, 503, record.ExecutedUnknown, "the slot was taken over; copies are being fetched"), RetryAfterSlot)
+	case sl.moved:
+		c.refuse(req, problem(ProblemSlotMoving, 503, record.ExecutedUnknown, "the slot is being handed over"), RetryAfterSlot)
 	default:
 		return true
 	}
@@ -282,6 +284,12 @@
 
 // replyWhenSettled answers after the records that the answer depends on are durable.
 func (c *Core) replyWhenSettled(p *prog, req ReqID, body []byte) {
+	c.whenDurable(p, func(r commitResult) { c.replyCommitted(req, r, 200, body) })
+}
+
+// whenDurable calls f once all records of a program that were appended so far are durable, or were
+// refused. What the view shows may not be told to a caller before.
+func (c *Core) whenDurable(p *prog, f func(commitResult)) {
 	var last *pend
 	for _, pe := range c.pending.list {
 		if pe.prog == p && !pe.copied && copyable(pe.rec) {
@@ -289,16 +297,16 @@
 		}
 	}
 	if last == nil {
-		c.emit(Reply{Req: req, Status: 200, Body: body})
+		f(committed)
 		return
 	}
 	inner := last.done
-	f := c.once(func(r commitResult) { c.replyCommitted(req, r, 200, body) })
+	once := c.once(f)
 	last.done = func(r commitResult) {
 		if inner != nil {
 			inner(r)
 		}
-		f(r)
+		once(r)
 	}
 }
 
--- a/internal/program/oracle_test.go
+++ b/internal/program/oracle_test.go
@@ -56,6 +56,8 @@
 	x.next++
 	x.reqs[x.next] = &r
 	x.open[execKey{r.program, r.key}]++
+	// A further request may run even if its caller gets no answer because the instance died.
+	x.refused[execKey{r.program, r.key}] = false
 	return x.next
 }
 
