Test each guarantee over owners that die or pause at the worst moment

Change: one test for each rule of P1 to P7, hand-over, retries, wall time and state that outlives the retention.

--- /dev/null
+++ b/internal/program/guarantee_test.go
@@ -0,0 +1,336 @@
+package program
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"ragwortstile/internal/id"
+	"ragwortstile/internal/record"
+)
+
+// faults makes the named draws return a value once each.
+func (w *world) faults(f map[string]int) {
+	w.pick = func(n int, what string) int {
+		v := f[what]
+		delete(f, what)
+		return v
+	}
+}
+
+// P1: a call that names a later sequence number waits for the one before it.
+func TestCallsTakeEffectInOrder(t *testing.T) {
+	w, o := started(t, 1)
+	pid := w.program(o, record.Limits{})
+	second := w.oracle.ask(request{owner: o, program: pid, branch: "main", key: "k2", kind: "service", body: "k2"})
+	o.step(ServiceCall{Req: second, Tenant: "t", Program: pid, Key: "k2", Seq: 2, Digest: 9, Service: "s", Operation: "charge", Body: []byte("k2")})
+	w.pump()
+	must.False(t, w.oracle.reqs[second].done)
+	must.Eq(t, 0, w.execs[execKey{pid, "k2"}])
+	first := w.model(o, pid, "main", "k1", false)
+	w.advance(time.Second)
+	must.True(t, first.ok)
+	must.True(t, w.oracle.reqs[second].ok)
+}
+
+// P2: a turn that only peers hold survives the death of its owner, although the log never had it.
+func TestCopiedTurnSurvivesOwner(t *testing.T) {
+	w, a := started(t, 3)
+	pid := w.program(a, record.Limits{Tokens: 4000})
+	w.log.down = true
+	w.advance(time.Second)
+	r1 := w.model(a, pid, "main", "k1", true)
+	w.advance(time.Second)
+	r2 := w.model(a, pid, "main", "k2", false)
+	w.advance(time.Second)
+	must.True(t, r1.ok && r2.ok)
+	must.Eq(t, uint64(0), w.ref.Program(pid).Branches["main"].Last)
+	w.kill(a)
+	w.log.down = false
+	w.takeOver(w.owners[1])
+	w.oracle.atRest()
+	must.Eq(t, uint64(2), w.ref.Program(pid).Branches["main"].Last)
+	again := w.model(w.owners[1], pid, "main", "k1", true)
+	w.pump()
+	must.Eq(t, string(r1.got), string(again.got))
+	must.SliceEmpty(t, w.copies)
+}
+
+// P2: messages that do not start with the recorded history are refused, and two spellings of the same
+// message are not told apart.
+func TestHistoryIsChecked(t *testing.T) {
+	w, o := started(t, 1)
+	pid := w.program(o, record.Limits{})
+	w.model(o, pid, "main", "k1", false)
+	w.pump()
+	h := w.ref.Program(pid).Branches["main"].History
+	user := record.Message{Raw: fmt.Appendf(nil, `{"role":"user","content":"k2 %s/main"}`, pid)}
+	call := func(key string, ms ...record.Message) *request {
+		req := w.oracle.ask(request{owner: o, program: pid, branch: "main", key: key, kind: "model"})
+		o.step(ModelCall{Req: req, Tenant: "t", Program: pid, Key: key, Digest: 1, Model: "m", Messages: ms})
+		w.pump()
+		return w.oracle.reqs[req]
+	}
+	must.Eq(t, ProblemHistory, call("k2", user).problem.Type)
+	must.Eq(t, ProblemHistory, call("k2", h[1], h[0], user).problem.Type)
+	must.Eq(t, ProblemHistory, call("k2", h[0], h[1]).problem.Type)
+	spelled := record.Message{Raw: []byte(strings.Replace(string(h[1].Raw), `"role":`, ` "role" : `, 1))}
+	must.True(t, call("k2", h[0], spelled, user).ok)
+}
+
+// P3: a budget holds over take-overs, each of which may have hidden a call that ran.
+func TestBudgetHoldsOverTakeOvers(t *testing.T) {
+	w, o := started(t, 2)
+	pid := w.program(o, record.Limits{Tokens: 600})
+	for i := range 12 {
+		w.model(o, pid, "main", fmt.Sprintf("k%d", i), false)
+		w.pump()
+		w.model(o, pid, "main", fmt.Sprintf("lost%d", i), false)
+		for range 2 { // the grant and the run at the engine, but not its answer
+			if len(w.net) > 0 {
+				w.deliver(0)
+			}
+		}
+		w.kill(o)
+		o = w.join()
+		w.takeOver(o)
+	}
+	used := w.oracle.tokens[pid]
+	must.True(t, used > 0 && used <= 600, must.Sprintf("used %d", used))
+	last := w.model(o, pid, "main", "over", false)
+	w.advance(time.Second)
+	must.False(t, last.ok)
+}
+
+// P4: caches of ended programs are released although orders are lost and the owner dies.
+func TestCacheIsReleasedAfterTakeOver(t *testing.T) {
+	w, a := started(t, 2)
+	pid := w.program(a, record.Limits{})
+	w.model(a, pid, "main", "k1", false)
+	w.pump()
+	w.pick = func(n int, what string) int { return n - 1 } // every release order is lost
+	w.end(a, pid)
+	w.advance(5 * time.Second)
+	must.True(t, w.cache["m2"][pid] || w.cache["m1"][pid])
+	w.kill(a)
+	w.pick = func(int, string) int { return 0 }
+	w.takeOver(w.owners[1])
+	w.advance(5 * time.Second)
+	w.oracle.released()
+	must.SliceEmpty(t, w.ref.Program(pid).Holding)
+}
+
+// P4: an engine that restarted owes nothing any more.
+func TestEngineRestartEndsDebt(t *testing.T) {
+	w, a := started(t, 1)
+	pid := w.program(a, record.Limits{})
+	w.model(a, pid, "main", "k1", false)
+	w.pump()
+	w.pick = func(n int, what string) int { return n - 1 }
+	w.end(a, pid)
+	w.advance(time.Second)
+	must.SliceNotEmpty(t, w.ref.Program(pid).Holding)
+	a.step(EngineRestarted{Endpoint: w.ref.Program(pid).Holding[0]})
+	w.pump()
+	must.SliceEmpty(t, w.ref.Program(pid).Holding)
+}
+
+// P5: a stream that breaks is resumed at the engine from the last byte; a caller that joins from a byte
+// on gets the rest; bytes sent are never contradicted.
+func TestBrokenStreamIsResumed(t *testing.T) {
+	w, o := started(t, 1)
+	pid := w.program(o, record.Limits{})
+	w.faults(map[string]int{"engine": 4})
+	r := w.model(o, pid, "main", "k1", true)
+	w.pump()
+	must.True(t, r.ok)
+	must.Eq(t, 1, w.ran[execKey{pid, "k1"}])
+	req := w.oracle.ask(request{owner: o, program: pid, key: "k1", kind: "model", from: 7})
+	o.step(JoinCall{Req: req, Tenant: "t", Program: pid, Key: "k1", FromByte: 7})
+	must.Eq(t, string(r.got[7:]), string(w.oracle.reqs[req].got))
+}
+
+// P5: a stream that broke after bytes reached the caller and cannot be resumed is not run again.
+func TestShownStreamIsNotRunAgain(t *testing.T) {
+	w, o := started(t, 1)
+	pid := w.program(o, record.Limits{})
+	w.faults(map[string]int{"engine": 5})
+	r := w.model(o, pid, "main", "k1", true)
+	w.advance(3 * time.Second)
+	must.Eq(t, ProblemStreamLost, r.problem.Type)
+	must.Eq(t, record.ExecutedUnknown, r.problem.Executed)
+	must.Eq(t, 1, w.ran[execKey{pid, "k1"}])
+}
+
+// P6: what was not sent is refused as not run; a call that ran and failed is not.
+func TestRefusalsSayWhatIsCertain(t *testing.T) {
+	w, o := started(t, 2)
+	pid := w.program(o, record.Limits{Tokens: 30})
+	over := w.model(o, pid, "main", "k1", false)
+	w.pump()
+	must.Eq(t, ProblemBudget, over.problem.Type)
+	must.Eq(t, record.ExecutedNo, over.problem.Executed)
+	pid = w.program(o, record.Limits{})
+	w.log.down = true
+	w.advance(time.Second)
+	charge := w.service(o, pid, "main", "k2", "charge")
+	w.advance(12 * time.Second)
+	must.Eq(t, ProblemLogDown, charge.problem.Type)
+	must.Eq(t, record.ExecutedNo, charge.problem.Executed)
+	w.log.down = false
+	w.advance(time.Second)
+	must.Eq(t, 0, w.execs[execKey{pid, "k2"}])
+	again := w.service(o, pid, "main", "k2", "charge")
+	w.pump()
+	must.True(t, again.ok)
+	other := w.service(w.owners[1], pid, "main", "k3", "charge")
+	must.Eq(t, ProblemNotHolder, other.problem.Type)
+	must.Eq(t, record.ExecutedUnknown, other.problem.Executed)
+}
+
+// P7: a holder that is paused between its committed intent and the dispatch does not dispatch after it
+// resumes, whatever comes first then: the grant, a renewed lease or the log.
+func TestPausedHolderDoesNotDispatch(t *testing.T) {
+	for _, op := range []string{"charge", "reserve"} {
+		w, a := started(t, 2)
+		pid := w.program(a, record.Limits{})
+		w.service(a, pid, "main", "k1", op)
+		a.flush()
+		a.read() // the intent is committed; the grant is under way
+		a.paused = true
+		b := w.owners[1]
+		w.takeOver(b)
+		w.advance(15 * time.Second)
+		r := w.service(b, pid, "main", "k1", op)
+		w.advance(time.Second)
+		a.paused = false
+		a.step(LeaseChanged{Until: w.now + testLease})
+		w.advance(5 * time.Second)
+		must.True(t, r.done)
+		if op == "reserve" {
+			must.True(t, r.ok) // asked: not run, so that the key runs once under the new holder
+			must.Eq(t, 1, w.execs[execKey{pid, "k1"}])
+			continue
+		}
+		must.Eq(t, ProblemBlocked, r.problem.Type)
+		must.Eq(t, 0, w.execs[execKey{pid, "k1"}])
+	}
+}
+
+// P7: an unknown outcome blocks its branch until it is settled, and other branches go on.
+func TestUnknownOutcomeBlocksBranch(t *testing.T) {
+	w, o := started(t, 1)
+	pid := w.program(o, record.Limits{})
+	o.step(OpenBranch{Req: w.oracle.ask(request{owner: o, program: pid, kind: "other"}), Tenant: "t", Program: pid, Name: "sub"})
+	w.pump()
+	w.faults(map[string]int{"service": 7})
+	r := w.service(o, pid, "main", "k1", "charge")
+	w.pump()
+	must.Eq(t, ProblemBlocked, r.problem.Type)
+	blocked := w.service(o, pid, "main", "k2", "charge")
+	free := w.service(o, pid, "sub", "k3", "charge")
+	w.pump()
+	must.Eq(t, ProblemBlocked, blocked.problem.Type)
+	must.True(t, free.ok)
+	req := w.oracle.ask(request{owner: o, program: pid, kind: "other"})
+	o.step(SettleCall{Req: req, Tenant: "t", Program: pid, Key: "k1", Executed: record.ExecutedYes, Body: []byte(`{"done":"k1"}`)})
+	again := w.service(o, pid, "main", "k1", "charge")
+	next := w.service(o, pid, "main", "k2", "charge")
+	w.pump()
+	must.True(t, again.ok && next.ok)
+	must.Eq(t, 1, w.execs[execKey{pid, "k1"}])
+}
+
+// Guards against a key that answers for another body, and a program that another tenant can see.
+func TestKeysAndTenants(t *testing.T) {
+	w, o := started(t, 1)
+	pid := w.program(o, record.Limits{})
+	w.service(o, pid, "main", "k1", "charge")
+	w.pump()
+	ask := func(ev func(ReqID) Event) *request {
+		req := w.oracle.ask(request{owner: o, program: pid, kind: "other"})
+		o.step(ev(req))
+		return w.oracle.reqs[req]
+	}
+	r := ask(func(q ReqID) Event {
+		return ServiceCall{Req: q, Tenant: "t", Program: pid, Key: "k1", Digest: 8, Service: "s", Operation: "charge"}
+	})
+	must.Eq(t, 422, r.status)
+	foreign := ask(func(q ReqID) Event { return ReadProgram{Req: q, Tenant: "u", Program: pid} })
+	unknown := ask(func(q ReqID) Event { return ReadProgram{Req: q, Tenant: "u", Program: id.NewProgram(testSlot, "none")} })
+	must.Eq(t, unknown.problem, foreign.problem)
+	must.True(t, ask(func(q ReqID) Event { return ExplainProgram{Req: q, Tenant: "t", Program: pid} }).ok)
+}
+
+// Guards against a hand-over that cuts off a call or leaves the target without the state.
+func TestHandOverWaitsForCalls(t *testing.T) {
+	w, a := started(t, 2)
+	b := w.owners[1]
+	pid := w.program(a, record.Limits{})
+	r := w.model(a, pid, "main", "k1", true)
+	a.step(HandOver{Slot: testSlot, To: b.session})
+	late := w.model(a, pid, "main", "k2", false)
+	must.Eq(t, ProblemSlotMoving, late.problem.Type)
+	w.advance(time.Second)
+	must.True(t, r.ok)
+	must.Eq(t, b.session, w.ref.Slot(testSlot).Holder)
+	next := w.model(b, pid, "main", "k2", false)
+	w.pump()
+	must.True(t, next.ok)
+}
+
+// Guards against retries without end: a pool that fails is tried a bounded number of times.
+func TestRetriesAreBounded(t *testing.T) {
+	w, o := started(t, 1)
+	pid := w.program(o, record.Limits{})
+	n := 0
+	w.pick = func(_ int, what string) int {
+		if what != "service" {
+			return 0
+		}
+		n++
+		return 6
+	}
+	for i := range 20 {
+		r := w.service(o, pid, "main", fmt.Sprintf("k%d", i), "look")
+		w.advance(2 * time.Second)
+		must.Eq(t, ProblemEndpoint, r.problem.Type)
+	}
+	must.True(t, n <= 20+retryCap+2, must.Sprintf("%d attempts for 20 calls", n))
+}
+
+// Guards against a program that runs on after its wall time.
+func TestWallTimeEndsProgram(t *testing.T) {
+	w, o := started(t, 1)
+	pid := w.program(o, record.Limits{WallTime: 5 * time.Second})
+	w.log.down = false
+	r := w.model(o, pid, "main", "k1", true)
+	w.net = nil // the grant never comes
+	w.advance(6 * time.Second)
+	must.Eq(t, ProblemWallTime, r.problem.Type)
+	must.Eq(t, record.EndWallTime, w.ref.Program(pid).Cause)
+}
+
+// Guards against state that is lost with old records: after more than the retention a new instance
+// knows the same as one that has read everything, and can take over.
+func TestStateOutlivesRetention(t *testing.T) {
+	w, a := started(t, 2)
+	pid := w.program(a, record.Limits{Tokens: 100000})
+	for i := range 5 {
+		w.model(a, pid, "main", fmt.Sprintf("k%d", i), false)
+		w.advance(testRetention / 2)
+	}
+	must.True(t, w.log.earliest > 2)
+	cold := w.join()
+	must.Eq(t, w.ref.Slot(testSlot), cold.fold.Slot(testSlot))
+	must.Eq(t, w.ref.Program(pid).Branches["main"].Digest, cold.fold.Program(pid).Branches["main"].Digest)
+	must.Eq(t, w.ref.Program(pid).Counted(), cold.fold.Program(pid).Counted())
+	w.kill(a)
+	w.takeOver(cold)
+	r := w.model(cold, pid, "main", "k9", false)
+	w.pump()
+	must.True(t, r.ok, must.Sprintf("%+v", r.problem))
+}
