sched: owed shares reach the admission of new programs

A duty that is behind now holds the room against others, and starts programs beyond the budget when far behind; the wait of new programs is predicted per duty.

--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -5,8 +5,11 @@
 // Admission constants.
 const (
 	cacheFill      = 0.9             // part of the pool's prefix memory that started programs may need
+	overFill       = 1.25            // the same for a duty behind its owed share
+	owedFill       = 2.0             // its owed part of the memory, in parts of its share
 	freshPenalty   = 5 * time.Second // a new program waits behind started ones that came up to 5 s later
 	freshWaitLimit = 8 * time.Second // predicted wait above which a new program is refused
+	startLearnRate = 0.1
 	startBacklog   = 50 * time.Millisecond
 	minRetryAfter  = time.Second
 	maxRetryAfter  = 60 * time.Second
@@ -23,37 +26,53 @@
 }
 
 // admits tells whether a new program of the duty may start: the working set of the started programs
-// with one more must fit the prefix memory. A duty within its owed part of the memory may start
-// programs even when others have borrowed that part.
+// with one more must fit the prefix memory. A duty that is behind its owed share holds the room against
+// duties that are not. One that is far behind (as after a withdrawal of endpoints) may start programs
+// even if others have filled the memory.
 func (s *Scheduler) admits(d *duty) bool {
 	if s.opt.NoAdmission || s.cacheBudget == 0 {
 		return true
 	}
-	need := int64(s.endedSet)
 	// Programs that have just started will grow to the mean size.
-	reserved := max(s.workingSet, int64(float64(s.startedPrograms)*s.endedSet))
-	if reserved+need <= s.cacheBudget || s.startedPrograms == 0 {
-		return true
+	reserved := max(s.workingSet, int64(float64(s.startedPrograms)*s.endedSet)) + int64(s.endedSet)
+	if s.isBehind(d) {
+		owed := int64(owedFill * d.Share * float64(s.cacheBudget))
+		return reserved <= s.cacheBudget || (d.behind > farBehind*s.meanWork && d.workingSet+int64(s.endedSet) <= owed)
+	}
+	return (reserved <= s.cacheBudget || s.startedPrograms == 0) && !s.claimed(d)
+}
+
+// isBehind tells whether a duty has received less than its owed share of the work.
+func (s *Scheduler) isBehind(d *duty) bool {
+	return !s.opt.NoShares && d.Share > 0 && d.behind > owedThreshold*s.meanWork
+}
+
+// claimed tells whether another duty that is behind has new programs waiting.
+func (s *Scheduler) claimed(d *duty) bool {
+	for _, o := range s.duties {
+		if o != d && o.fresh.len() > 0 && s.isBehind(o) {
+			return true
+		}
 	}
-	return !s.opt.NoShares && d.workingSet+need <= int64(d.Share*float64(s.cacheBudget))
+	return false
 }
 
-// start counts a program as started. The interval between starts is learned only from programs that
-// had to wait: without a backlog it would measure the arrivals, not the capacity.
+// start counts a program as started. The interval between a duty's starts is learned only from
+// programs that had to wait: without a backlog it would measure the arrivals, not the capacity.
 func (s *Scheduler) start(c *call) {
-	p := c.program
+	p, d := c.program, c.duty
 	if p.started {
 		return
 	}
 	p.started = true
 	s.startedPrograms++
 	if s.now-c.submitted > startBacklog {
-		dt := min(s.now-s.lastStart, maxRetryAfter)
-		s.startInterval += 0.05 * (dt.Seconds() - s.startInterval)
+		dt := min(s.now-d.lastStart, maxRetryAfter)
+		d.startInterval += startLearnRate * (dt.Seconds() - d.startInterval)
 	} else {
-		s.startInterval *= 0.95
+		d.startInterval *= 1 - startLearnRate
 	}
-	s.lastStart = s.now
+	d.lastStart = s.now
 }
 
 // refusal returns the reason to refuse a call at submission and the time after which a retry makes
@@ -62,15 +81,15 @@
 	r := &c.req
 	if s.cfg.QueueLimit > 0 {
 		if s.waiting >= s.cfg.QueueLimit {
-			return ReasonQueueFull, s.retryAfter(s.waiting, r.ProgramAge)
+			return ReasonQueueFull, s.retryAfter(c.duty, s.waiting, r.ProgramAge)
 		}
 		if !s.opt.NoTenantFairness && c.tenant.waiting >= max(s.cfg.QueueLimit/tenantPart, 1) {
-			return ReasonTenantQueue, s.retryAfter(c.tenant.waiting, r.ProgramAge)
+			return ReasonTenantQueue, s.retryAfter(c.duty, c.tenant.waiting, r.ProgramAge)
 		}
 	}
 	if r.Retry > 0 && !s.opt.NoRetryBudget {
 		if s.retries < 1 {
-			return ReasonRetryBudget, s.retryAfter(s.waiting, r.ProgramAge)
+			return ReasonRetryBudget, s.retryAfter(c.duty, s.waiting, r.ProgramAge)
 		}
 		s.retries--
 	}
@@ -90,7 +109,7 @@
 		return "", 0
 	}
 	if r.Deadline > 0 && r.Deadline < seconds(c.duty.programTime)/2 {
-		return ReasonDeadline, s.retryAfter(s.waiting, r.ProgramAge)
+		return ReasonDeadline, s.retryAfter(c.duty, s.waiting, r.ProgramAge)
 	}
 	wait := s.freshWait(c)
 	limit := freshWaitLimit
@@ -98,26 +117,15 @@
 		limit = min(limit, r.CallTimeLimit/2)
 	}
 	if !s.opt.NoAdmission && wait > limit {
-		return ReasonAdmission, s.retryAfter(c.duty.fresh.len(), r.ProgramAge)
+		return ReasonAdmission, s.retryAfter(c.duty, c.duty.fresh.len(), r.ProgramAge)
 	}
 	return "", 0
 }
 
-// freshWait predicts how long a new program of the duty waits for its start. A duty behind its owed
-// share is served first and waits only for its own calls.
+// freshWait predicts how long a new program of the duty waits for its start. One program of each duty
+// may always wait, so that a duty with demand has a call in the queue when it is owed a place.
 func (s *Scheduler) freshWait(c *call) time.Duration {
-	d := c.duty
-	ahead := 0
-	for _, o := range s.duties {
-		ahead += o.fresh.len()
-	}
-	if d.behind > 0 && d.Share > 0 && !s.opt.NoShares {
-		ahead = d.fresh.len()
-	}
-	if ahead == 0 {
-		return 0
-	}
-	return seconds(float64(ahead) * s.startInterval)
+	return seconds(float64(c.duty.fresh.len()) * c.duty.startInterval)
 }
 
 // fastest is the shortest predicted time of the call over the pool, without any queue.
@@ -137,8 +145,8 @@
 
 // retryAfter grows with the queue and with the time that the caller has tried, so that repeated
 // refusals do not add load.
-func (s *Scheduler) retryAfter(ahead int, age time.Duration) time.Duration {
-	t := seconds(float64(ahead+1) * s.startInterval)
+func (s *Scheduler) retryAfter(d *duty, ahead int, age time.Duration) time.Duration {
+	t := seconds(float64(ahead+1) * max(d.startInterval, s.drainInterval))
 	t = max(t, age/2, minRetryAfter)
 	return min(t, maxRetryAfter)
 }
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -33,14 +33,13 @@
 	workingSet      int64   // tokens of the started programs
 	cacheBudget     int64   // tokens that they may need; 0: no limit
 	endedSet        float64 // recent mean working set of ended programs, tokens
-	startInterval   float64 // s, recent mean time between program starts
-	lastStart       time.Duration
 	drainInterval   float64 // s, recent mean time between ends of calls
 	lastDone        time.Duration
 	meanWork        float64 // s
 	poolPrefill     float64 // tokens/s, mean over the pool
 	poolUnit        float64 // s per output token, mean over the pool
 	retries         float64 // retry budget
+	aim             float64 // factor on owed shares in the account
 }
 
 // call is a waiting or running call.
@@ -79,7 +78,7 @@
 		dutyByName: map[string]*duty{},
 		programs:   map[id.Program]*program{},
 		accounts:   map[string]*Account{},
-		meanWork:   5, startInterval: 0.1, drainInterval: 0.1,
+		meanWork:   5, drainInterval: 0.1,
 		poolPrefill: priorPrefillRate, poolUnit: priorTokenBase, retries: retryReserve,
 	}
 	s.configure(cfg)
@@ -158,8 +157,14 @@
 	for _, d := range s.duties {
 		d.Share = 0
 	}
+	sum := 0.0
 	for _, d := range cfg.Duties {
 		s.dutyOf(d.Name).Duty = d
+		sum += d.Share
+	}
+	s.aim = 1
+	if sum > 0 {
+		s.aim = min(max(1/sum, 1), maxAim)
 	}
 	s.budget()
 }
@@ -347,7 +352,7 @@
 		}
 		s.dequeue(c)
 		s.remove(c)
-		out = append(out, Refuse{Request: c.req, Reason: ReasonExpired, RetryAfter: s.retryAfter(s.waiting, c.req.ProgramAge)})
+		out = append(out, Refuse{Request: c.req, Reason: ReasonExpired, RetryAfter: s.retryAfter(c.duty, s.waiting, c.req.ProgramAge)})
 	}
 	return out
 }
--- a/internal/sched/share.go
+++ b/internal/sched/share.go
@@ -1,12 +1,20 @@
 package sched
 
-import "ragwortstile/internal/id"
+import (
+	"time"
+
+	"ragwortstile/internal/id"
+)
 
 // Bounds of the owed-share account, in units of the mean work of a call.
 const (
 	owedThreshold = 1.0  // a duty that is behind by more is served first
+	farBehind     = 16.0 // a duty that is behind by more starts programs beyond the cache budget
 	maxBehind     = 40.0 // what a duty can be owed at most
 	maxAhead      = 2.0  // what borrowing can be held against a duty
+	// The account aims above the owed share, since a duty that falls behind catches up only as fast
+	// as its new programs come to their calls.
+	maxAim = 1.15
 )
 
 // duty is the queue and the share account of one duty over all owners.
@@ -18,6 +26,8 @@
 	workingSet     int64    // tokens of its started programs
 	outputTokens   float64  // recent mean answer length
 	programTime    float64  // s, recent mean time of a program from first submit to end
+	startInterval  float64  // s, recent mean time between program starts while programs waited
+	lastStart      time.Duration
 	tenants        map[string]*tenant
 }
 
@@ -56,7 +66,7 @@
 	unit := s.meanWork
 	for _, d := range s.duties {
 		if d.waiting > 0 || d == served {
-			d.behind += d.Share * work
+			d.behind += s.aim * d.Share * work
 		} else if d.behind > 0 {
 			d.behind = 0
 		}
