--- a/internal/sched/endpoint.go
+++ b/internal/sched/endpoint.go
@@ -15,7 +15,7 @@
 // endpoint is the scheduler's view of one endpoint.
 type endpoint struct {
 	Endpoint
-	index        int
+	announced    bool // leaving, but the list does not show it yet
 	inFlight     int
 	cost         costModel
 	prefillClear time.Duration // when the prompts granted so far are predicted to be computed
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -116,6 +116,7 @@
 		out = s.branchEnded(e, out)
 	case EndpointLeaving:
 		if ep := s.byName[e.Endpoint]; ep != nil {
+			ep.announced = ep.announced || !ep.Leaving
 			ep.Leaving = true
 			s.unpark(ep)
 			s.budget()
@@ -140,7 +141,10 @@
 		if ep == nil {
 			ep = &endpoint{cost: newCostModel(cfg.Model)}
 		}
-		ep.Endpoint, ep.index, ep.gone = c, len(s.endpoints), false
+		ep.Endpoint, ep.gone = c, false
+		// A leaving mark that came ahead of the list stays until the list shows it too.
+		ep.announced = ep.announced && !c.Leaving
+		ep.Leaving = c.Leaving || ep.announced
 		s.endpoints = append(s.endpoints, ep)
 		s.byName[c.Name] = ep
 		if ep.Leaving {
--- a/internal/sched/share.go
+++ b/internal/sched/share.go
@@ -9,7 +9,7 @@
 // Bounds of the owed-share account, in units of the mean work of a call.
 const (
 	owedThreshold = 1.0  // a duty that is behind by more is served first
-	farBehind     = 16.0 // a duty that is behind by more starts programs beyond the cache budget
+	farBehind     = 2.0  // a duty that is behind by more starts programs beyond the cache budget
 	maxBehind     = 40.0 // what a duty can be owed at most
 	maxAhead      = 2.0  // what borrowing can be held against a duty
 	// The account aims above the owed share, since a duty that falls behind catches up only as fast
