--- a/internal/order/api.go
+++ b/internal/order/api.go
@@ -151,7 +151,7 @@
 	Read     uint64
 }
 
-// Log asks the shell to log a decision.
+// Log asks the shell to log a decision. What and Reason are codes such as "order_sent".
 type Log struct {
 	Endpoint string
 	Fence    Fence
--- a/internal/order/controller.go
+++ b/internal/order/controller.go
@@ -118,7 +118,7 @@
 		en.reset()
 	}
 	if e.Holder == c.self {
-		c.log("", Fence{Epoch: e.Epoch}, "control taken", "slot 0 is held")
+		c.log("", Fence{Epoch: e.Epoch}, "control_taken", "slot_0_held")
 	}
 }
 
@@ -222,7 +222,7 @@
 	}
 	if !e.Valid {
 		en.rest(now + RetryWait)
-		c.log(e.Endpoint, e.Fence, "order dropped", "intent is not valid in the log")
+		c.log(e.Endpoint, e.Fence, "order_dropped", "intent_not_valid")
 		return
 	}
 	en.phase = ready
@@ -233,7 +233,7 @@
 func (c *Controller) startOrder(now time.Duration, name string, en *engine) {
 	wanted, needed := nextOrder(name, en.target.Desired, en.state)
 	if !needed || !wanted.equal(en.order) || en.target.Leaving {
-		c.log(name, en.fence, "order dropped", "no longer wanted")
+		c.log(name, en.fence, "order_dropped", "no_longer_wanted")
 		en.rest(now)
 		return
 	}
@@ -265,7 +265,7 @@
 		return
 	}
 	if e.Outcome != OK {
-		c.log(e.Endpoint, e.Fence, "order dropped", "fetch of the weights failed")
+		c.log(e.Endpoint, e.Fence, "order_dropped", "fetch_failed")
 		en.rest(now + RetryWait)
 		return
 	}
@@ -277,7 +277,7 @@
 		return
 	}
 	en.phase, en.until = sending, now+c.limits.Timeout
-	c.log(name, en.fence, "order sent", string(en.order.Kind))
+	c.log(name, en.fence, "order_sent", string(en.order.Kind))
 	c.do(SendOrder{Order: en.order, Fence: en.fence, NotAfter: c.lease.Until, Timeout: c.limits.Timeout})
 }
 
@@ -294,16 +294,16 @@
 		// it does not, the fence came from elsewhere, and only this engine is left alone for longer.
 		c.stopped = now + RetryWait
 		en.rest(now + foreignFenceWait)
-		c.log(e.Endpoint, e.Fence, "control stopped", "engine has seen a newer fence")
+		c.log(e.Endpoint, e.Fence, "control_stopped", "newer_fence_seen")
 	case Rejected:
 		en.rest(now + RetryWait)
-		c.log(e.Endpoint, e.Fence, "order failed", "refused by the engine")
+		c.log(e.Endpoint, e.Fence, "order_failed", "refused_by_engine")
 	default:
 		// The order may still take effect, so the engine gets no other until it cannot any more. The
 		// shell may have written it as late as the end of the lease it was given.
 		en.phase = settling
 		en.until = max(en.until, c.lease.Until+c.limits.Timeout)
-		c.log(e.Endpoint, e.Fence, "order unanswered", "waits until it can no longer take effect")
+		c.log(e.Endpoint, e.Fence, "order_unanswered", "may_take_effect_late")
 	}
 }
 
@@ -316,7 +316,7 @@
 	case sending:
 		en.phase, en.until = settling, max(en.until, c.lease.Until)+c.limits.Timeout
 	default:
-		c.log(name, en.fence, "order ended", "no answer in time")
+		c.log(name, en.fence, "order_ended", "no_answer_in_time")
 		en.rest(now)
 	}
 }
--- /dev/null
+++ b/internal/telemetry/metrics.go
@@ -0,0 +1,218 @@
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Bounds of the label values that have series of their own. Everything else is counted as Other.
+const (
+	MaxClasses = 20  // tenants, those with the most calls; chosen again by Reclassify
+	MaxPools   = 64  // 39 models and the services; from the manifest
+	MaxShares  = 256 // pairs of pool and duty; from the manifest
+	MaxReasons = 32  // reasons of refusals, in the order of their first use
+	MaxRoles   = 8   // parts of the process with a CPU figure of their own
+)
+
+// Upper bounds of histogram buckets in seconds. The promised limits of 0.65 s to the first token and
+// 31 ms between tokens are bounds, so that the share within them can be read exactly.
+var (
+	latencyBounds    = []float64{0.5, 1, 2, 5, 10, 20, 60, 180, 600, 1800, 7200}
+	firstTokenBounds = []float64{0.05, 0.1, 0.2, 0.4, 0.65, 1, 1.5, 3, 6, 12, 30}
+	betweenBounds    = []float64{0.004, 0.008, 0.016, 0.024, 0.031, 0.045, 0.07, 0.1, 0.2, 0.5, 2}
+	queueWaitBounds  = []float64{0.001, 0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 3, 10, 30}
+)
+
+// MaxSeries is the largest number of series of one instance, whatever the manifest and the traffic.
+// A histogram has a series per bound, one for +Inf, the sum and the count.
+const (
+	seriesPerHistogram = 11 + 3
+	classHistograms    = 4
+	poolCounters       = 4
+	fixedSeries        = 9 // appends, their failures, records, bytes; version, age; bytes of 3 kinds
+
+	MaxSeries = classHistograms*seriesPerHistogram*(MaxClasses+1) +
+		poolCounters*(MaxPools+1) +
+		2*(MaxShares+1) +
+		MaxReasons + 1 +
+		MaxRoles + 1 +
+		fixedSeries
+)
+
+// Metrics holds the metrics of one instance. It is safe for concurrent use.
+type Metrics struct {
+	set     *metrics.Set
+	traffic *traffic
+	classes *labelSet
+	pools   *labelSet
+	shares  *labelSet
+	reasons *labelSet
+	roles   *labelSet
+}
+
+// NewMetrics returns metrics without any series.
+func NewMetrics() *Metrics {
+	set := metrics.NewSet()
+	return &Metrics{
+		set:     set,
+		traffic: newTraffic(),
+		classes: newLabelSet(set, MaxClasses, false),
+		pools:   newLabelSet(set, MaxPools, false),
+		shares:  newLabelSet(set, MaxShares, false),
+		reasons: newLabelSet(set, MaxReasons, true),
+		roles:   newLabelSet(set, MaxRoles, true),
+	}
+}
+
+// PoolDuty is a pool and a duty that may use it.
+type PoolDuty struct{ Pool, Duty string }
+
+func (p PoolDuty) key() string { return p.Pool + "\x00" + p.Duty }
+
+// SetNames takes the names of the manifest in force. Series of names that are gone are removed.
+func (m *Metrics) SetNames(pools []string, shares []PoolDuty) {
+	m.pools.set(pools)
+	keys := make([]string, 0, len(shares))
+	for _, s := range shares {
+		keys = append(keys, s.key())
+	}
+	m.shares.set(keys)
+}
+
+// Reclassify chooses the tenants with a class of their own by the calls since the last choice. Call
+// it about every 10 min. Series of tenants that lose their class are removed.
+func (m *Metrics) Reclassify() {
+	m.classes.mu.Lock()
+	present := maps.Clone(m.classes.values)
+	m.classes.mu.Unlock()
+	m.classes.set(m.traffic.choose(MaxClasses, present))
+}
+
+// WritePrometheus writes all series in the text format.
+func (m *Metrics) WritePrometheus(w io.Writer) { m.set.WritePrometheus(w) }
+
+// Class is the histograms of one tenant or of Other. Get it anew for each call.
+type Class struct {
+	latency, firstToken, between, queueWait *metrics.PrometheusHistogram
+}
+
+// Class counts a call of a tenant and returns the histograms of its class.
+func (m *Metrics) Class(tenant string) Class {
+	m.traffic.count(tenant)
+	class := m.classes.label(tenant)
+	histogram := func(metric string, bounds []float64) *metrics.PrometheusHistogram {
+		name := fmt.Sprintf("%s{class=%q}", metric, class)
+		m.classes.remember(class, name)
+		return m.set.GetOrCreatePrometheusHistogramExt(name, bounds)
+	}
+	return Class{
+		latency:    histogram("ragwortstile_program_latency_seconds", latencyBounds),
+		firstToken: histogram("ragwortstile_first_token_seconds", firstTokenBounds),
+		between:    histogram("ragwortstile_between_tokens_seconds", betweenBounds),
+		queueWait:  histogram("ragwortstile_queue_wait_seconds", queueWaitBounds),
+	}
+}
+
+// ProgramLatency observes the time from the first call of a program to its final answer.
+func (c Class) ProgramLatency(d time.Duration) { c.latency.Update(d.Seconds()) }
+
+// FirstToken observes the time from a call to its first token.
+func (c Class) FirstToken(d time.Duration) { c.firstToken.Update(d.Seconds()) }
+
+// BetweenTokens observes the time between two tokens.
+func (c Class) BetweenTokens(d time.Duration) { c.between.Update(d.Seconds()) }
+
+// QueueWait observes the time that a call waited at its dispatcher.
+func (c Class) QueueWait(d time.Duration) { c.queueWait.Update(d.Seconds()) }
+
+func (m *Metrics) counter(set *labelSet, metric, label, value string) *metrics.Counter {
+	value = set.label(value)
+	name := fmt.Sprintf("%s{%s=%q}", metric, label, value)
+	set.remember(value, name)
+	return m.set.GetOrCreateCounter(name)
+}
+
+// CacheFilled counts prefix tokens that an engine of a pool stored.
+func (m *Metrics) CacheFilled(pool string, tokens int64) {
+	m.counter(m.pools, "ragwortstile_cache_filled_tokens_total", "pool", pool).AddInt64(tokens)
+}
+
+// CacheWasted counts prefix tokens that were evicted before they were used again.
+func (m *Metrics) CacheWasted(pool string, tokens int64) {
+	m.counter(m.pools, "ragwortstile_cache_wasted_tokens_total", "pool", pool).AddInt64(tokens)
+}
+
+// Retried counts a repeated attempt.
+func (m *Metrics) Retried(pool string) {
+	m.counter(m.pools, "ragwortstile_retries_total", "pool", pool).Inc()
+}
+
+// OutcomeUnknown counts a non-idempotent call whose outcome is unknown.
+func (m *Metrics) OutcomeUnknown(pool string) {
+	m.counter(m.pools, "ragwortstile_unknown_outcomes_total", "pool", pool).Inc()
+}
+
+// Refused counts a refusal by its reason, a code.
+func (m *Metrics) Refused(reason string) {
+	m.counter(m.reasons, "ragwortstile_refusals_total", "reason", code(reason)).Inc()
+}
+
+// Share sets the owed and the given share of a duty in a pool, from 0 to 1. Pairs without series of
+// their own are left out, because a sum of shares of different pools means nothing.
+func (m *Metrics) Share(pd PoolDuty, owed, given float64) {
+	if m.shares.label(pd.key()) == Other {
+		return
+	}
+	for metric, v := range map[string]float64{"ragwortstile_share_owed": owed, "ragwortstile_share_given": given} {
+		name := fmt.Sprintf("%s{pool=%q,duty=%q}", metric, pd.Pool, pd.Duty)
+		m.shares.remember(pd.key(), name)
+		m.set.GetOrCreateGauge(name, nil).Set(v)
+	}
+}
+
+// ControlCPU adds processor time that a part of the process spent on control work.
+func (m *Metrics) ControlCPU(role string, d time.Duration) {
+	role = m.roles.label(code(role))
+	m.set.GetOrCreateFloatCounter(fmt.Sprintf("ragwortstile_control_cpu_seconds_total{role=%q}", role)).Add(d.Seconds())
+}
+
+// Appended counts an append to the log; failed ones are counted apart.
+func (m *Metrics) Appended(records, bytes int, ok bool) {
+	if !ok {
+		m.set.GetOrCreateCounter("ragwortstile_append_failures_total").Inc()
+		return
+	}
+	m.set.GetOrCreateCounter("ragwortstile_appends_total").Inc()
+	m.set.GetOrCreateCounter("ragwortstile_append_records_total").Add(records)
+	m.set.GetOrCreateCounter("ragwortstile_append_bytes_total").Add(bytes)
+}
+
+// Config is the configuration in force at this instance.
+type Config struct {
+	Version uint64
+	Age     time.Duration // since it came into force here
+}
+
+// SetConfigSource sets where the configuration's version and age are read when metrics are written.
+// It is called once.
+func (m *Metrics) SetConfigSource(read func() Config) {
+	m.set.NewGauge("ragwortstile_config_version", func() float64 { return float64(read().Version) })
+	m.set.NewGauge("ragwortstile_config_age_seconds", func() float64 { return read().Age.Seconds() })
+}
+
+// Traffic is the bytes to and from peers so far.
+type Traffic struct{ ControlIn, ControlOut, Payload uint64 }
+
+// SetTrafficSource sets where the bytes are read when metrics are written. It is called once.
+func (m *Metrics) SetTrafficSource(read func() Traffic) {
+	source := func(name string, pick func(Traffic) uint64) {
+		m.set.NewGauge(name, func() float64 { return float64(pick(read())) })
+	}
+	source(`ragwortstile_control_bytes{direction="in"}`, func(t Traffic) uint64 { return t.ControlIn })
+	source(`ragwortstile_control_bytes{direction="out"}`, func(t Traffic) uint64 { return t.ControlOut })
+	source(`ragwortstile_payload_bytes`, func(t Traffic) uint64 { return t.Payload })
+}
