--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -91,7 +91,8 @@
 
 	mu      sync.Mutex
 	stopped bool
-	conns   map[string]*conn // by instance
+	conns   map[string]*conn // the one of each pair, by instance
+	all     map[*conn]bool   // also those that were replaced and still serve exchanges
 	dialers map[string]*dialer
 	changed chan struct{} // closed and replaced when conns changes
 	wg      sync.WaitGroup
@@ -113,6 +114,7 @@
 	return &Node{
 		cfg:     cfg,
 		conns:   make(map[string]*conn),
+		all:     make(map[*conn]bool),
 		dialers: make(map[string]*dialer),
 		changed: make(chan struct{}),
 	}, nil
@@ -240,7 +242,7 @@
 	for _, d := range n.dialers {
 		d.cancel()
 	}
-	for _, c := range n.conns {
+	for c := range n.all {
 		go c.close(errStopped)
 	}
 	n.mu.Unlock()
--- a/internal/peer/pair.go
+++ b/internal/peer/pair.go
@@ -18,6 +18,7 @@
 	if n.stopped {
 		return false
 	}
+	n.all[c] = true
 	instance := c.remote.Session.Instance()
 	old := n.conns[instance]
 	if old != nil && n.keeps(old, c) {
@@ -53,6 +54,7 @@
 func (n *Node) unregister(c *conn) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	delete(n.all, c)
 	instance := c.remote.Session.Instance()
 	if n.conns[instance] == c {
 		delete(n.conns, instance)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -268,6 +268,24 @@
 	waitFor(t, "disconnected event", func() bool { _, gone, _ := a.handler.count(); return gone == 1 })
 }
 
+// Guards against a stop that waits for a connection that was replaced and still serves an exchange.
+func TestStopClosesReplacedConnections(t *testing.T) {
+	a, b := startNode(t, "a.1", nil), startNode(t, "b.1", nil)
+	link(t, a, b)
+	x, err := a.Call(t.Context(), "b.1", wire.Forward{})
+	must.NoError(t, err)
+	defer x.Close()
+	go func() { _ = a.dial(context.Background(), Peer{Instance: "b", Addr: b.addr}) }()
+	waitFor(t, "second connection", func() bool {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return len(a.all) == 2
+	})
+	start := time.Now()
+	a.stop()
+	must.Less(t, retireTimeout/2, time.Since(start))
+}
+
 // Guards against two connections per pair, or none, when both sides dial at once.
 func TestSimultaneousDialLeavesOneConnection(t *testing.T) {
 	for round := range 5 {
