Bound unauthenticated peer connections and test exchanges under load

Cause: each accepted connection took a goroutine until its handshake timed out, without a bound on their number.

Change: at most 128 handshakes are under way.

--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -31,6 +31,9 @@
 	DefaultMaxBackoff       = 2 * time.Second
 )
 
+// maxHandshakes bounds the accepted connections that are not authenticated yet.
+const maxHandshakes = 128
+
 // Times of replacing one connection of a pair by another.
 const (
 	// simultaneous is the age below which two connections of a pair count as dialed at once.
@@ -88,6 +91,7 @@
 	cfg    Config
 	bytes  counters
 	serial atomic.Uint64
+	shakes chan struct{} // one entry per handshake of an accepted connection
 
 	mu      sync.Mutex
 	stopped bool
@@ -115,6 +119,7 @@
 		cfg:     cfg,
 		conns:   make(map[string]*conn),
 		all:     make(map[*conn]bool),
+		shakes:  make(chan struct{}, maxHandshakes),
 		dialers: make(map[string]*dialer),
 		changed: make(chan struct{}),
 	}, nil
@@ -221,7 +226,22 @@
 		if err != nil {
 			return fmt.Errorf("peer listener: %w", err)
 		}
-		n.start(func() { n.accept(ctx, nc) })
+		n.admit(ctx, nc)
+	}
+}
+
+// admit starts the handshake of an accepted connection, or closes it when too many are under way.
+func (n *Node) admit(ctx context.Context, nc net.Conn) {
+	select {
+	case n.shakes <- struct{}{}:
+	default:
+		_ = nc.Close()
+		n.cfg.Log.WithFields(logrus.Fields{"remote": nc.RemoteAddr().String(), "reason": "too many handshakes"}).
+			Warn("peer connection refused")
+		return
+	}
+	if !n.start(func() { n.accept(ctx, nc) }) {
+		_ = nc.Close()
 	}
 }
 
@@ -251,6 +271,7 @@
 
 func (n *Node) accept(ctx context.Context, raw net.Conn) {
 	nc, hello, err := n.acceptHandshake(ctx, raw)
+	<-n.shakes
 	if err != nil {
 		_ = raw.Close()
 		n.cfg.Log.WithFields(logrus.Fields{"remote": raw.RemoteAddr().String(), "reason": err.Error()}).
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -90,14 +90,14 @@
 
 var testKey = []byte("0123456789abcdef-key-one")
 
-func startNode(t *testing.T, session id.Session, change func(*Config)) *testNode {
+func startNode(t testing.TB, session id.Session, change func(*Config)) *testNode {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	return startNodeAt(t, session, l, change)
 }
 
-func startNodeAt(t *testing.T, session id.Session, l net.Listener, change func(*Config)) *testNode {
+func startNodeAt(t testing.TB, session id.Session, l net.Listener, change func(*Config)) *testNode {
 	t.Helper()
 	keys, err := NewKeyring(testKey)
 	must.NoError(t, err)
@@ -124,7 +124,7 @@
 	return &testNode{Node: n, handler: h, addr: l.Addr().String(), stop: stop}
 }
 
-func waitFor(t *testing.T, what string, ok func() bool) {
+func waitFor(t testing.TB, what string, ok func() bool) {
 	t.Helper()
 	deadline := time.Now().Add(testWait)
 	for !ok() {
@@ -141,7 +141,7 @@
 	return n.conns[instance]
 }
 
-func link(t *testing.T, a, b *testNode) {
+func link(t testing.TB, a, b *testNode) {
 	t.Helper()
 	a.SetPeers([]Peer{{Instance: b.cfg.Session.Instance(), Addr: b.addr}})
 	waitFor(t, "connection", func() bool { return len(a.Connected()) == 1 && len(b.Connected()) == 1 })
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -206,3 +206,31 @@
 		})
 	}
 }
+
+// BenchmarkCallBytes reports the frame bytes of the messages between owner and dispatcher for one
+// call that is granted at once.
+func BenchmarkCallBytes(b *testing.B) {
+	attempt := id.NewAttempt(id.Call{Program: id.NewProgram(5, "6f2c9d1e8a"), Branch: "main", Seq: 42}, 17, 1)
+	request := sched.Request{
+		ID: attempt, Owner: "instance-07.5f3a9c21", Program: "p05-6f2c9d1e8a", Branch: "main", Tenant: "promoters",
+		Duty: "promoter-answers", Zone: "norte", PromptTokens: 21_000, SharedTokens: 20_000, MaxTokens: 2048,
+		LastEndpoint: "cistern-3", Attained: time.Minute, Calls: 41, ProgramAge: time.Hour, CallTimeLimit: time.Minute,
+	}
+	done := sched.Done{
+		ID: attempt, Endpoint: "cistern-3", Result: sched.ResultOK, PromptTokens: 21_000, CachedTokens: 20_000,
+		OutputTokens: 500, FirstToken: 400 * time.Millisecond, Total: 15 * time.Second,
+	}
+	total := 0
+	for b.Loop() {
+		total = 0
+		for _, m := range []Message{
+			Submit{Pool: "cistern-14b", Request: request},
+			Grant{Pool: "cistern-14b", ID: attempt, Endpoint: "cistern-3", Reason: "warm_prefix", Waited: time.Millisecond},
+			Done{Pool: "cistern-14b", Done: done},
+		} {
+			data, _ := Encode(Envelope{Message: m})
+			total += len(data)
+		}
+	}
+	b.ReportMetric(float64(total), "bytes/call")
+}
