--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -90,14 +90,14 @@
 
 var testKey = []byte("0123456789abcdef-key-one")
 
-func startNode(t *testing.T, session id.Session, change func(*Config)) *testNode {
+func startNode(t testing.TB, session id.Session, change func(*Config)) *testNode {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	return startNodeAt(t, session, l, change)
 }
 
-func startNodeAt(t *testing.T, session id.Session, l net.Listener, change func(*Config)) *testNode {
+func startNodeAt(t testing.TB, session id.Session, l net.Listener, change func(*Config)) *testNode {
 	t.Helper()
 	keys, err := NewKeyring(testKey)
 	must.NoError(t, err)
@@ -124,7 +124,7 @@
 	return &testNode{Node: n, handler: h, addr: l.Addr().String(), stop: stop}
 }
 
-func waitFor(t *testing.T, what string, ok func() bool) {
+func waitFor(t testing.TB, what string, ok func() bool) {
 	t.Helper()
 	deadline := time.Now().Add(testWait)
 	for !ok() {
@@ -141,7 +141,7 @@
 	return n.conns[instance]
 }
 
-func link(t *testing.T, a, b *testNode) {
+func link(t testing.TB, a, b *testNode) {
 	t.Helper()
 	a.SetPeers([]Peer{{Instance: b.cfg.Session.Instance(), Addr: b.addr}})
 	waitFor(t, "connection", func() bool { return len(a.Connected()) == 1 && len(b.Connected()) == 1 })
@@ -268,6 +268,24 @@
 	waitFor(t, "disconnected event", func() bool { _, gone, _ := a.handler.count(); return gone == 1 })
 }
 
+// Guards against a stop that waits for a connection that was replaced and still serves an exchange.
+func TestStopClosesReplacedConnections(t *testing.T) {
+	a, b := startNode(t, "a.1", nil), startNode(t, "b.1", nil)
+	link(t, a, b)
+	x, err := a.Call(t.Context(), "b.1", wire.Forward{})
+	must.NoError(t, err)
+	defer x.Close()
+	go func() { _ = a.dial(context.Background(), Peer{Instance: "b", Addr: b.addr}) }()
+	waitFor(t, "second connection", func() bool {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return len(a.all) == 2
+	})
+	start := time.Now()
+	a.stop()
+	must.Less(t, retireTimeout/2, time.Since(start))
+}
+
 // Guards against two connections per pair, or none, when both sides dial at once.
 func TestSimultaneousDialLeavesOneConnection(t *testing.T) {
 	for round := range 5 {
