record: compress large records

Cause: a streamed answer of some 2,000 tokens has 350 KB of events; with its messages a turn came above the 1 MiB of an append and could never be written. Change: a record from 16 KiB on is deflated if that makes it smaller; the size of a decompressed one is bounded. The bounds test of the appender uses bytes that don't compress, so it checks the same sizes as before.

--- a/internal/platform/appender_test.go
+++ b/internal/platform/appender_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -171,6 +172,13 @@
 	must.Eq(t, want, slots(t, l))
 }
 
+// noise returns bytes that don't compress, so that a record has their size in a batch.
+func noise(n int) []byte {
+	data := make([]byte, n)
+	_, _ = rand.NewChaCha8([32]byte{}).Read(data) // never fails
+	return data
+}
+
 // Guards against memory that grows for as long as the log is down, and against a record that blocks
 // the stream because it fits no batch.
 func TestAppenderBounds(t *testing.T) {
@@ -179,12 +187,12 @@
 	l.SetOutage(true)
 	a := newAppender(t, platform.AppenderConfig{Client: c, MaxBuffered: 3 << 20})
 	run(t, a.Serve)
-	big := record.Publish{Manifest: make([]byte, 700<<10)}
+	big := record.Publish{Manifest: noise(700 << 10)}
 	for range 4 {
 		must.NoError(t, a.Add(big))
 	}
 	must.ErrorIs(t, a.Add(big), platform.ErrBufferFull)
-	must.ErrorIs(t, a.Add(record.Publish{Manifest: make([]byte, 1<<20)}), platform.ErrTooLarge)
+	must.ErrorIs(t, a.Add(record.Publish{Manifest: noise(1 << 20)}), platform.ErrTooLarge)
 	l.SetOutage(false)
 	flush(t, a)
 	must.Eq(t, 4, len(l.Records(stream))) // two of them fit no batch together
--- a/internal/record/batch.go
+++ b/internal/record/batch.go
@@ -1,8 +1,11 @@
 package record
 
 import (
+	"bytes"
+	"compress/flate"
 	"errors"
 	"fmt"
+	"io"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -40,9 +43,17 @@
 	Records []wireRecord `msgpack:"r"`
 }
 
+// compressFrom is the size from which a record is compressed. Streamed answers repeat the same JSON
+// around each token and shrink to about a tenth, so that they fit an append.
+const compressFrom = 16 << 10
+
+// maxInflated bounds a decompressed record, so that a faulty batch can't take all memory.
+const maxInflated = 32 << 20
+
 type wireRecord struct {
-	Kind Kind               `msgpack:"k"`
-	Body msgpack.RawMessage `msgpack:"b"`
+	Kind    Kind               `msgpack:"k"`
+	Body    msgpack.RawMessage `msgpack:"b,omitempty"`
+	Deflate []byte             `msgpack:"z,omitempty"` // the body, compressed; then Body is empty
 }
 
 // Encode returns the msgpack form of a batch.
@@ -53,7 +64,11 @@
 		if err != nil {
 			return nil, fmt.Errorf("encode record kind %d: %w", r.Kind(), err)
 		}
-		w.Records = append(w.Records, wireRecord{Kind: r.Kind(), Body: body})
+		wr, err := packRecord(r.Kind(), body)
+		if err != nil {
+			return nil, fmt.Errorf("encode record kind %d: %w", r.Kind(), err)
+		}
+		w.Records = append(w.Records, wr)
 	}
 	return msgpack.Marshal(w)
 }
@@ -78,7 +93,50 @@
 	return b, nil
 }
 
+// packRecord compresses a large body if that makes it smaller.
+func packRecord(kind Kind, body []byte) (wireRecord, error) {
+	plain := wireRecord{Kind: kind, Body: body}
+	if len(body) < compressFrom {
+		return plain, nil
+	}
+	var buf bytes.Buffer
+	z, err := flate.NewWriter(&buf, flate.BestSpeed)
+	if err != nil {
+		return plain, err
+	}
+	if _, err := z.Write(body); err != nil {
+		return plain, err
+	}
+	if err := z.Close(); err != nil {
+		return plain, err
+	}
+	if buf.Len() >= len(body) {
+		return plain, nil
+	}
+	return wireRecord{Kind: kind, Deflate: buf.Bytes()}, nil
+}
+
+// unpackRecord returns the record with its body decompressed.
+func unpackRecord(r wireRecord) (wireRecord, error) {
+	if len(r.Deflate) == 0 {
+		return r, nil
+	}
+	z := flate.NewReader(bytes.NewReader(r.Deflate))
+	body, err := io.ReadAll(io.LimitReader(z, maxInflated+1))
+	if err != nil {
+		return r, fmt.Errorf("decompress: %w", err)
+	}
+	if len(body) > maxInflated {
+		return r, fmt.Errorf("decompress: more than %d bytes", maxInflated)
+	}
+	return wireRecord{Kind: r.Kind, Body: body}, nil
+}
+
 func decodeRecord(r wireRecord) (Record, error) {
+	r, err := unpackRecord(r)
+	if err != nil {
+		return nil, err
+	}
 	switch r.Kind {
 	case KindClaim:
 		return unmarshal[Claim](r.Body)
