server: reject a record that fits no append; use the shared metrics and log

Cause: a record above an append's bound stayed at the head of the backlog and held up all records behind it. Change: the owner core is told that such a record is not valid.

--- a/internal/server/claims.go
+++ b/internal/server/claims.go
@@ -60,7 +60,7 @@
 	}
 	if e.Verdict == fsm.Valid {
 		state := c.fold.Slot(slot)
-		c.inst.log.WithField("slot", slot).WithField("epoch", state.Epoch).WithField("holder", state.Holder).Info("slot holder changed")
+		c.inst.log.WithField("slot", slot).WithField("epoch", state.Epoch).WithField("remote", state.Holder).Info("slot holder changed")
 	}
 }
 
--- a/internal/server/config_stream.go
+++ b/internal/server/config_stream.go
@@ -55,12 +55,13 @@
 	}
 	c.manifest, c.manifestVersion, c.manifestRaw = parsed, m.Version, m
 	c.manifestAt = c.inst.now()
-	c.inst.log.WithField("version", m.Version).WithField("digest", m.Digest).Info("manifest in force")
+	c.inst.log.WithField("version", m.Version).Info("manifest in force")
 	c.step(program.SetManifest{Version: m.Version, Manifest: parsed})
 	for pool, d := range c.dispatchers {
 		d.step(sched.Configure{Config: c.poolConfig(pool)}, "")
 	}
 	c.inst.engines.setManifest(parsed)
+	c.inst.metrics.useManifest(parsed)
 	c.publishView()
 }
 
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -22,10 +22,6 @@
 // releaseCache drops cache at an engine for the dispatcher.
 func (c *core) releaseCache(r sched.Release) { c.inst.engines.release(r.Endpoint, r.Program, r.Branch) }
 
-// waiting is the number of calls that wait in the queue of a pool, as this instance knows it: its
-// own and those of other owners.
-func (d *dispatcher) waiting() int { return len(d.queued) }
-
 // pollers reads load, cache events and cache lists of the engines.
 type pollers struct {
 	i       *Instance
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -1,11 +1,13 @@
 package server
 
 import (
+	"errors"
 	"time"
 
 	"ragwortstile/internal/fsm"
 	"ragwortstile/internal/id"
 	"ragwortstile/internal/manifest"
+	"ragwortstile/internal/platform"
 	"ragwortstile/internal/program"
 	"ragwortstile/internal/record"
 	"ragwortstile/internal/sched"
@@ -80,6 +82,7 @@
 	c.routeParked()
 	c.refreshManifest()
 	c.ordersTick(now)
+	c.inst.metrics.tick(now)
 	c.publishView()
 }
 
@@ -117,6 +120,9 @@
 
 func (c *core) applied(e fsm.Effect) {
 	c.noteClaim(e)
+	if end, ok := e.Record.(record.End); ok && e.Writer == c.inst.session {
+		c.inst.metrics.ended(e, c.fold.Program(end.Program))
+	}
 	c.step(program.Applied{Effect: e})
 }
 
@@ -149,13 +155,27 @@
 			c.backlog = nil
 			return
 		}
-		if err := c.inst.programs.Add(c.backlog[0]); err != nil {
+		first := c.backlog[0]
+		err := c.inst.programs.Add(first)
+		if err != nil && !errors.Is(err, platform.ErrTooLarge) {
 			return
 		}
 		c.backlog = c.backlog[1:]
+		if err != nil {
+			c.rejectTooLarge(first)
+		}
 	}
 }
 
+// rejectTooLarge tells the owner core that a record that fits no append will never be valid. Without
+// this it would hold up all records behind it.
+func (c *core) rejectTooLarge(r record.Record) {
+	c.inst.log.WithField("reason", "too_large").Errorf("record of kind %d fits no append", r.Kind())
+	c.events.later(func() {
+		c.step(program.Applied{Effect: fsm.Effect{Writer: c.inst.session, Record: r, Verdict: fsm.OutOfOrder}})
+	})
+}
+
 // holder returns the session that holds a slot, as far as this instance knows: from the log or,
 // while the log can't be read, from what the peers say about themselves.
 func (c *core) holder(s id.Slot) id.Session {
--- a/internal/server/dispatch.go
+++ b/internal/server/dispatch.go
@@ -17,6 +17,7 @@
 	dispatcher id.Session // that it was last submitted to
 	at         time.Duration
 	endpoint   string // not empty: granted
+	waited     time.Duration
 }
 
 // resubmitAfter repeats a submission that got no answer, in case a message was lost. The dispatcher
@@ -26,6 +27,9 @@
 // submit queues a call at the dispatcher of its pool.
 func (c *core) submit(pool string, r sched.Request) {
 	s := &submission{pool: pool, request: r}
+	if r.Retry > 0 {
+		c.inst.metrics.Retried(pool)
+	}
 	c.submissions[r.ID] = s
 	c.sendSubmit(s)
 }
@@ -48,7 +52,7 @@
 		return
 	}
 	if err := c.inst.node.Send(to, m); err != nil {
-		c.inst.log.WithField("instance", to).WithField("reason", err.Error()).Debug("message to the dispatcher was not sent")
+		c.inst.log.WithField("remote", to).WithField("reason", err.Error()).Debug("message to the dispatcher was not sent")
 	}
 }
 
@@ -84,6 +88,7 @@
 	}
 	s.dispatcher = from
 	s.endpoint = g.Endpoint
+	s.waited = g.Waited
 	g.Request = s.request
 	c.step(program.Granted{Grant: g})
 }
@@ -94,6 +99,7 @@
 		return
 	}
 	delete(c.submissions, r.Request.ID)
+	c.inst.metrics.Refused(string(r.Reason))
 	r.Request = s.request
 	c.step(program.Refused{Refuse: r})
 }
@@ -115,6 +121,7 @@
 		return
 	}
 	delete(c.submissions, d.ID)
+	c.inst.metrics.finished(s, d)
 	c.toDispatcher(s.dispatcher, pool, d)
 }
 
@@ -145,7 +152,6 @@
 	out    []sched.Action
 	grants map[id.Attempt]grant
 	owners map[id.Session]bool
-	queued map[id.Attempt]bool
 }
 
 // grant is a granted call that its owner has not reported as done.
@@ -159,7 +165,7 @@
 func (c *core) dispatcher(pool string) *dispatcher {
 	d := c.dispatchers[pool]
 	if d == nil {
-		d = &dispatcher{c: c, pool: pool, sched: sched.New(c.poolConfig(pool)), grants: map[id.Attempt]grant{}, owners: map[id.Session]bool{}, queued: map[id.Attempt]bool{}}
+		d = &dispatcher{c: c, pool: pool, sched: sched.New(c.poolConfig(pool)), grants: map[id.Attempt]grant{}, owners: map[id.Session]bool{}}
 		c.dispatchers[pool] = d
 	}
 	return d
@@ -174,9 +180,6 @@
 			d.send(g)
 			return
 		}
-		d.queued[e.Request.ID] = true
-	case sched.Withdraw:
-		delete(d.queued, e.ID)
 	case sched.Running:
 		d.owners[from] = true
 		d.grants[e.Request.ID] = grant{Grant: sched.Grant{Request: e.Request, Endpoint: e.Endpoint}, owner: from}
@@ -201,10 +204,8 @@
 	case sched.Grant:
 		g := grant{Grant: a, owner: a.Request.Owner}
 		d.grants[a.Request.ID] = g
-		delete(d.queued, a.Request.ID)
 		d.send(g)
 	case sched.Refuse:
-		delete(d.queued, a.Request.ID)
 		if a.Request.Owner == d.c.inst.session {
 			d.c.events.later(func() { d.c.refused(d.c.inst.session, a) })
 			return
@@ -226,6 +227,6 @@
 
 func (d *dispatcher) sendTo(owner id.Session, m wire.Message) {
 	if err := d.c.inst.node.Send(owner, m); err != nil {
-		d.c.inst.log.WithField("instance", owner).WithField("reason", errors.Unwrap(err)).Debug("message to an owner was not sent")
+		d.c.inst.log.WithField("remote", owner).WithField("reason", errors.Unwrap(err)).Debug("message to an owner was not sent")
 	}
 }
--- a/internal/server/heartbeat.go
+++ b/internal/server/heartbeat.go
@@ -63,7 +63,7 @@
 	}
 	c.members.core.Step(now, membership.HeartbeatReceived{From: from, Zone: mb.zone, Beat: beat})
 	if err := c.inst.node.Send(from, c.members.core.Ack(now, beat.Round)); err != nil {
-		c.inst.log.WithField("peer", from).WithField("reason", err.Error()).Debug("heartbeat was not acknowledged")
+		c.inst.log.WithField("remote", from).WithField("reason", err.Error()).Debug("heartbeat was not acknowledged")
 	}
 	mb.heard, mb.beat = now, beat
 	c.askManifest(from, beat.ManifestVersion)
@@ -88,17 +88,6 @@
 	c.followLeaving()
 }
 
-// endpointLeaves notes what an endpoint said about itself, and tells the peers at once.
-func (c *core) endpointLeaves(name string) {
-	if c.members.core.EndpointIsLeaving(name) {
-		return
-	}
-	c.inst.log.WithField("endpoint", name).Info("endpoint is leaving")
-	c.members.core.Step(c.inst.now(), membership.EndpointLeaving{Endpoint: name})
-	c.members.next = 0
-	c.followLeaving()
-}
-
 // followLeaving tells the dispatchers here when the set of leaving endpoints has changed.
 func (c *core) followLeaving() {
 	leaving := c.members.core.LeavingEndpoints()
--- a/internal/server/helpers_test.go
+++ b/internal/server/helpers_test.go
@@ -18,9 +18,6 @@
 	"ragwortstile/internal/trial"
 )
 
-// names of the instances that cluster starts.
-func instanceName(n int) string { return string(rune('a' + n)) }
-
 // ownerOf returns the name of the instance that holds a program's slot.
 func ownerOf(t *testing.T, d *trial.Deployment, p id.Program) string {
 	t.Helper()
--- a/internal/server/instance.go
+++ b/internal/server/instance.go
@@ -166,7 +166,7 @@
 		Stream:  stream,
 		Session: i.session,
 		Failed: func(err error) {
-			i.log.WithFields(logrus.Fields{"stream": stream, "reason": err.Error()}).Debug("append failed")
+			i.log.WithFields(logrus.Fields{"reason": err.Error()}).Debug("append to " + stream + " failed")
 		},
 	}
 	if stream == streamPrograms {
--- a/internal/server/loop.go
+++ b/internal/server/loop.go
@@ -68,13 +68,20 @@
 		case <-ctx.Done():
 			return suture.ErrDoNotRestart
 		case f := <-l.c.events.tasks:
-			f()
+			l.run(f)
 		case <-ticker.C:
-			l.c.tick()
+			l.run(l.c.tick)
 		}
-		l.c.events.drainOwn()
 	}
 }
 
+// run handles one event and what follows from it, and counts the time that it takes.
+func (l coreLoop) run(f func()) {
+	start := time.Now()
+	f()
+	l.c.events.drainOwn()
+	l.c.inst.metrics.busy += time.Since(start)
+}
+
 // String names the loop in the supervisor's log.
 func (l coreLoop) String() string { return "core loop" }
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -19,7 +19,7 @@
 
 // Disconnected implements peer.Handler.
 func (h *peerHandler) Disconnected(r peer.Remote, err error) {
-	h.inst.log.WithField("peer", r.Session).WithField("reason", errText(err)).Debug("peer disconnected")
+	h.inst.log.WithField("remote", r.Session).WithField("reason", errText(err)).Debug("peer disconnected")
 }
 
 func errText(err error) string {
--- a/internal/server/platform.go
+++ b/internal/server/platform.go
@@ -29,7 +29,7 @@
 			i.fail(fmt.Errorf("stream %s, offsets %d to %d: %w", stream, from, earliest, errFellBehind))
 		},
 		Failed: func(err error) {
-			i.log.WithFields(logrus.Fields{"stream": stream, "reason": err.Error()}).Debug("read failed")
+			i.log.WithFields(logrus.Fields{"reason": err.Error()}).Debug("read of " + stream + " failed")
 		},
 	})
 }
@@ -39,7 +39,7 @@
 func (i *Instance) deliver(stream string, e platform.Entry) {
 	b, err := record.Decode(e.Data)
 	if err != nil {
-		i.log.WithFields(logrus.Fields{"stream": stream, "offset": e.Offset, "reason": err.Error()}).Error("log entry was skipped")
+		i.log.WithFields(logrus.Fields{"reason": err.Error()}).Errorf("entry %d of %s was skipped", e.Offset, stream)
 	}
 	i.passGate()
 	i.core.events.post(func() { i.core.entry(stream, e.Offset, b, err == nil) })
--- a/internal/server/requests.go
+++ b/internal/server/requests.go
@@ -34,6 +34,7 @@
 	sink    api.Sink
 	arrived time.Duration
 	hops    int
+	waits   bool // it has been parked
 	remote  bool // it came from another instance and is not forwarded again
 	req     program.ReqID
 	ctx     context.Context // ends when the caller is gone
@@ -85,11 +86,12 @@
 	case r.remote:
 		r.sink.(*remoteSink).notHolder(holder)
 	case holder == "" || !c.reachable(holder):
-		c.parked = append(c.parked, r)
+		c.park(r)
 	case r.hops >= maxHops:
 		c.refuseParked(r)
 	default:
 		r.hops++
+		c.inst.metrics.forwarded.Inc()
 		go c.inst.forward(r, holder)
 	}
 }
@@ -129,6 +131,7 @@
 		}
 	}
 	r.cancel()
+	c.inst.metrics.Refused("no_owner")
 	refuseRequest(r.sink, program.Problem{Type: "no_owner", Status: http.StatusServiceUnavailable,
 		Detail: "the program's slot has no live owner yet; repeat the request with the same key", Executed: executed},
 		retryAfterTakeover)
@@ -220,7 +223,13 @@
 }
 
 // park keeps a request until the next try.
-func (c *core) park(r *request) { c.parked = append(c.parked, r) }
+func (c *core) park(r *request) {
+	if !r.waits {
+		r.waits = true
+		c.inst.metrics.parked.Inc()
+	}
+	c.parked = append(c.parked, r)
+}
 
 // remoteSink is the sink of a request that another instance forwarded.
 type remoteSink struct {
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -72,7 +72,7 @@
 	}
 	for pool, d := range c.dispatchers {
 		if c.dispatcherOf(pool) == c.inst.session {
-			v.status.Pools = append(v.status.Pools, wire.PoolStatus{Pool: pool, Waiting: d.waiting(), Running: len(d.grants)})
+			v.status.Pools = append(v.status.Pools, wire.PoolStatus{Pool: pool, Waiting: d.sched.Waiting(), Running: len(d.grants)})
 		}
 	}
 	c.inst.view.Store(v)
