--- a/internal/bench/engine.go
+++ b/internal/bench/engine.go
@@ -116,6 +116,7 @@
 	if !fits && e.busy() {
 		return
 	}
+	e.advance()
 	e.queue = e.queue[1:]
 	e.prefilling = j
 	j.hit = min(have, j.prompt)
@@ -128,7 +129,6 @@
 	j.entry.unreused += j.prompt - j.hit
 	j.entry.pins++
 	e.filled += j.prompt - j.hit
-	e.advance()
 	e.schedule()
 	d := seconds(float64(j.prompt-j.hit) / e.prefillRate * e.slow)
 	gen := e.generation
--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -171,3 +172,13 @@
 	}
 	return out
 }
+
+// saveSVG writes a drawn canvas to a file.
+func saveSVG(path string, c io.WriterTo) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	_, err = c.WriteTo(f)
+	return errors.Join(err, f.Close())
+}
--- a/internal/sched/grant.go
+++ b/internal/sched/grant.go
@@ -10,9 +10,11 @@
 	if s.waiting == 0 {
 		return out
 	}
-	for _, ep := range s.endpoints {
-		for ep.parked.len() > 0 && s.free(ep) {
-			out = s.grantParked(ep, out)
+	if s.parked > 0 {
+		for _, ep := range s.endpoints {
+			for ep.parked.len() > 0 && s.free(ep) {
+				out = s.grantParked(ep, out)
+			}
 		}
 	}
 	placed := true
@@ -32,12 +34,18 @@
 	return out
 }
 
+// anyFree tells whether an endpoint has a free place. Once none has, the answer is kept until an
+// event that can free a place, so that submissions to a full pool do not scan it.
 func (s *Scheduler) anyFree() bool {
+	if s.full {
+		return false
+	}
 	for _, ep := range s.endpoints {
 		if s.free(ep) {
 			return true
 		}
 	}
+	s.full = s.now >= s.started+startHalf // before that, time alone frees places
 	return false
 }
 
@@ -91,6 +99,7 @@
 		c.heap.remove(c)
 		c.parkedAt = p.ep
 		p.ep.parked.push(c)
+		s.parked++
 		s.timers.push(timer{at: s.now + c.parkLimit, call: c, park: true})
 		return out, true
 	}
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -19,6 +19,8 @@
 	serial     uint64
 	calls      map[id.Attempt]*call
 	waiting    int
+	parked     int  // waiting calls that wait for one endpoint
+	full       bool // no endpoint had a free place at the last scan
 	timers     timerHeap
 	endpoints  []*endpoint
 	byName     map[string]*endpoint
@@ -91,6 +93,11 @@
 	if !s.begun {
 		s.begun, s.started = true, s.now
 	}
+	switch ev.(type) {
+	case Submit, ProgramPaused, LoadReport, CacheEvent:
+	default:
+		s.full = false
+	}
 	switch e := ev.(type) {
 	case Configure:
 		s.configure(e.Config)
@@ -251,8 +258,8 @@
 
 // dequeue takes a waiting call out of whichever queue holds it.
 func (s *Scheduler) dequeue(c *call) {
+	s.unparkOne(c)
 	c.heap.remove(c)
-	c.parkedAt = nil
 	s.waiting--
 	c.duty.waiting--
 	c.tenant.waiting--
@@ -266,11 +273,19 @@
 }
 
 func (s *Scheduler) stopWaiting(c *call) {
+	s.unparkOne(c)
 	c.heap.remove(c)
-	c.parkedAt, c.noPark = nil, true
+	c.noPark = true
 	s.ready(c)
 }
 
+func (s *Scheduler) unparkOne(c *call) {
+	if c.parkedAt != nil {
+		c.parkedAt = nil
+		s.parked--
+	}
+}
+
 func (s *Scheduler) withdraw(a id.Attempt) {
 	c := s.calls[a]
 	if c == nil || c.ep != nil {
