server: test an oversized turn and an idle program that is too large

Cause: a turn above an append's bound and a program above the pool's prefix memory must not hold up others.

--- a/internal/server/endpoint_test.go
+++ b/internal/server/endpoint_test.go
@@ -1,8 +1,10 @@
 package server_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -113,3 +115,23 @@
 	}
 	must.Len(t, 12, texts(t, c, ctx, prog, ""))
 }
+
+// Guards against an idle program whose history exceeds the prefix memory of the pool and that keeps
+// every new program out for as long as it stays open.
+func TestIdleProgramKeepsNobodyOut(t *testing.T) {
+	t.Parallel()
+	d := cluster(t, 1, func(s *trial.Settings) {
+		s.Engine = func(string) enginestand.Settings { return enginestand.Settings{PrefillRate: 1e9} }
+	})
+	ctx, cancel := context.WithTimeout(waitContext(t), 12*time.Second)
+	defer cancel()
+	c := caller(t, d)
+	large, err := c.Open(ctx, "free", "o1")
+	must.NoError(t, err)
+	_, err = c.Model(ctx, trial.ModelCall{Program: large, Key: "k", Model: "m", Say: strings.Repeat("word ", 160000), MaxTokens: 4})
+	must.NoError(t, err)
+	next, err := c.Open(ctx, "work", "o2")
+	must.NoError(t, err)
+	_, err = c.Model(ctx, trial.ModelCall{Program: next, Key: "k", Model: "m", Say: "x", MaxTokens: 4})
+	must.NoError(t, err)
+}
--- a/internal/server/log_test.go
+++ b/internal/server/log_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"testing"
@@ -10,6 +11,7 @@
 	"github.com/shoenig/test/must"
 
 	"ragwortstile/internal/platform"
+	"ragwortstile/internal/standin/enginestand"
 	"ragwortstile/internal/trial"
 )
 
@@ -218,3 +220,34 @@
 	}
 	return true
 }
+
+// Guards against a turn that fits no append and holds up every record behind it: the call is refused,
+// and the instance goes on.
+func TestOversizedTurnHoldsUpNothing(t *testing.T) {
+	t.Parallel()
+	d := cluster(t, 1, func(s *trial.Settings) {
+		s.Engine = func(string) enginestand.Settings {
+			return enginestand.Settings{PrefillRate: 1e9, CacheTokens: 10 << 20}
+		}
+	})
+	ctx := waitContext(t)
+	c := caller(t, d)
+	prog, err := c.Open(ctx, "free", "o") // without a limit of tokens, so that the call is run
+	must.NoError(t, err)
+	text := make([]byte, 3<<20)
+	seed := rand.NewChaCha8([32]byte{})
+	for n := range text {
+		text[n] = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_"[seed.Uint64()%64]
+	}
+	body := fmt.Sprintf(`{"model":"m","max_tokens":4,"messages":[{"role":"user","content":%q}]}`, text)
+	_, err = c.Once(ctx, d.Bases()[0], http.MethodPost, "/v1/programs/"+string(prog)+"/chat/completions", "big", []byte(body), nil)
+	refused := problemOf(t, err)
+	must.Eq(t, "unknown", refused.Executed)
+	must.Eq(t, "owner_changed", refused.Code())
+	// The dispatcher counts the large program's prefix until it ends; this test is about the log.
+	must.NoError(t, c.End(ctx, prog))
+	again, err := c.Open(ctx, "work", "o2")
+	must.NoError(t, err)
+	_, err = c.Model(ctx, trial.ModelCall{Program: again, Key: "k", Model: "m", Say: "x", MaxTokens: 4})
+	must.NoError(t, err)
+}
--- a/internal/server/thin_test.go
+++ b/internal/server/thin_test.go
@@ -35,6 +35,7 @@
 duties:
   - {name: work, tenants: [one, two], share: 0.5, limits: {tokens: 100000, calls: 200, charge_cents: 100000, wall_time: 10m}, pools: [m, s]}
   - {name: tight, tenants: [one], share: 0.1, limits: {tokens: 400, calls: 6, charge_cents: 1000}, pools: [m, s]}
+  - {name: free, tenants: [one], share: 0.1, limits: {calls: 100}, pools: [m]}
 pools:
   - {name: m, kind: model, queue_limit: 200, max_tokens: 200, timeout: 30s}
   - {name: s, kind: service, queue_limit: 200, timeout: 10s}
