capacity: measure the slopes of each role

Cause: the cost at the target scale has to be worked out from measured slopes. Change: probes that run the fold, the owner core, the dispatcher, the message codecs and peer connections at several loads, three times each, with a least-squares fit and the spread.

--- /dev/null
+++ b/internal/capacity/capacity.go
@@ -0,0 +1,53 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+)
+
+// DefaultRepeats is how often each probe is run, so that a spread can be given.
+const DefaultRepeats = 3
+
+// Measure runs every probe whose name contains filter and reports each when it is done.
+func Measure(filter string, repeats int, done func(Slope)) []Slope {
+	var all []Slope
+	for _, p := range probes() {
+		if !strings.Contains(p.name, filter) {
+			continue
+		}
+		s := p.measure(repeats)
+		done(s)
+		all = append(all, s)
+	}
+	return all
+}
+
+func probes() []probe {
+	var all []probe
+	for _, group := range [][]probe{stateProbes(), ownerProbes(), dispatcherProbes(), messageProbes()} {
+		all = append(all, group...)
+	}
+	return all
+}
+
+// Header writes the head of the table that Row continues.
+func Header(w io.Writer) error {
+	_, err := fmt.Fprintf(w, "%-58s %12s %12s %12s %6s  %s\n", "probe", "slope", "low", "high", "R2", "unit")
+	return err
+}
+
+// Row writes one slope.
+func Row(w io.Writer, s Slope) error {
+	_, err := fmt.Fprintf(w, "%-58s %12.4g %12.4g %12.4g %6.3f  %s per %s, from %.4g\n",
+		s.Name, s.PerX, s.Low, s.High, s.R2, s.YUnit, s.XUnit, s.Intercept)
+	return err
+}
+
+// WriteJSON writes the slopes with all their points.
+func WriteJSON(w io.Writer, slopes []Slope) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return enc.Encode(slopes)
+}
