capacity: measure the manifest and streamed answers

Cause: the cost of a configuration change and of a generated token at the target scale were unknown. Change: probes for the size and reading time of a manifest and for the pieces of a streamed answer.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -26,7 +26,9 @@
 
 func probes() []probe {
 	var all []probe
-	for _, group := range [][]probe{stateProbes(), ownerProbes(), dispatcherProbes(), messageProbes()} {
+	for _, group := range [][]probe{
+		stateProbes(), ownerProbes(), {streamProbe()}, dispatcherProbes(), messageProbes(), configProbes(),
+	} {
 		all = append(all, group...)
 	}
 	return all
--- a/internal/capacity/owner.go
+++ b/internal/capacity/owner.go
@@ -21,6 +21,9 @@
 	req     program.ReqID
 	pending []program.Action
 	replies int
+
+	holdEngine bool       // the engine does not finish its calls
+	running    id.Attempt // the last call that was dispatched
 }
 
 func newLoopback() *loopback {
@@ -63,11 +66,10 @@
 	case program.Submit:
 		l.step(program.Granted{Grant: sched.Grant{Request: a.Request, Endpoint: "engine-1"}})
 	case program.DispatchModel:
-		answer := []byte(`{"role":"assistant","content":"ok"}`)
-		l.step(program.Finished{
-			Attempt: a.Attempt, Result: sched.ResultOK, Status: 200, Sent: true, Body: answer, Answer: answer,
-			PromptTokens: 200, OutputTokens: 20,
-		})
+		l.running = a.Attempt
+		if !l.holdEngine {
+			l.step(finishedOK(a.Attempt))
+		}
 	case program.ReleaseCache:
 		l.step(program.CacheReleased{Program: a.Program, Endpoint: a.Endpoint})
 	case program.Reply:
