--- /dev/null
+++ b/internal/server/heartbeat.go
@@ -0,0 +1,135 @@
+package server
+
+import (
+	"slices"
+	"time"
+
+	"ragwortstile/internal/id"
+	"ragwortstile/internal/membership"
+	"ragwortstile/internal/platform"
+	"ragwortstile/internal/program"
+	"ragwortstile/internal/sched"
+	"ragwortstile/internal/wire"
+)
+
+// membershipTick sends a round of heartbeats when it is due and drops what dead instances left.
+func (c *core) membershipTick(now time.Duration) {
+	c.members.core.Step(now, membership.Tick{})
+	if now >= c.members.next {
+		c.members.next = now + membership.HeartbeatInterval
+		c.sendRound(now)
+	}
+	c.renewLease()
+	for session := range c.lostOwners(now) {
+		for _, d := range c.dispatchers {
+			d.step(sched.OwnerLost{Session: session}, session)
+		}
+	}
+	c.followLeaving()
+}
+
+func (c *core) sendRound(now time.Duration) {
+	var slots wire.SlotEpochs
+	for s := range c.heldSlots() {
+		slots = append(slots, wire.SlotEpoch{Slot: s, Epoch: c.fold.Slot(s).Epoch})
+	}
+	beat := c.members.core.Beat(now, c.manifestVersion, slots)
+	if _, err := c.inst.node.Broadcast(beat); err != nil {
+		c.inst.log.WithField("reason", err.Error()).Error("heartbeat was not sent")
+	}
+}
+
+// renewLease tells the owner core how long the lease holds, if it does.
+func (c *core) renewLease() {
+	now := c.inst.now()
+	lease := c.members.core.Lease(now)
+	if !lease.Holds(now) || lease.Until <= c.lease {
+		return
+	}
+	c.lease = lease.Until
+	c.step(program.LeaseChanged{Until: lease.Until})
+}
+
+func (c *core) heartbeatAck(from id.Session, a wire.HeartbeatAck) {
+	c.members.core.Step(c.inst.now(), membership.HeartbeatAcked{From: from, Ack: a})
+	c.renewLease()
+}
+
+func (c *core) heartbeat(from id.Session, beat wire.Heartbeat) {
+	now := c.inst.now()
+	mb := c.members.byName[from.Instance()]
+	if mb == nil || mb.session != from {
+		return // an older session of an instance that has restarted
+	}
+	c.members.core.Step(now, membership.HeartbeatReceived{From: from, Zone: mb.zone, Beat: beat})
+	if err := c.inst.node.Send(from, c.members.core.Ack(now, beat.Round)); err != nil {
+		c.inst.log.WithField("peer", from).WithField("reason", err.Error()).Debug("heartbeat was not acknowledged")
+	}
+	mb.heard, mb.beat = now, beat
+	c.askManifest(from, beat.ManifestVersion)
+	c.followLeaving()
+}
+
+// listed takes over the platform's list.
+func (c *core) listed(l platform.List) {
+	m := c.members
+	m.hasList = true
+	m.listed = map[string]bool{c.inst.cfg.Instance: true}
+	var answer membership.ListAnswer
+	for _, in := range l.Instances {
+		m.listed[in.Name] = true
+		answer.Instances = append(answer.Instances, membership.Instance{Name: in.Name, Leaving: in.State == platform.StateLeaving})
+	}
+	for _, e := range l.Endpoints {
+		answer.Endpoints = append(answer.Endpoints, membership.Endpoint{Name: e.Name, Leaving: e.State == platform.StateLeaving})
+	}
+	m.core.Step(c.inst.now(), answer)
+	c.inst.node.SetPeers(c.inst.peersOf(l))
+	c.followLeaving()
+}
+
+// endpointLeaves notes what an endpoint said about itself, and tells the peers at once.
+func (c *core) endpointLeaves(name string) {
+	if c.members.core.EndpointIsLeaving(name) {
+		return
+	}
+	c.inst.log.WithField("endpoint", name).Info("endpoint is leaving")
+	c.members.core.Step(c.inst.now(), membership.EndpointLeaving{Endpoint: name})
+	c.members.next = 0
+	c.followLeaving()
+}
+
+// followLeaving tells the dispatchers here when the set of leaving endpoints has changed.
+func (c *core) followLeaving() {
+	leaving := c.members.core.LeavingEndpoints()
+	if slices.Equal(leaving, c.members.leaving) {
+		return
+	}
+	c.members.leaving = leaving
+	for pool, d := range c.dispatchers {
+		d.step(sched.Configure{Config: c.poolConfig(pool)}, "")
+	}
+}
+
+// lostOwners yields the sessions with calls at a dispatcher here that were silent for DeadAfter or
+// whose instance has restarted.
+func (c *core) lostOwners(now time.Duration) func(func(id.Session) bool) {
+	return func(yield func(id.Session) bool) {
+		seen := map[id.Session]bool{}
+		for _, d := range c.dispatchers {
+			for owner := range d.owners {
+				if owner == c.inst.session || owner == "" || seen[owner] {
+					continue
+				}
+				seen[owner] = true
+				mb := c.members.byName[owner.Instance()]
+				if mb != nil && mb.session == owner && mb.alive(now, membership.DeadAfter) {
+					continue
+				}
+				if !yield(owner) {
+					return
+				}
+			}
+		}
+	}
+}
