capacity: follow the split of heartbeat and answer

Cause: the list of heard peers moved from the heartbeat to its answer, and the probes no longer compiled. Change: one probe for the heartbeat by slots, one for the answer by heard peers.

--- a/internal/capacity/messages.go
+++ b/internal/capacity/messages.go
@@ -17,20 +17,25 @@
 	"ragwortstile/internal/wire"
 )
 
-func heartbeat(slots, heard, pools int) wire.Heartbeat {
-	h := wire.Heartbeat{Round: 1e6, Sent: time.Hour, ManifestVersion: 1e5}
+func heartbeat(slots, pools int) wire.Heartbeat {
+	h := wire.Heartbeat{Round: 1e6, ManifestVersion: 1e5}
 	for s := range slots {
 		h.Slots = append(h.Slots, wire.SlotEpoch{Slot: id.Slot(s % id.Slots), Epoch: 300})
 	}
-	for p := range heard {
-		h.Heard = append(h.Heard, wire.Heard{Peer: uint32(p) * 2654435761, AgeMS: 400})
-	}
 	for p := range pools {
 		h.Running = append(h.Running, wire.PoolCount{Pool: fmt.Sprintf("model-%02d", p), Calls: 30})
 	}
 	return h
 }
 
+func heartbeatAck(heard int) wire.HeartbeatAck {
+	a := wire.HeartbeatAck{Round: 1e6, Uptime: time.Hour}
+	for p := range heard {
+		a.Heard = append(a.Heard, wire.Heard{Peer: uint32(p) * 2654435761, AgeMS: 400})
+	}
+	return a
+}
+
 func frameBytes(m wire.Message) float64 {
 	data, err := wire.Encode(wire.Envelope{Message: m})
 	if err != nil {
@@ -43,11 +48,11 @@
 	return []probe{
 		{
 			name: "heartbeat: bytes per slot held", xUnit: "slot", yUnit: "B", loads: []int{0, 5, 16, 64},
-			run: func(n int) float64 { return frameBytes(heartbeat(n, 9, 1)) },
+			run: func(n int) float64 { return frameBytes(heartbeat(n, 1)) },
 		},
 		{
-			name: "heartbeat: bytes per peer heard", xUnit: "peer", yUnit: "B", loads: []int{0, 9, 40, 409},
-			run: func(n int) float64 { return frameBytes(heartbeat(5, n, 1)) },
+			name: "heartbeat: bytes of the answer per peer heard", xUnit: "peer", yUnit: "B", loads: []int{0, 9, 40, 409},
+			run: func(n int) float64 { return frameBytes(heartbeatAck(n)) },
 		},
 		{
 			name: "dispatch: bytes of one call's messages", xUnit: "call", yUnit: "B", loads: []int{1, 10, 100},
