--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -96,6 +96,7 @@
 			statusCommand(env),
 			explainCommand(env),
 			benchCommand(env),
+			capacityCommand(env),
 			standinCommand(env),
 			versionCommand(env),
 		},
