record: split a record that fits no append

Cause: a turn holds its answer twice and the new messages, so an answer of about 7,000 tokens or a long first prompt was above the 1 MiB of an append. The record could never be appended and, being the first in line, held up every later record of its instance. Change: such a record is written as fragments in consecutive batches; the fold joins them, and the record has the place of the last one.

--- a/internal/fsm/programs.go
+++ b/internal/fsm/programs.go
@@ -25,8 +25,9 @@
 }
 
 type sessionEntry struct {
-	seq  uint64
-	last time.Time
+	seq       uint64
+	last      time.Time
+	fragments *record.Assembler // nil unless a record is incomplete
 }
 
 // Programs is the fold of the programs stream.
@@ -155,18 +156,43 @@
 		seen.seq = b.Seq
 	}
 	seen.last = p.now
-	p.sessions[b.Session] = seen
 	for i, rec := range b.Records {
 		e := Effect{Place: Place{Offset: offset, Index: i}, Writer: b.Session, Record: rec, Verdict: Duplicate}
 		if !duplicate {
-			e.Verdict = p.fold(e.Place, b.Session, rec)
+			p.foldPart(&seen, &e)
 		}
 		effects = append(effects, e)
 	}
+	p.sessions[b.Session] = seen
 	p.expire()
 	return effects
 }
 
+// foldPart folds the record of an effect. Of a record in fragments, the last one has the effect of the
+// whole record, and the others are ignored.
+func (p *Programs) foldPart(s *sessionEntry, e *Effect) {
+	_, isFragment := e.Record.(record.Fragment)
+	if !isFragment && s.fragments == nil {
+		e.Verdict = p.fold(e.Place, e.Writer, e.Record)
+		return
+	}
+	if s.fragments == nil {
+		s.fragments = &record.Assembler{}
+	}
+	whole, err := s.fragments.Add(e.Record)
+	switch {
+	case err != nil:
+		s.fragments = nil
+		e.Verdict = OutOfOrder
+	case whole == nil:
+		e.Verdict = Ignored
+	default:
+		s.fragments = nil
+		e.Record = whole
+		e.Verdict = p.fold(e.Place, e.Writer, whole)
+	}
+}
+
 func (p *Programs) fold(at Place, writer id.Session, rec record.Record) Verdict {
 	switch r := rec.(type) {
 	case record.Claim:
--- a/internal/platform/appender.go
+++ b/internal/platform/appender.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math"
 	"sync"
@@ -23,13 +24,15 @@
 	// defaultProbeInterval is the pause between empty batches while the log is down and nothing
 	// waits to be written. Without them the return of the log would go unnoticed.
 	defaultProbeInterval = 500 * time.Millisecond
-	defaultMaxBuffered   = 16 << 20
+	defaultMaxBuffered   = 2 * record.MaxRecordBytes
 
 	appendBackoffMin = 100 * time.Millisecond
 	appendBackoffMax = time.Second
 
 	// batchOverheadBytes covers the longest array header and the longest batch sequence number.
 	batchOverheadBytes = 16
+	// recordOverheadBytes covers the names of a record's two fields in a batch and its kind.
+	recordOverheadBytes = 8
 )
 
 // AppenderConfig sets up an Appender. Zero values take the defaults. The callbacks run on the
@@ -43,7 +46,7 @@
 	DownAfter      time.Duration // default 150 ms
 	AttemptTimeout time.Duration // of one append; default 3 s
 	ProbeInterval  time.Duration // default 500 ms
-	MaxBuffered    int           // bytes of records that wait; default 16 MiB
+	MaxBuffered    int           // bytes of records that wait; default 32 MiB
 
 	// Down is called with true when a batch was not accepted within DownAfter of its first append,
 	// and with false when an append is answered in time again.
@@ -117,12 +120,14 @@
 	sized := make([]sizedRecord, 0, len(records))
 	total := 0
 	for _, r := range records {
-		size, err := a.size(r)
+		parts, err := a.sized(r)
 		if err != nil {
 			return err
 		}
-		sized = append(sized, sizedRecord{rec: r, size: size})
-		total += size
+		for _, part := range parts {
+			sized = append(sized, part)
+			total += part.size
+		}
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -138,17 +143,20 @@
 	return nil
 }
 
-// size returns the bytes that a record adds to a batch.
-func (a *Appender) size(r record.Record) (int, error) {
-	data, err := record.Encode(record.Batch{Session: a.cfg.Session, Seq: math.MaxUint64, Records: []record.Record{r}})
+// sized returns a record, or its fragments if it fits no batch, with the bytes that each adds to a batch.
+func (a *Appender) sized(r record.Record) ([]sizedRecord, error) {
+	parts, err := record.Split(r, a.batchRoom()-recordOverheadBytes)
 	if err != nil {
-		return 0, err
+		if errors.Is(err, record.ErrTooLarge) {
+			err = fmt.Errorf("%w: %w", ErrTooLarge, err)
+		}
+		return nil, err
 	}
-	size := len(data) - a.baseBytes
-	if size > a.batchRoom() {
-		return 0, fmt.Errorf("record kind %d of %d bytes: %w", r.Kind(), size, ErrTooLarge)
+	sized := make([]sizedRecord, 0, len(parts))
+	for _, part := range parts {
+		sized = append(sized, sizedRecord{rec: part.Record, size: part.Bytes + recordOverheadBytes})
 	}
-	return size, nil
+	return sized, nil
 }
 
 func (a *Appender) batchRoom() int {
--- a/internal/record/batch.go
+++ b/internal/record/batch.go
@@ -112,6 +112,8 @@
 		return unmarshal[Refresh](r.Body)
 	case KindOrderIntent:
 		return unmarshal[OrderIntent](r.Body)
+	case KindFragment:
+		return unmarshal[Fragment](r.Body)
 	default:
 		return nil, fmt.Errorf("kind %d: %w", r.Kind, ErrKind)
 	}
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -31,6 +31,7 @@
 	KindPublish
 	KindRefresh
 	KindOrderIntent
+	KindFragment
 )
 
 // Record is one entry of a batch. The concrete types of this package implement it.
@@ -325,3 +326,6 @@
 
 // Kind implements Record.
 func (OrderIntent) Kind() Kind { return KindOrderIntent }
+
+// Kind implements Record.
+func (Fragment) Kind() Kind { return KindFragment }
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -1,11 +1,13 @@
 package server
 
 import (
+	"errors"
 	"time"
 
 	"ragwortstile/internal/fsm"
 	"ragwortstile/internal/id"
 	"ragwortstile/internal/manifest"
+	"ragwortstile/internal/platform"
 	"ragwortstile/internal/program"
 	"ragwortstile/internal/record"
 	"ragwortstile/internal/sched"
@@ -149,9 +151,13 @@
 			c.backlog = nil
 			return
 		}
-		if err := c.inst.programs.Add(c.backlog[0]); err != nil {
+		err := c.inst.programs.Add(c.backlog[0])
+		if err != nil && !errors.Is(err, platform.ErrTooLarge) {
 			return
 		}
+		if err != nil { // it can never be appended and must not hold up the records behind it
+			c.inst.log.WithError(err).Error("record dropped")
+		}
 		c.backlog = c.backlog[1:]
 	}
 }
