Limit non-idempotent dispatches to a fresh read of the log's tail

Cause: a claim that was appended while the lease had lapsed can take effect in the log later, when the lease holds again. A holder whose log reader lags then dispatches although the claimant has already settled the call as not executed.

Change: Lease.DispatchUntil ends TailBound (2 s) after the last read that reached the tail. A claimant waits SettleWait (3 s) after it has read its claim back before it asks for or settles outcomes that were left open.

--- a/internal/membership/lease.go
+++ b/internal/membership/lease.go
@@ -10,6 +10,8 @@
 	from   time.Duration // the lease counts from here
 	held   bool          // the lease has not lapsed since from was set
 	lapses int
+	tail   time.Duration // sending time of the last read that reached the tail of the log
+	tailed bool          // there was one
 }
 
 type roundState struct {
@@ -73,22 +75,47 @@
 	}
 }
 
+func (l *leaseState) tailRead(sent time.Duration) {
+	if !l.tailed || sent > l.tail {
+		l.tail, l.tailed = sent, true
+	}
+}
+
+// dispatchUntil returns until when the last read of the tail allows dispatches.
+func (l *leaseState) dispatchUntil() time.Duration {
+	if !l.tailed {
+		return l.from
+	}
+	return min(l.end, l.tail+TailBound)
+}
+
 // Lease is the state of the own lease.
 type Lease struct {
 	From   time.Duration // the lease holds from here, if From is before Until
 	Until  time.Duration // and until here, exclusively
-	Lapses int           // how often it has lapsed; after each, the log must be read to its tail
+	Lapses int           // how often it has lapsed
+	// DispatchUntil is the end for non-idempotent dispatches: the earlier of Until and TailBound after
+	// the last read of the log's tail. This is the time to hand to packages program and order.
+	DispatchUntil time.Duration
 }
 
 // Holds tells whether the lease holds at a time of the own clock.
 func (l Lease) Holds(now time.Duration) bool { return now >= l.From && now < l.Until }
 
-// Lease returns the own lease as of now. Holds must be asked again with the time immediately before
+// MayDispatch tells whether a non-idempotent request may be written at a time of the own clock.
+func (l Lease) MayDispatch(now time.Duration) bool { return l.Holds(now) && now < l.DispatchUntil }
+
+// Lease returns the own lease as of now. Holds and MayDispatch must be asked again with the time immediately before
 // a request is written.
 func (m *Members) Lease(now time.Duration) Lease {
 	m.lease.expire(now)
 	if !m.lease.held {
 		return Lease{Lapses: m.lease.lapses}
 	}
-	return Lease{From: m.lease.from, Until: m.lease.end, Lapses: m.lease.lapses}
+	return Lease{
+		From:          m.lease.from,
+		Until:         m.lease.end,
+		Lapses:        m.lease.lapses,
+		DispatchUntil: m.lease.dispatchUntil(),
+	}
 }
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -17,10 +17,11 @@
 //
 // The invariant rests on two conditions: the lists that two instances use at one moment are at most
 // ListLagBound apart, and clocks run at the same rate. It does not cover a claim that was appended
-// while the lease had lapsed and takes effect in the log later. Therefore a holder whose lease has
-// lapsed (Lease counts the lapses) must read the log to its tail before it relies on the lease
-// again, and a claimant must wait LeaseTime after it has read its claim back before it settles
-// outcomes that the previous holder left open.
+// while the lease had lapsed and takes effect in the log later, when the lease may hold again.
+// Therefore a non-idempotent dispatch also needs a read of the log's tail that is younger than
+// TailBound (Lease.MayDispatch), and a claimant waits SettleWait after it has read its claim back
+// before it asks for or settles outcomes that the previous holder left open. If the holder's read
+// did not show the claim, the claim came after the read, and SettleWait ends after TailBound.
 package membership
 
 import (
@@ -43,6 +44,11 @@
 	// ListLagBound is how far apart the lists of two instances may be. It is longer than the usual
 	// lag and shorter than the time in which half of the instances are replaced.
 	ListLagBound = 30 * time.Second
+	// TailBound is the age of a read of the log's tail above which nothing non-idempotent is sent.
+	TailBound = 2 * time.Second
+	// SettleWait is how long a claimant leaves the previous holder's open outcomes alone. It exceeds
+	// TailBound by the time that a write takes after its check.
+	SettleWait = 3 * time.Second
 	// forgetAfter is when a silent session is forgotten. Dead then goes by the start of this process.
 	forgetAfter = 10 * time.Minute
 )
@@ -127,6 +133,10 @@
 // EndpointLeaving tells that an endpoint itself said that it is leaving.
 type EndpointLeaving struct{ Endpoint string }
 
+// TailRead tells that a read of the programs stream has reached its tail. Sent is when its request
+// was sent; with a waiting read, when the last request was sent that returned nothing or the tail.
+type TailRead struct{ Sent time.Duration }
+
 // Drain tells that this instance is shutting down.
 type Drain struct{}
 
@@ -137,6 +147,7 @@
 func (HeartbeatReceived) event() {}
 func (HeartbeatAcked) event()    {}
 func (EndpointLeaving) event()   {}
+func (TailRead) event()          {}
 func (Drain) event()             {}
 func (Tick) event()              {}
 
@@ -155,6 +166,8 @@
 		m.acked(now, e)
 	case EndpointLeaving:
 		m.endpoints.mark(e.Endpoint, now)
+	case TailRead:
+		m.lease.tailRead(e.Sent)
 	case Drain:
 		m.draining = true
 	case Tick:
--- a/internal/membership/members_test.go
+++ b/internal/membership/members_test.go
@@ -159,6 +159,24 @@
 	must.Eq(t, lease.Lapses+1, other.members.Lease(after).Lapses)
 }
 
+// Guards against a dispatch by a holder whose lease holds while its log reader lags: the log may hold
+// a claim that it has not read.
+func TestDispatchNeedsFreshTail(t *testing.T) {
+	m := New(Config{Self: "a.1"})
+	second := func(n int) time.Duration { return time.Duration(n) * time.Second }
+	m.Step(0, ListAnswer{Instances: []Instance{{Name: "a"}}})
+	for n := range 10 {
+		m.Beat(second(n), 1, nil)
+		if n == 5 {
+			m.Step(second(n), TailRead{Sent: second(5)})
+			m.Step(second(n), TailRead{Sent: second(3)}) // an earlier read that ended later
+		}
+		lease := m.Lease(second(n))
+		must.Eq(t, n >= 2, lease.Holds(second(n))) // RegainWait after the start
+		must.Eq(t, n == 5 || n == 6, lease.MayDispatch(second(n)))
+	}
+}
+
 // Guards against a leaving mark that one instance keeps to itself, that takes longer than 3 s, that
 // a lagging list undoes, or that never goes away after the endpoint is back.
 func TestLeavingMarkSpreads(t *testing.T) {
