--- a/internal/record/batch.go
+++ b/internal/record/batch.go
@@ -1,11 +1,8 @@
 package record
 
 import (
-	"bytes"
-	"compress/flate"
 	"errors"
 	"fmt"
-	"io"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -45,17 +42,9 @@
 	Records []wireRecord `msgpack:"r"`
 }
 
-// compressFrom is the size from which a record is compressed. Streamed answers repeat the same JSON
-// around each token and shrink to about a tenth, so that they fit an append.
-const compressFrom = 16 << 10
-
-// maxInflated bounds a decompressed record, so that a faulty batch can't take all memory.
-const maxInflated = 32 << 20
-
 type wireRecord struct {
-	Kind    Kind               `msgpack:"k"`
-	Body    msgpack.RawMessage `msgpack:"b,omitempty"`
-	Deflate []byte             `msgpack:"z,omitempty"` // the body, compressed; then Body is empty
+	Kind Kind               `msgpack:"k"`
+	Body msgpack.RawMessage `msgpack:"b"`
 }
 
 // Encode returns the msgpack form of a batch.
@@ -66,11 +55,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("encode record kind %d: %w", r.Kind(), err)
 		}
-		wr, err := packRecord(r.Kind(), body)
-		if err != nil {
-			return nil, fmt.Errorf("encode record kind %d: %w", r.Kind(), err)
-		}
-		w.Records = append(w.Records, wr)
+		w.Records = append(w.Records, wireRecord{Kind: r.Kind(), Body: body})
 	}
 	return msgpack.Marshal(w)
 }
@@ -95,50 +80,7 @@
 	return b, nil
 }
 
-// packRecord compresses a large body if that makes it smaller.
-func packRecord(kind Kind, body []byte) (wireRecord, error) {
-	plain := wireRecord{Kind: kind, Body: body}
-	if len(body) < compressFrom {
-		return plain, nil
-	}
-	var buf bytes.Buffer
-	z, err := flate.NewWriter(&buf, flate.BestSpeed)
-	if err != nil {
-		return plain, err
-	}
-	if _, err := z.Write(body); err != nil {
-		return plain, err
-	}
-	if err := z.Close(); err != nil {
-		return plain, err
-	}
-	if buf.Len() >= len(body) {
-		return plain, nil
-	}
-	return wireRecord{Kind: kind, Deflate: buf.Bytes()}, nil
-}
-
-// unpackRecord returns the record with its body decompressed.
-func unpackRecord(r wireRecord) (wireRecord, error) {
-	if len(r.Deflate) == 0 {
-		return r, nil
-	}
-	z := flate.NewReader(bytes.NewReader(r.Deflate))
-	body, err := io.ReadAll(io.LimitReader(z, maxInflated+1))
-	if err != nil {
-		return r, fmt.Errorf("decompress: %w", err)
-	}
-	if len(body) > maxInflated {
-		return r, fmt.Errorf("decompress: more than %d bytes", maxInflated)
-	}
-	return wireRecord{Kind: r.Kind, Body: body}, nil
-}
-
 func decodeRecord(r wireRecord) (Record, error) {
-	r, err := unpackRecord(r)
-	if err != nil {
-		return nil, err
-	}
 	switch r.Kind {
 	case KindClaim:
 		return unmarshal[Claim](r.Body)
@@ -172,6 +114,8 @@
 		return unmarshal[Refresh](r.Body)
 	case KindOrderIntent:
 		return unmarshal[OrderIntent](r.Body)
+	case KindFragment:
+		return unmarshal[Fragment](r.Body)
 	default:
 		return nil, fmt.Errorf("kind %d: %w", r.Kind, ErrKind)
 	}
