platform: tell when a read reached the tail of a stream

Cause: membership limits dispatches that may not be repeated to 2 s after a read of the log's tail; the tailer told only the first time it was there. Change: TailerConfig.TailRead with the time at which the read was sent.

--- a/internal/platform/tailer.go
+++ b/internal/platform/tailer.go
@@ -33,6 +33,9 @@
 	// AtTail is called when all entries below next have been delivered, once at first and again
 	// after each time the reader fell behind. It may be nil.
 	AtTail func(next uint64)
+	// TailRead is called after each read that reached the tail, when its entries were delivered. sent
+	// is when the read was sent: what was appended before it has been delivered. It may be nil.
+	TailRead func(sent time.Time)
 	// Expired is called when the retention removed entries that were not yet delivered: those from
 	// from to earliest-1. The state that was built from the stream is incomplete then. It is not
 	// called for entries before the first one that was delivered. It may be nil.
@@ -153,6 +156,9 @@
 		t.cfg.AtTail(page.Next)
 	}
 	t.atTail = true
+	if t.cfg.TailRead != nil {
+		t.cfg.TailRead(t.last)
+	}
 	return nil
 }
 
