--- a/internal/server/dispatching.go
+++ b/internal/server/dispatching.go
@@ -35,7 +35,7 @@
 		// A paused process passes the gate before the check of the lease, as a stopped one would.
 		return e.services.Call(ctx, a, func() error {
 			e.inst.passGate()
-			if !a.Idempotent && e.inst.now() >= a.NotAfter {
+			if !a.Idempotent && e.inst.now() >= min(a.NotAfter, time.Duration(e.inst.mayDispatch.Load())) {
 				return errLeaseOver
 			}
 			return nil
--- a/internal/server/heartbeat.go
+++ b/internal/server/heartbeat.go
@@ -39,10 +39,19 @@
 	}
 }
 
-// renewLease tells the owner core how long the lease holds, if it does.
+// tailRead notes that everything that was in the log at a time has been folded.
+func (c *core) tailRead(sent time.Duration) {
+	c.members.core.Step(c.inst.now(), membership.TailRead{Sent: sent})
+	c.renewLease()
+}
+
+// renewLease tells the owner core how long the lease holds, if it does, and the dispatches outside
+// the loop until when they may write a request that may not be repeated. The owner core gets the
+// lease without the bound of the tail: an outage of the log must not end it.
 func (c *core) renewLease() {
 	now := c.inst.now()
 	lease := c.members.core.Lease(now)
+	c.inst.mayDispatch.Store(int64(lease.DispatchUntil))
 	if !lease.Holds(now) || lease.Until <= c.lease {
 		return
 	}
--- a/internal/server/instance.go
+++ b/internal/server/instance.go
@@ -67,7 +67,8 @@
 	httpListener net.Listener
 	peerListener net.Listener
 
-	reconcileNow atomic.Bool // compare the engines' caches at the next poll
+	mayDispatch  atomic.Int64 // end of the time for requests that may not be repeated, on the clock of now
+	reconcileNow atomic.Bool  // compare the engines' caches at the next poll
 
 	gate    sync.RWMutex // held while the instance is paused; work outside the loop passes through it
 	stopped chan struct{}
--- a/internal/server/platform.go
+++ b/internal/server/platform.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -12,12 +13,29 @@
 	"ragwortstile/internal/record"
 )
 
+// tailWait is the long poll at the tail of the programs stream, a quarter of membership.TailBound.
+const tailWait = 500 * time.Millisecond
+
 // errFellBehind tells that the log dropped records that were not read.
 var errFellBehind = errors.New("the log dropped records before they were read")
 
 // tailer returns the reader of a stream.
 func (i *Instance) tailer(stream string) *platform.Tailer {
-	return platform.NewTailer(platform.TailerConfig{
+	cfg := i.tailerConfig(stream)
+	if stream == streamPrograms {
+		// Dispatches that may not be repeated need a read of the tail that is younger than
+		// membership.TailBound.
+		cfg.Wait = tailWait
+		cfg.TailRead = func(sent time.Time) {
+			at := sent.Sub(i.epoch)
+			i.core.events.post(func() { i.core.tailRead(at) })
+		}
+	}
+	return platform.NewTailer(cfg)
+}
+
+func (i *Instance) tailerConfig(stream string) platform.TailerConfig {
+	return platform.TailerConfig{
 		Client: platform.NewLogClient(i.cfg.LogURL, i.httpCl),
 		Stream: stream,
 		Deliver: func(ctx context.Context, e platform.Entry) error {
@@ -31,7 +49,7 @@
 		Failed: func(err error) {
 			i.log.WithFields(logrus.Fields{"reason": err.Error()}).Debug("read of " + stream + " failed")
 		},
-	})
+	}
 }
 
 // deliver hands one entry to the loop. An entry that this binary can't read changes nothing: all
