Add the checks that mutations of the core survived

Cause: of 18 mutations of the core on a scratch copy 6 survived, among them a dispatch without a lease and failed attempts that do not count. Change: a test for each; engines of the test store a prefix when an attempt stops.

--- a/internal/program/endpoint_test.go
+++ b/internal/program/endpoint_test.go
@@ -98,8 +98,9 @@
 		}
 	}
 	w.send(nil, func() {
-		if !breaks {
+		if !breaks && r.active {
 			r.active = false
+			w.cache[r.endpoint][r.program] = true // an engine stores the prefix when the attempt stops
 		}
 		w.finish(o, f)
 	})
@@ -144,6 +145,7 @@
 func (w *world) cancel(o *owner, x CancelAttempt) {
 	if r := w.runs[x.Attempt]; r != nil && r.active {
 		r.active = false
+		w.cache[r.endpoint][r.program] = true // an engine stores the prefix when the attempt stops
 		w.finish(o, Finished{Attempt: x.Attempt, Result: sched.ResultCanceled, Sent: true})
 	}
 }
--- a/internal/program/guarantee_test.go
+++ b/internal/program/guarantee_test.go
@@ -197,7 +197,11 @@
 	for _, op := range []string{"charge", "reserve"} {
 		w, a := started(t, 2)
 		pid := w.program(a, record.Limits{})
-		w.service(a, pid, "main", "k1", op)
+		first := w.oracle.ask(request{owner: a, program: pid, branch: "main", key: "k1", kind: "service", body: "k1"})
+		a.step(ServiceCall{
+			Req: first, Tenant: "t", Program: pid, Key: "k1", Digest: 9, Service: "s", Operation: op,
+			Body: []byte("k1"), TimeLimit: time.Minute,
+		})
 		a.flush()
 		a.read() // the intent is committed; the grant is under way
 		a.paused = true
@@ -208,6 +212,7 @@
 		w.advance(time.Second)
 		a.paused = false
 		a.step(LeaseChanged{Until: w.now + testLease})
+		w.deliverAll() // the grant comes before the log
 		w.advance(5 * time.Second)
 		must.True(t, r.done)
 		if op == "reserve" {
@@ -238,6 +243,7 @@
 	req := w.oracle.ask(request{owner: o, program: pid, kind: "other"})
 	o.step(SettleCall{Req: req, Tenant: "t", Program: pid, Key: "k1", Executed: record.ExecutedYes, Body: []byte(`{"done":"k1"}`)})
 	again := w.service(o, pid, "main", "k1", "charge")
+	must.False(t, again.done) // the Settle was not read back
 	next := w.service(o, pid, "main", "k2", "charge")
 	w.pump()
 	must.True(t, again.ok && next.ok)
@@ -334,3 +340,87 @@
 	w.pump()
 	must.True(t, r.ok, must.Sprintf("%+v", r.problem))
 }
+
+// P3: only a mark that was read back allows spending, so nothing goes beyond it while the log is down.
+func TestLogDownKeepsMark(t *testing.T) {
+	w, o := started(t, 3)
+	pid := w.program(o, record.Limits{Tokens: 4000})
+	w.log.down = true
+	for i := range 60 {
+		w.model(o, pid, "main", fmt.Sprintf("k%d", i), false)
+		w.advance(200 * time.Millisecond)
+	}
+	must.True(t, w.oracle.tokens[pid] > 0 && w.oracle.tokens[pid] <= w.ref.Program(pid).Mark.Tokens)
+}
+
+// P3: attempts that failed after the engine ran them count.
+func TestFailedAttemptsCount(t *testing.T) {
+	w, o := started(t, 1)
+	pid := w.program(o, record.Limits{Tokens: 600})
+	w.pick = func(_ int, what string) int {
+		if what == "engine" {
+			return 5
+		}
+		return 0
+	}
+	for i := range 30 {
+		w.model(o, pid, "main", fmt.Sprintf("k%d", i), false)
+		w.advance(time.Second)
+	}
+	must.True(t, w.oracle.tokens[pid] > 0)
+}
+
+// P4: a release waits for an attempt that still runs at the engine, which would fill the cache again.
+func TestReleaseWaitsForRunningAttempt(t *testing.T) {
+	w, o := started(t, 1)
+	pid := w.program(o, record.Limits{})
+	w.model(o, pid, "main", "k1", true)
+	w.deliver(0)
+	w.deliver(0)
+	w.net = nil // the engine goes on, its answer is lost
+	w.end(o, pid)
+	for len(w.net) > 0 {
+		w.deliver(len(w.net) - 1)
+	}
+	w.advance(30 * time.Second)
+	w.oracle.released()
+	must.SliceEmpty(t, w.ref.Program(pid).Holding)
+}
+
+// P5: the end of a stream is not sent before its turn is durable.
+func TestStreamEndsAfterCommit(t *testing.T) {
+	w, o := started(t, 1)
+	pid := w.program(o, record.Limits{})
+	r := w.model(o, pid, "main", "k1", true)
+	w.deliverAll()
+	must.True(t, r.begun && !r.done)
+	must.StrNotContains(t, string(r.got), "[DONE]")
+	w.pump()
+	must.True(t, r.ok)
+}
+
+// P6, P7: an answer "not run" counts only when a request that is still on its way would be too late.
+func TestAskedTooEarly(t *testing.T) {
+	w, o := started(t, 1)
+	pid := w.program(o, record.Limits{})
+	w.faults(map[string]int{"service": 6})
+	r := w.service(o, pid, "main", "k1", "reserve")
+	w.advance(testLease)
+	must.False(t, r.done)
+	w.advance(2 * testLease)
+	must.Eq(t, record.ExecutedNo, r.problem.Executed)
+}
+
+// P6: an open that the log does not confirm is refused as not run and leaves no program.
+func TestOpenWhileLogIsDown(t *testing.T) {
+	w, o := started(t, 1)
+	w.log.down = true
+	pid := id.NewProgram(testSlot, "x")
+	req := w.oracle.ask(request{owner: o, program: pid, kind: "open"})
+	o.step(OpenProgram{Req: req, Program: pid, Tenant: "t", Duty: "d", Now: w.wall()})
+	w.advance(openTimeout + time.Second)
+	must.Eq(t, record.ExecutedNo, w.oracle.reqs[req].problem.Executed)
+	w.log.down = false
+	w.advance(time.Second)
+	must.True(t, w.ref.Program(pid).Ended())
+}
