--- a/internal/fsm/fsm_test.go
+++ b/internal/fsm/fsm_test.go
@@ -179,7 +179,46 @@
 			e := c.Current().Version - min(lag, c.Current().Version)
 			out := c.Apply(uint64(i), ops[who].batch(0, record.Publish{Expected: e}))[0].Verdict
 			history = append(history, porcupine.Operation{
-				ClientId: who, Input: in{e}, Output: out, Call: int64(3 * i), Return: int64(3*i + 2),
+				ClientId: who, Input: in{e}, Output: out, Return: int64(3*i + 2),
+				Call: max(0, int64(3*i)-rapid.Int64Range(0, 9).Draw(t, "under way")),
+			})
+		}
+		if !porcupine.CheckOperations(model, history) {
+			t.Fatalf("not linearizable: %+v", history)
+		}
+	})
+}
+
+// Guards against a slot that two sessions hold at one epoch: claims that are under way at the same time
+// are checked as a register with porcupine.
+func TestSlotIsLinearizable(t *testing.T) {
+	type in struct {
+		prev    id.Epoch
+		session id.Session
+	}
+	model := porcupine.Model{
+		Init: func() any { return SlotState{} },
+		Step: func(state, input, output any) (bool, any) {
+			s, i := state.(SlotState), input.(in)
+			if output.(Verdict) == Valid {
+				return s.Epoch == i.prev, SlotState{Holder: i.session, Epoch: i.prev + 1}
+			}
+			return s.Epoch != i.prev, s
+		},
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		p := NewPrograms(retention, 0)
+		ws := []*writer{{session: "a.1"}, {session: "b.1"}, {session: "c.1"}}
+		var history []porcupine.Operation
+		for i := range rapid.IntRange(1, 30).Draw(t, "n") {
+			who := rapid.IntRange(0, 2).Draw(t, "claimant")
+			prev := p.Slot(5).Epoch
+			prev -= min(prev, id.Epoch(rapid.IntRange(0, 2).Draw(t, "lag")))
+			w := ws[who]
+			out := p.Apply(uint64(i), w.batch(0, record.Claim{Slot: 5, Prev: prev, Session: w.session}))[0].Verdict
+			history = append(history, porcupine.Operation{
+				ClientId: who, Input: in{prev, w.session}, Output: out, Return: int64(3*i + 2),
+				Call: max(0, int64(3*i)-rapid.Int64Range(0, 9).Draw(t, "under way")),
 			})
 		}
 		if !porcupine.CheckOperations(model, history) {
--- a/internal/program/rapid_test.go
+++ b/internal/program/rapid_test.go
@@ -228,6 +228,8 @@
 		m.platform()
 	case k == 18 && m.draw(4, "end") == 0:
 		m.end()
+	case k == 18 && m.draw(8, "long") == 0:
+		m.w.advanceBy(testRetention/2, 2*time.Second)
 	case k == 19:
 		if o := m.anyOwner(); !o.paused && m.draw(2, "settle") == 0 {
 			m.settle(o)
@@ -256,6 +258,7 @@
 	if h == nil {
 		m.t.Fatalf("no holder at rest")
 	}
+	m.coldReader(h)
 	m.settle(h)
 	w.advance(time.Second)
 	for _, pid := range m.programs {
@@ -273,6 +276,38 @@
 	}
 }
 
+// coldReader compares a reader that starts at the earliest offset with one that has read everything.
+func (m *machine) coldReader(h *owner) {
+	cold := fsm.NewPrograms(testRetention, uint64(m.w.log.earliest))
+	for i := m.w.log.earliest; i < len(m.w.log.batches); i++ {
+		b, err := record.Decode(m.w.log.batches[i])
+		if err != nil {
+			m.t.Fatalf("decode: %v", err)
+		}
+		cold.Apply(uint64(i), b)
+	}
+	if cold.Slot(testSlot) != m.w.ref.Slot(testSlot) {
+		m.t.Fatalf("cold reader: slot %+v, want %+v", cold.Slot(testSlot), m.w.ref.Slot(testSlot))
+	}
+	if n := len(m.w.ref.Due(h.session, m.w.wall(), 1).Programs); n > 0 {
+		m.t.Fatalf("the holder has not written again what is due")
+	}
+	for _, pid := range m.programs {
+		want, got := m.w.ref.Program(pid), cold.Program(pid)
+		if (want == nil || want.Ended()) && (got == nil || got.Ended()) {
+			continue
+		}
+		if want == nil || got == nil || want.Rev != got.Rev || want.Counted() != got.Counted() || want.Mark != got.Mark {
+			m.t.Fatalf("cold reader: program %s is %+v, want %+v", pid, got, want)
+		}
+		for name, b := range want.Branches {
+			if g := got.Branches[name]; g == nil || g.Last != b.Last || g.Digest != b.Digest || g.Unknown != b.Unknown {
+				m.t.Fatalf("cold reader: branch %s of %s is %+v, want %+v", name, pid, g, b)
+			}
+		}
+	}
+}
+
 // Guards P1 to P7 against combinations of death, pause, lost answers, outages and reordered answers.
 func TestGuaranteesUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/program/world_test.go
+++ b/internal/program/world_test.go
@@ -292,9 +292,11 @@
 }
 
 // advance lets time pass in steps of 100 ms, with heartbeats and ticks of live owners.
-func (w *world) advance(d time.Duration) {
+func (w *world) advance(d time.Duration) { w.advanceBy(d, 100*time.Millisecond) }
+
+func (w *world) advanceBy(d, step time.Duration) {
 	for end := w.now + d; w.now < end; {
-		w.now += 100 * time.Millisecond
+		w.now += step
 		w.log.expire(w.now)
 		w.beat()
 		w.pump()
