server: give orders to engines through the controller

Cause: engines are to load the models, versions and roles of the manifest; the holder of slot 0 decides, with an intent in the log before each order. Change: the loop feeds claims, leases, intents and the manifest to the controller and carries out fetches and orders. Engines tell no state, so it is what they confirmed to this controller.

--- a/internal/server/config_stream.go
+++ b/internal/server/config_stream.go
@@ -62,6 +62,7 @@
 	}
 	c.inst.engines.setManifest(parsed)
 	c.inst.metrics.useManifest(parsed)
+	c.orders.configure()
 	c.publishView()
 }
 
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -121,6 +121,7 @@
 	c := p.i.core
 	c.events.post(func() {
 		if restarted {
+			c.orders.restarted(ep.Name)
 			c.step(program.EngineRestarted{Endpoint: ep.Name})
 		}
 		if s.held != nil {
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -7,6 +7,7 @@
 	"ragwortstile/internal/fsm"
 	"ragwortstile/internal/id"
 	"ragwortstile/internal/manifest"
+	"ragwortstile/internal/order"
 	"ragwortstile/internal/platform"
 	"ragwortstile/internal/program"
 	"ragwortstile/internal/record"
@@ -39,6 +40,7 @@
 	lastReq  program.ReqID
 	parked   []*request
 
+	orders      *orders
 	submissions map[id.Attempt]*submission
 	dispatchers map[string]*dispatcher
 
@@ -55,6 +57,7 @@
 		claims:      newClaimState(),
 	}
 	c.members = newMembers(i)
+	c.orders = newOrders(c)
 	return c
 }
 
@@ -81,7 +84,7 @@
 	c.claimSlots(now)
 	c.routeParked()
 	c.refreshManifest()
-	c.ordersTick(now)
+	c.orders.step(order.Tick{})
 	c.inst.metrics.tick(now)
 	c.publishView()
 }
@@ -123,6 +126,7 @@
 	if end, ok := e.Record.(record.End); ok && e.Writer == c.inst.session {
 		c.inst.metrics.ended(e, c.fold.Program(end.Program))
 	}
+	c.orders.applied(e)
 	c.step(program.Applied{Effect: e})
 }
 
--- a/internal/server/heartbeat.go
+++ b/internal/server/heartbeat.go
@@ -6,6 +6,7 @@
 
 	"ragwortstile/internal/id"
 	"ragwortstile/internal/membership"
+	"ragwortstile/internal/order"
 	"ragwortstile/internal/platform"
 	"ragwortstile/internal/program"
 	"ragwortstile/internal/sched"
@@ -51,7 +52,9 @@
 func (c *core) renewLease() {
 	now := c.inst.now()
 	lease := c.members.core.Lease(now)
-	c.inst.mayDispatch.Store(int64(lease.DispatchUntil))
+	if until := int64(lease.DispatchUntil); until != c.inst.mayDispatch.Swap(until) {
+		c.orders.step(order.Lease{From: lease.From, Until: lease.DispatchUntil})
+	}
 	if !lease.Holds(now) || lease.Until <= c.lease {
 		return
 	}
@@ -104,6 +107,7 @@
 		return
 	}
 	c.members.leaving = leaving
+	c.orders.configure()
 	for pool, d := range c.dispatchers {
 		d.step(sched.Configure{Config: c.poolConfig(pool)}, "")
 	}
--- a/internal/server/orders.go
+++ b/internal/server/orders.go
@@ -1,6 +1,142 @@
 package server
 
-import "time"
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
 
-// ordersTick lets the holder of slot 0 give orders to engines.
-func (c *core) ordersTick(time.Duration) {}
+	"ragwortstile/internal/engine"
+	"ragwortstile/internal/fsm"
+	"ragwortstile/internal/id"
+	"ragwortstile/internal/manifest"
+	"ragwortstile/internal/order"
+	"ragwortstile/internal/platform"
+	"ragwortstile/internal/record"
+)
+
+// orders runs the controller of orders to engines. The loop owns it.
+type orders struct {
+	c       *core
+	control *order.Controller
+	// confirmed is what each engine has loaded by the orders that it confirmed to this controller.
+	// Engines don't tell their state, so a new controller, and one whose engine has restarted, gives
+	// the orders again.
+	confirmed map[string]manifest.Engine
+	epoch     id.Epoch
+}
+
+func newOrders(c *core) *orders {
+	return &orders{c: c, control: order.New(c.inst.session), confirmed: map[string]manifest.Engine{}}
+}
+
+// step gives an event to the controller and carries out its actions.
+func (o *orders) step(e order.Event) {
+	for _, a := range o.control.Step(o.c.inst.now(), e) {
+		o.act(a)
+	}
+}
+
+// configure takes over the desired states of the manifest in force.
+func (o *orders) configure() {
+	if m := o.c.manifest; m != nil {
+		o.step(order.Configure{Targets: order.TargetsOf(m, o.c.members.core.EndpointIsLeaving), Limits: m.Orders})
+	}
+}
+
+// applied follows the claims of the controller's slot and the intents that were read back.
+func (o *orders) applied(e fsm.Effect) {
+	if state := o.c.fold.Slot(order.Slot); state.Epoch != o.epoch {
+		o.epoch = state.Epoch
+		o.confirmed = map[string]manifest.Engine{}
+		o.step(order.Control{Holder: state.Holder, Epoch: state.Epoch})
+	}
+	if r, ok := e.Record.(record.OrderIntent); ok && e.Writer == o.c.inst.session && e.Verdict != fsm.Duplicate {
+		o.step(order.IntentApplied{Endpoint: r.Endpoint, Fence: order.Fence{Epoch: r.Epoch, Serial: r.Serial},
+			Valid: e.Verdict == fsm.Valid})
+	}
+}
+
+// restarted forgets what an engine had loaded.
+func (o *orders) restarted(endpoint string) { delete(o.confirmed, endpoint) }
+
+func (o *orders) act(a order.Action) {
+	switch a := a.(type) {
+	case order.AppendIntent:
+		o.c.append([]record.Record{a.Intent})
+	case order.FetchWeights:
+		o.c.inst.engines.spawn(func() {
+			outcome := o.c.inst.fetchWeights(a)
+			o.c.events.post(func() { o.step(order.Fetched{Endpoint: a.Endpoint, Fence: a.Fence, Outcome: outcome}) })
+		})
+	case order.SendOrder:
+		o.c.inst.engines.spawn(func() {
+			outcome := o.c.inst.sendOrder(a)
+			o.c.events.post(func() { o.sent(a, outcome) })
+		})
+	case order.ReadState:
+		state := o.confirmed[a.Endpoint]
+		o.c.events.later(func() {
+			o.step(order.StateRead{Endpoint: a.Endpoint, Read: a.Read, Known: true, State: state})
+		})
+	case order.Log:
+		o.c.inst.log.WithField("endpoint", a.Endpoint).WithField("fence", a.Fence.String()).WithField("reason", a.Reason).Info(a.What)
+	}
+}
+
+func (o *orders) sent(a order.SendOrder, outcome order.Outcome) {
+	if outcome == order.OK && a.Fence.Epoch == o.epoch {
+		o.confirmed[a.Order.Endpoint] = a.Order.Apply(o.confirmed[a.Order.Endpoint])
+	}
+	o.step(order.Sent{Endpoint: a.Order.Endpoint, Fence: a.Fence, Outcome: outcome})
+}
+
+// fetchWeights takes one fetch from the weight store's quota.
+func (i *Instance) fetchWeights(a order.FetchWeights) order.Outcome {
+	if i.cfg.WeightsURL == "" {
+		return order.OK
+	}
+	i.passGate()
+	if i.now() >= a.NotAfter {
+		return order.Rejected
+	}
+	ctx, cancel := context.WithTimeout(i.ctx, controlTimeout)
+	defer cancel()
+	_, err := platform.NewWeightClient(i.cfg.WeightsURL, i.httpCl).Fetch(ctx, a.Model)
+	var limited *platform.RateLimitedError
+	switch {
+	case err == nil:
+		return order.OK
+	case errors.As(err, &limited), errors.Is(err, platform.ErrNotFound), errors.Is(err, platform.ErrOutage):
+		return order.Rejected
+	default:
+		return order.Unknown
+	}
+}
+
+// sendOrder sends an order unless its time is over.
+func (i *Instance) sendOrder(a order.SendOrder) order.Outcome {
+	body, err := json.Marshal(a.Order)
+	if err != nil {
+		return order.Rejected
+	}
+	ctx, cancel := context.WithTimeout(i.ctx, max(a.Timeout, time.Millisecond))
+	defer cancel()
+	i.passGate()
+	if i.now() >= a.NotAfter {
+		return order.Rejected
+	}
+	err = i.engines.engines.Order(ctx, a.Order.Endpoint, engine.Fence{Epoch: a.Fence.Epoch, Serial: a.Fence.Serial}, body)
+	var stale *engine.StaleFenceError
+	var status *engine.StatusError
+	switch {
+	case err == nil:
+		return order.OK
+	case errors.As(err, &stale):
+		return order.OldFence
+	case errors.As(err, &status) && status.Status < 500, errors.Is(err, engine.ErrUnknownEndpoint):
+		return order.Rejected
+	default:
+		return order.Unknown
+	}
+}
