server: bound slow callers and report a stalled loop

Cause: a caller that sends or takes its bytes slowly held memory without bound, and a stalled loop still looked ready. Change: deadlines for reading a body and writing an answer, an idle timeout, and readiness that fails when the loop has published nothing for 5 s.

--- a/internal/api/body.go
+++ b/internal/api/body.go
@@ -17,6 +17,30 @@
 	"ragwortstile/internal/program"
 )
 
+// BodyTimeout bounds the time that a caller takes to send a body, so that slow callers hold no memory.
+const BodyTimeout = 60 * time.Second
+
+// timedBody gives the reading of a body a deadline. The deadline is cleared at its end: an expired
+// one would end the request's context in the middle of a long answer.
+type timedBody struct {
+	io.ReadCloser
+	ctrl *http.ResponseController
+	set  bool
+}
+
+// Read implements io.Reader.
+func (b *timedBody) Read(p []byte) (int, error) {
+	if !b.set {
+		b.set = true
+		_ = b.ctrl.SetReadDeadline(time.Now().Add(BodyTimeout))
+	}
+	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		_ = b.ctrl.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
+
 // readBody reads a bounded body.
 func readBody(r *http.Request) ([]byte, *program.Problem) {
 	data, err := io.ReadAll(r.Body)
--- a/internal/api/stream.go
+++ b/internal/api/stream.go
@@ -171,6 +171,7 @@
 	if status < 200 || status > 599 {
 		status = http.StatusOK
 	}
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(WriteTimeout))
 	w.WriteHeader(status)
 	_, _ = w.Write(r.Body)
 }
--- a/internal/server/instance.go
+++ b/internal/server/instance.go
@@ -10,6 +10,7 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
+	"log"
 	"net"
 	"net/http"
 	"strings"
@@ -39,6 +40,8 @@
 	nonceBytes = 10
 	// headerTimeout ends connections of callers that send no request.
 	headerTimeout = 10 * time.Second
+	// idleTimeout closes connections of callers that send nothing more.
+	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes bounds the header of a caller request.
 	maxHeaderBytes = 32 << 10
 )
@@ -156,7 +159,8 @@
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		BaseContext:       func(net.Listener) context.Context { return i.ctx },
-		ErrorLog:          nil,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          log.New(httpLog{i.log}, "", 0),
 	}
 	return nil
 }
@@ -301,6 +305,15 @@
 	i.log.WithField("reason", e.String()).Warn("supervisor event")
 }
 
+// httpLog takes what the HTTP server reports.
+type httpLog struct{ log *logrus.Entry }
+
+// Write implements io.Writer.
+func (h httpLog) Write(p []byte) (int, error) {
+	h.log.WithField("reason", strings.TrimSpace(string(p))).Debug("front")
+	return len(p), nil
+}
+
 // frontService serves callers.
 type frontService struct{ i *Instance }
 
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -19,9 +19,14 @@
 	errStarting   = errors.New("starting: the log has not been read to its end")
 	errNoManifest = errors.New("no manifest is in force")
 	errDraining   = errors.New("draining")
+	errStalled    = errors.New("the core loop does not answer")
 	errNoLease    = errors.New("starting: a majority of the listed instances has not been heard yet")
 )
 
+// stallTime is the age of the view from which on the loop counts as stalled; it publishes one with
+// each tick.
+const stallTime = 5 * time.Second
+
 // leaseGrace ends the wait of a starting instance for its first lease: without a majority it can
 // still forward requests and serve those that may be repeated.
 const leaseGrace = 8 * time.Second
@@ -32,6 +37,7 @@
 // view is what goroutines other than the loop may read of the loop's state. It is replaced, never
 // changed.
 type view struct {
+	at       time.Duration // when it was published
 	ready    error
 	accepts  bool
 	manifest *manifest.Manifest
@@ -43,7 +49,7 @@
 
 // publishView replaces the view. It runs on the loop.
 func (c *core) publishView() {
-	v := &view{accepts: !c.draining, manifest: c.manifest, raw: c.manifestRaw, peers: c.members.live()}
+	v := &view{at: c.inst.now(), accepts: !c.draining, manifest: c.manifest, raw: c.manifestRaw, peers: c.members.live()}
 	v.ready = c.readiness()
 	v.status = wire.Status{
 		Session:         c.inst.session,
@@ -97,10 +103,15 @@
 
 // Ready implements api.Backend.
 func (i *Instance) Ready() error {
-	if v := i.view.Load(); v != nil {
+	v := i.view.Load()
+	switch {
+	case v == nil:
+		return errStarting
+	case i.now()-v.at > stallTime:
+		return errStalled
+	default:
 		return v.ready
 	}
-	return errStarting
 }
 
 // Manifest implements api.Backend.
