--- a/internal/program/core.go
+++ b/internal/program/core.go
@@ -175,10 +175,14 @@
 
 // prog returns the entry of a known program in a held slot, or nil.
 func (c *Core) prog(pid id.Program) *prog {
+	state := c.fold.Program(pid)
 	if p := c.progs[pid]; p != nil {
-		return p
+		if state != nil {
+			return p
+		}
+		delete(c.progs, pid) // its tombstone has gone
+		return nil
 	}
-	state := c.fold.Program(pid)
 	s, err := pid.Slot()
 	if state == nil || err != nil || !c.slots[s].held {
 		return nil
--- a/internal/program/end.go
+++ b/internal/program/end.go
@@ -129,7 +129,7 @@
 }
 
 func (c *Core) onCacheReleased(e CacheReleased) {
-	if p := c.progs[e.Program]; p != nil && p.touched[e.Endpoint] == 0 {
+	if p := c.prog(e.Program); p != nil && p.touched[e.Endpoint] == 0 {
 		c.released(p, e.Endpoint)
 	}
 }
@@ -156,7 +156,7 @@
 			continue
 		}
 		st := c.fold.Program(pid)
-		p := c.progs[pid]
+		p := c.prog(pid)
 		switch {
 		case p != nil && p.touched[e.Endpoint] > 0:
 		case st == nil && p == nil:
@@ -166,7 +166,7 @@
 		}
 	}
 	for _, pid := range sortedKeys(c.progs) {
-		if p := c.progs[pid]; p.release[e.Endpoint] != nil && !held[pid] && p.touched[e.Endpoint] == 0 {
+		if p := c.prog(pid); p != nil && p.release[e.Endpoint] != nil && !held[pid] && p.touched[e.Endpoint] == 0 {
 			c.released(p, e.Endpoint)
 		}
 	}
@@ -186,7 +186,10 @@
 
 func (c *Core) endDebt(endpoint string) {
 	for _, pid := range sortedKeys(c.progs) {
-		p := c.progs[pid]
+		p := c.prog(pid)
+		if p == nil {
+			continue
+		}
 		if r := p.release[endpoint]; r != nil && p.touched[endpoint] == 0 {
 			r.tries = max(r.tries, 1)
 			c.released(p, endpoint)
--- a/internal/program/guarantee_test.go
+++ b/internal/program/guarantee_test.go
@@ -424,3 +424,26 @@
 	w.advance(time.Second)
 	must.True(t, w.ref.Program(pid).Ended())
 }
+
+// Guards against a crash on a program whose tombstone has gone from the fold but not from the core.
+func TestRequestAfterTombstone(t *testing.T) {
+	w, o := started(t, 1)
+	pid := w.program(o, record.Limits{})
+	w.model(o, pid, "main", "k1", false)
+	w.pump()
+	w.end(o, pid)
+	w.advance(time.Second)
+	w.now += 11*time.Minute - time.Second
+	w.log.append(mustEncode(t, record.Batch{Session: "x.1", Seq: 1, At: w.wall()}), w.now)
+	o.read()
+	must.Nil(t, o.fold.Program(pid))
+	r := w.end(o, pid)
+	must.Eq(t, ProblemNotFound, r.problem.Type)
+	w.reconcile(o)
+}
+
+func mustEncode(t *testing.T, b record.Batch) []byte {
+	data, err := record.Encode(b)
+	must.NoError(t, err)
+	return data
+}
--- a/internal/program/service.go
+++ b/internal/program/service.go
@@ -203,7 +203,7 @@
 func (c *Core) certain(aid id.Attempt, q *question, o outcome) {
 	delete(c.asked, aid)
 	p := q.prog
-	if c.progs[p.id] != p {
+	if c.prog(p.id) != p {
 		return
 	}
 	b := c.state(p).Branches[q.intent.Call.Branch]
