--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -140,7 +140,7 @@
 		fmt.Fprintf(stdout, "%s: load 1.0 is %.0f output tokens/s\n", d.name, cap)
 		for _, sc := range scenarios() {
 			for i := range c.seeds {
-				if c.scenario == "" || c.scenario == sc.name {
+				if (c.scenario == "" && !sc.extra) || c.scenario == sc.name {
 					tasks = append(tasks, task{d, sc, c.seed + uint64(i), cap})
 				}
 			}
@@ -155,7 +155,11 @@
 		go func() {
 			defer wg.Done()
 			defer func() { <-slots }()
-			trace := newGenerator(t.deploy, t.seed).trace(t.scenario.load*t.capacity, t.deploy.length)
+			g := newGenerator(t.deploy, t.seed)
+			trace := g.trace(t.scenario.load*t.capacity, t.deploy.length)
+			if t.scenario.flood {
+				trace = g.flood(trace, t.capacity, t.deploy.length)
+			}
 			for _, v := range variants {
 				r := runOne(t.deploy, t.scenario, v.policy, v.options, t.seed, trace)
 				r.Policy = v.name
--- a/internal/bench/engine.go
+++ b/internal/bench/engine.go
@@ -69,6 +69,7 @@
 	generation uint64
 	dead       bool
 	slow       float64 // factor on all times
+	failing    bool    // every new call fails at once
 	wasted     int64
 	filled     int64
 	outputDone int64
@@ -93,6 +94,10 @@
 		return
 	}
 	j.arrived = e.sim.now
+	if e.failing {
+		j.done(j, false)
+		return
+	}
 	e.queue = append(e.queue, j)
 	e.startPrefill()
 }
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -45,7 +45,7 @@
 	r := row{Scenario: s.scenario.name, Deployment: s.deploy.name, Policy: s.policy, Seed: seed}
 	var finished, all []float64
 	for _, p := range s.programs {
-		if p.spec.arrival < s.meter.from {
+		if p.spec.arrival < s.meter.from || p.spec.flood {
 			continue
 		}
 		r.Offered++
@@ -124,7 +124,7 @@
 	for t := 0.0; t < unlimited.length.Seconds(); t += mean / rate {
 		trace = append(trace, g.program(g.duty(parts), seconds(t)))
 	}
-	s := newSim(unlimited, scenario{"capacity", 0, normalReportDelay, 0, noFaults}, policySticky, sched.Options{}, 1)
+	s := newSim(unlimited, scenario{name: "capacity", reportDelay: normalReportDelay, faults: noFaults}, policySticky, sched.Options{}, 1)
 	begin := int64(0)
 	s.at(warmUp, func() { begin = s.output() })
 	s.run(trace, unlimited.length)
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -14,6 +14,8 @@
 	reportDelay time.Duration
 	eventLoss   float64
 	faults      func(*sim)
+	flood       bool // one tenant sends many programs; they are not in the latencies
+	extra       bool // runs only when it is named
 }
 
 const (
@@ -28,12 +30,14 @@
 
 func scenarios() []scenario {
 	plain := func(name string, load float64) scenario {
-		return scenario{name, load, normalReportDelay, normalEventLoss, noFaults}
+		return scenario{name: name, load: load, reportDelay: normalReportDelay, eventLoss: normalEventLoss, faults: noFaults}
 	}
 	return []scenario{
 		plain("load_0.7", 0.7), plain("load_1.0", 1.0), plain("load_1.2", 1.2), plain("load_2.0", 2.0),
-		{"withdrawal", 1.0, normalReportDelay, normalEventLoss, withdrawThird},
-		{"faults", 0.7, 5 * time.Second, 0.2, allFaults},
+		{name: "withdrawal", load: 1.0, reportDelay: normalReportDelay, eventLoss: normalEventLoss, faults: withdrawThird},
+		{name: "faults", load: 0.7, reportDelay: 5 * time.Second, eventLoss: 0.2, faults: allFaults},
+		{name: "bad_endpoints", load: 0.7, reportDelay: normalReportDelay, eventLoss: normalEventLoss, faults: badEndpoints, extra: true},
+		{name: "flood", load: 0.7, reportDelay: normalReportDelay, eventLoss: normalEventLoss, faults: noFaults, flood: true, extra: true},
 	}
 }
 
@@ -135,3 +139,19 @@
 		s.step(p, sched.Configure{Config: cfg})
 	}
 }
+
+// badEndpoints makes one engine five times slower and lets another fail every call at once, both for
+// a quarter of the run and without a word from the platform's list.
+func badEndpoints(s *sim) {
+	t := faultTime(s.deploy)
+	slow, broken := s.engines[s.deploy.engines[2].name], s.engines[s.deploy.engines[4].name]
+	set := func(factor float64, failing bool) func() {
+		return func() {
+			slow.advance()
+			slow.slow, broken.failing = factor, failing
+			slow.schedule()
+		}
+	}
+	s.at(t, set(5, true))
+	s.at(t+s.deploy.length/4, set(1, false))
+}
--- a/internal/bench/workload.go
+++ b/internal/bench/workload.go
@@ -27,6 +27,7 @@
 	arrival  time.Duration
 	deadline time.Duration // after arrival; 0: none
 	turns    []turn
+	flood    bool // part of a flood; not measured
 }
 
 // outputTokens is the sum of the answers of the program and its sub-agents.
@@ -138,6 +139,18 @@
 	}
 }
 
+// flood adds programs of one tenant of the first duty, at twice the given rate for a sixth of the run.
+func (g *generator) flood(trace []*programSpec, rate float64, length time.Duration) []*programSpec {
+	_, mean := g.mix()
+	gap := mean / (2 * rate)
+	for t := length.Seconds() / 2; t < length.Seconds()*2/3; t += gap {
+		p := g.program(g.deploy.duties[0], seconds(t))
+		p.tenant, p.flood = g.deploy.duties[0].Name+"-1", true
+		trace = append(trace, p)
+	}
+	return trace
+}
+
 func (g *generator) duty(parts []float64) dutySpec {
 	x := g.rng.Float64()
 	for i, p := range parts {
