--- a/internal/bench/engine.go
+++ b/internal/bench/engine.go
@@ -69,6 +69,7 @@
 	generation uint64
 	dead       bool
 	slow       float64 // factor on all times
+	failing    bool    // every new call fails at once
 	wasted     int64
 	filled     int64
 	outputDone int64
@@ -93,6 +94,10 @@
 		return
 	}
 	j.arrived = e.sim.now
+	if e.failing {
+		j.done(j, false)
+		return
+	}
 	e.queue = append(e.queue, j)
 	e.startPrefill()
 }
@@ -116,6 +121,7 @@
 	if !fits && e.busy() {
 		return
 	}
+	e.advance()
 	e.queue = e.queue[1:]
 	e.prefilling = j
 	j.hit = min(have, j.prompt)
@@ -128,7 +134,6 @@
 	j.entry.unreused += j.prompt - j.hit
 	j.entry.pins++
 	e.filled += j.prompt - j.hit
-	e.advance()
 	e.schedule()
 	d := seconds(float64(j.prompt-j.hit) / e.prefillRate * e.slow)
 	gen := e.generation
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -19,6 +19,8 @@
 	serial     uint64
 	calls      map[id.Attempt]*call
 	waiting    int
+	parked     int  // waiting calls that wait for one endpoint
+	full       bool // no endpoint had a free place at the last scan
 	timers     timerHeap
 	endpoints  []*endpoint
 	byName     map[string]*endpoint
@@ -33,14 +35,13 @@
 	workingSet      int64   // tokens of the started programs
 	cacheBudget     int64   // tokens that they may need; 0: no limit
 	endedSet        float64 // recent mean working set of ended programs, tokens
-	startInterval   float64 // s, recent mean time between program starts
-	lastStart       time.Duration
 	drainInterval   float64 // s, recent mean time between ends of calls
 	lastDone        time.Duration
 	meanWork        float64 // s
 	poolPrefill     float64 // tokens/s, mean over the pool
 	poolUnit        float64 // s per output token, mean over the pool
 	retries         float64 // retry budget
+	aim             float64 // factor on owed shares in the account
 }
 
 // call is a waiting or running call.
@@ -79,7 +80,7 @@
 		dutyByName: map[string]*duty{},
 		programs:   map[id.Program]*program{},
 		accounts:   map[string]*Account{},
-		meanWork:   5, startInterval: 0.1, drainInterval: 0.1,
+		meanWork:   5, drainInterval: 0.1,
 		poolPrefill: priorPrefillRate, poolUnit: priorTokenBase, retries: retryReserve,
 	}
 	s.configure(cfg)
@@ -92,6 +93,11 @@
 	if !s.begun {
 		s.begun, s.started = true, s.now
 	}
+	switch ev.(type) {
+	case Submit, ProgramPaused, LoadReport, CacheEvent:
+	default:
+		s.full = false
+	}
 	switch e := ev.(type) {
 	case Configure:
 		s.configure(e.Config)
@@ -117,6 +123,7 @@
 		out = s.branchEnded(e, out)
 	case EndpointLeaving:
 		if ep := s.byName[e.Endpoint]; ep != nil {
+			ep.announced = ep.announced || !ep.Leaving
 			ep.Leaving = true
 			s.unpark(ep)
 			s.budget()
@@ -141,7 +148,10 @@
 		if ep == nil {
 			ep = &endpoint{cost: newCostModel(cfg.Model)}
 		}
-		ep.Endpoint, ep.index, ep.gone = c, len(s.endpoints), false
+		ep.Endpoint, ep.gone = c, false
+		// A leaving mark that came ahead of the list stays until the list shows it too.
+		ep.announced = ep.announced && !c.Leaving
+		ep.Leaving = c.Leaving || ep.announced
 		s.endpoints = append(s.endpoints, ep)
 		s.byName[c.Name] = ep
 		if ep.Leaving {
@@ -158,8 +168,14 @@
 	for _, d := range s.duties {
 		d.Share = 0
 	}
+	sum := 0.0
 	for _, d := range cfg.Duties {
 		s.dutyOf(d.Name).Duty = d
+		sum += d.Share
+	}
+	s.aim = 1
+	if sum > 0 {
+		s.aim = min(max(aimTotal/sum, 1), maxAim)
 	}
 	s.budget()
 }
@@ -242,8 +258,8 @@
 
 // dequeue takes a waiting call out of whichever queue holds it.
 func (s *Scheduler) dequeue(c *call) {
+	s.unparkOne(c)
 	c.heap.remove(c)
-	c.parkedAt = nil
 	s.waiting--
 	c.duty.waiting--
 	c.tenant.waiting--
@@ -257,11 +273,19 @@
 }
 
 func (s *Scheduler) stopWaiting(c *call) {
+	s.unparkOne(c)
 	c.heap.remove(c)
-	c.parkedAt, c.noPark = nil, true
+	c.noPark = true
 	s.ready(c)
 }
 
+func (s *Scheduler) unparkOne(c *call) {
+	if c.parkedAt != nil {
+		c.parkedAt = nil
+		s.parked--
+	}
+}
+
 func (s *Scheduler) withdraw(a id.Attempt) {
 	c := s.calls[a]
 	if c == nil || c.ep != nil {
@@ -347,7 +371,7 @@
 		}
 		s.dequeue(c)
 		s.remove(c)
-		out = append(out, Refuse{Request: c.req, Reason: ReasonExpired, RetryAfter: s.retryAfter(s.waiting, c.req.ProgramAge)})
+		out = append(out, Refuse{Request: c.req, Reason: ReasonExpired, RetryAfter: s.retryAfter(c.duty, s.waiting, c.req.ProgramAge)})
 	}
 	return out
 }
