--- a/internal/server/instance.go
+++ b/internal/server/instance.go
@@ -10,6 +10,7 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
+	"log"
 	"net"
 	"net/http"
 	"strings"
@@ -39,6 +40,8 @@
 	nonceBytes = 10
 	// headerTimeout ends connections of callers that send no request.
 	headerTimeout = 10 * time.Second
+	// idleTimeout closes connections of callers that send nothing more.
+	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes bounds the header of a caller request.
 	maxHeaderBytes = 32 << 10
 )
@@ -67,7 +70,8 @@
 	httpListener net.Listener
 	peerListener net.Listener
 
-	reconcileNow atomic.Bool // compare the engines' caches at the next poll
+	mayDispatch  atomic.Int64 // end of the time for requests that may not be repeated, on the clock of now
+	reconcileNow atomic.Bool  // compare the engines' caches at the next poll
 
 	gate    sync.RWMutex // held while the instance is paused; work outside the loop passes through it
 	stopped chan struct{}
@@ -155,7 +159,8 @@
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		BaseContext:       func(net.Listener) context.Context { return i.ctx },
-		ErrorLog:          nil,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          log.New(httpLog{i.log}, "", 0),
 	}
 	return nil
 }
@@ -166,7 +171,7 @@
 		Stream:  stream,
 		Session: i.session,
 		Failed: func(err error) {
-			i.log.WithFields(logrus.Fields{"stream": stream, "reason": err.Error()}).Debug("append failed")
+			i.log.WithFields(logrus.Fields{"reason": err.Error()}).Debug("append to " + stream + " failed")
 		},
 	}
 	if stream == streamPrograms {
@@ -223,8 +228,8 @@
 
 // Kill stops the instance as the end of its process would: nothing is finished or handed over.
 func (i *Instance) Kill() {
-	i.closeListeners()
 	i.cancel()
+	i.closeListeners()
 	_ = i.front.Close()
 	if i.started.Load() {
 		<-i.stopped
@@ -300,6 +305,15 @@
 	i.log.WithField("reason", e.String()).Warn("supervisor event")
 }
 
+// httpLog takes what the HTTP server reports.
+type httpLog struct{ log *logrus.Entry }
+
+// Write implements io.Writer.
+func (h httpLog) Write(p []byte) (int, error) {
+	h.log.WithField("reason", strings.TrimSpace(string(p))).Debug("front")
+	return len(p), nil
+}
+
 // frontService serves callers.
 type frontService struct{ i *Instance }
 
