breaks: check that the tests guard P1 to P10

A test that cannot fail guards nothing, and nobody notices when a change takes the teeth out of one. The tool breaks the code in 29 deliberate ways, at least two for each guarantee, and runs the test that must fail.

--- /dev/null
+++ b/internal/breaks/list.go
@@ -0,0 +1,216 @@
+package main
+
+// Tests that guard several breaks.
+var (
+	rapidProgram = test{pkg: "internal/program", run: "^TestGuaranteesUnderFaults$", args: "-rapid.shrinktime=0s"}
+	foldGuards   = test{pkg: "internal/fsm", run: "^TestFold"}
+	drainServer  = test{pkg: "internal/server", run: "^TestDrainInterruptsNothing$"}
+)
+
+// breaks has at least one break for each guarantee. A change of the code that removes a text below
+// must replace the break by one of the same kind.
+var breaks = []brk{
+	{
+		guarantee: "P1", name: "the fold accepts a stale epoch",
+		file: "internal/fsm/slots.go",
+		old:  "if s.how == fromStart || h.Epoch < s.Epoch {\n\t\treturn false",
+		new:  "if s.how == fromStart || h.Epoch < s.Epoch {\n\t\treturn h.Epoch < s.Epoch",
+		test: foldGuards,
+	},
+	{
+		guarantee: "P1", name: "the fold accepts a call out of order",
+		file: "internal/fsm/apply.go",
+		old:  "b == nil || c.Seq != b.Last+1 || b.Intent",
+		new:  "b == nil || c.Seq <= b.Last || b.Intent",
+		test: foldGuards,
+	},
+	{
+		guarantee: "P1", name: "a call starts before the one ahead of it on its branch has ended",
+		file: "internal/program/call.go",
+		old:  "if len(q) == 0 || q[0].state != stateQueued {\n\t\treturn\n\t}",
+		new:  "if len(q) == 0 {\n\t\treturn\n\t}\n\tif n := len(q) - 1; n > 0 && q[n].state == stateQueued {\n\t\tc.start(q[n])\n\t\treturn\n\t}\n\tif q[0].state != stateQueued {\n\t\treturn\n\t}",
+		test: rapidProgram,
+	},
+	{
+		guarantee: "P2", name: "the prompt of a branch has the history of main",
+		file: "internal/program/attempt.go",
+		old:  "history := c.state(a.prog).Branches[cl.branch].History",
+		new:  "history := c.state(a.prog).Branches[id.MainBranch].History",
+		test: rapidProgram,
+	},
+	{
+		guarantee: "P2", name: "a take-over forgets the copies of acknowledged turns",
+		file: "internal/program/slot.go",
+		old:  "\tc.recover(e.Slot, e.Records)\n",
+		new:  "",
+		test: rapidProgram,
+	},
+	{
+		guarantee: "P2", name: "a batch that was appended twice counts twice",
+		file: "internal/fsm/programs.go",
+		old:  "b.Seq <= seen.seq",
+		new:  "b.Seq < seen.seq",
+		test: foldGuards,
+	},
+	{
+		guarantee: "P3", name: "the budget check leaves out the reserved part",
+		file: "internal/program/budget.go",
+		old:  "need := counted.Add(p.reserved).Add(cost)",
+		new:  "need := counted.Add(cost)",
+		test: test{pkg: "internal/program", run: "^TestBranchesShareTheBudget$"},
+	},
+	{
+		guarantee: "P3", name: "a take-over does not count what the last holder may have spent",
+		file: "internal/fsm/apply.go",
+		old:  "func (p *Program) takenOver() {\n\tif p.Ended() {",
+		new:  "func (p *Program) takenOver() {\n\tif p.ID != \"\" {",
+		test: foldGuards,
+	},
+	{
+		guarantee: "P4", name: "a release is not retried",
+		file: "internal/program/end.go",
+		old:  "if c.progs[p.id] == p && p.release[r.endpoint] == r {\n\t\t\tc.sendRelease(p, r)",
+		new:  "if c.progs[p.id] == p && p.release[r.endpoint] == r && r.tries == 0 {\n\t\t\tc.sendRelease(p, r)",
+		test: rapidProgram,
+	},
+	{
+		guarantee: "P4", name: "a release goes out while an attempt still fills the cache",
+		file: "internal/program/end.go",
+		old:  "if p.touched[r.endpoint] == 0 {\n\t\tc.emit(ReleaseCache",
+		new:  "if p.touched[r.endpoint] >= 0 {\n\t\tc.emit(ReleaseCache",
+		test: test{pkg: "internal/program", run: "^TestReleaseWaitsForRunningAttempts$"},
+	},
+	{
+		guarantee: "P5", name: "bytes of a stream that arrive twice are passed on twice",
+		file: "internal/program/stream.go",
+		old:  "s.data = append(s.data, data[s.size()-offset:]...)",
+		new:  "s.data = append(s.data, data...)",
+		test: test{pkg: "internal/program", run: "^TestStreamBufferTakesAnyPieces$", args: "-rapid.shrinktime=0s"},
+	},
+	{
+		guarantee: "P5", name: "an answer that names another request is taken",
+		file: "internal/endpoint/client.go",
+		old:  "got != \"\" && got != want",
+		new:  "got == \"-\" && got != want",
+		test: test{pkg: "internal/engine", run: "^TestCompleteFailures$"},
+	},
+	{
+		guarantee: "P5", name: "a stream is closed before its turn is durable",
+		file: "internal/program/stream.go",
+		old:  "\ttail := max(0, len(s.data)-4*len(endMarker))\n",
+		new:  "\tif len(s.data) > 0 {\n\t\treturn s.size()\n\t}\n\ttail := max(0, len(s.data)-4*len(endMarker))\n",
+		test: test{pkg: "internal/program", run: "^TestStreamEndWaitsForTheLog$"},
+	},
+	{
+		guarantee: "P6", name: "executed: no while the write is under way",
+		file: "internal/endpoint/conn.go",
+		old:  "if a.written > 0 || a.writing {\n\t\treturn true",
+		new:  "if a.written > 0 {\n\t\treturn true",
+		test: test{pkg: "internal/endpoint", run: "^TestAttemptPermissions$"},
+	},
+	{
+		guarantee: "P6", name: "executed: no after a byte was sent",
+		file: "internal/program/attempt.go",
+		old:  "if cl.ran || cl.attempt != nil && cl.attempt.endpoint != \"\" {\n\t\treturn record.ExecutedUnknown",
+		new:  "if cl.ran || cl.attempt != nil && cl.attempt.endpoint != \"\" {\n\t\treturn record.ExecutedNo",
+		test: rapidProgram,
+	},
+	{
+		guarantee: "P6", name: "a refusal forgets that an earlier request with the key may have run",
+		file: "internal/program/call.go",
+		old:  "maybe || p.inherited {",
+		new:  "maybe && p.inherited {",
+		test: rapidProgram,
+	},
+	{
+		guarantee: "P7", name: "a dispatch before the intent is read back",
+		file: "internal/program/service.go",
+		old:  "if !ok {\n\t\tc.failCall(cl, problem(ProblemConflict, 409, record.ExecutedNo, \"the program changed\"), 0)\n\t}",
+		new:  "if !ok {\n\t\tc.failCall(cl, problem(ProblemConflict, 409, record.ExecutedNo, \"the program changed\"), 0)\n\t\treturn\n\t}\n\tc.submit(cl, n)",
+		test: rapidProgram,
+	},
+	{
+		guarantee: "P7", name: "a retry of a non-idempotent call after a timeout",
+		file: "internal/program/service.go",
+		old:  "if cl.nonIdempotent {\n\t\tc.oneDispatchFinished",
+		new:  "if cl.nonIdempotent && e.Result != sched.ResultTimeout {\n\t\tc.oneDispatchFinished",
+		test: rapidProgram,
+	},
+	{
+		guarantee: "P7", name: "the lease is not checked before the write",
+		file: "internal/service/service.go",
+		old:  "now >= d.NotAfter {",
+		new:  "now >= d.NotAfter && now < 0 {",
+		test: test{pkg: "internal/service", run: "^TestLeaseIsCheckedBeforeWrite$"},
+	},
+	{
+		guarantee: "P7", name: "a slot is claimed while the lease of its holder may hold",
+		file: "internal/membership/members.go",
+		old:  "DeadAfter         = 6 * time.Second",
+		new:  "DeadAfter         = 2 * time.Second",
+		test: test{pkg: "internal/membership", run: "^TestNoClaimWhileTheLeaseHolds$", args: "-rapid.shrinktime=0s -rapid.nofailfile"},
+	},
+	{
+		guarantee: "P8", name: "a leaving endpoint stays grantable",
+		file: "internal/sched/endpoint.go",
+		old:  "if e.Leaving || e.gone {\n\t\treturn 0",
+		new:  "if e.gone {\n\t\treturn 0",
+		test: test{pkg: "internal/sched", run: "^TestLeavingEndpointIsNotGranted$"},
+	},
+	{
+		guarantee: "P8", name: "a leaving mark of a peer is ignored",
+		file: "internal/membership/members.go",
+		old:  "\t\tm.endpoints.mark(mark.Endpoint, now-ageOf(mark.AgeMS))\n",
+		new:  "\t\t_ = mark\n",
+		test: test{pkg: "internal/membership", run: "^TestLeavingMarkSpreads$"},
+	},
+	{
+		guarantee: "P8", name: "a dispatcher is not told that an endpoint leaves",
+		file: "internal/server/heartbeat.go",
+		old:  "\tc.members.leaving = leaving\n",
+		new:  "\tc.members.leaving = leaving\n\tif len(leaving) > 0 {\n\t\treturn\n\t}\n",
+		test: test{pkg: "internal/server", run: "^TestLeavingEndpointGetsNoNewWork$"},
+	},
+	{
+		guarantee: "P9", name: "a drain cuts streams",
+		file: "internal/server/drain.go",
+		old:  "\ti.awaitDrained(dctx)\n",
+		new:  "\ti.cancel()\n",
+		test: drainServer,
+	},
+	{
+		guarantee: "P9", name: "a slot is handed over while its calls are under way",
+		file: "internal/program/slot.go",
+		old:  "if len(c.progs[pid].calls) > 0 {",
+		new:  "if len(c.progs[pid].calls) > 1000 {",
+		test: drainServer,
+	},
+	{
+		guarantee: "P10", name: "a refresh overrides a newer version",
+		file: "internal/fsm/configs.go",
+		old:  "if r.Version <= c.current.Version {\n\t\treturn Ignored",
+		new:  "if r.Version == c.current.Version {\n\t\treturn Ignored",
+		test: foldGuards,
+	},
+	{
+		guarantee: "P10", name: "a publication against an old version is accepted",
+		file: "internal/fsm/configs.go",
+		old:  "if r.Expected != c.current.Version {\n\t\treturn WrongExpected",
+		new:  "if r.Expected > c.current.Version {\n\t\treturn WrongExpected",
+		test: foldGuards,
+	},
+	{
+		guarantee: "P10", name: "a peer's older manifest is adopted",
+		file: "internal/fsm/configs.go",
+		old:  "if m.Version <= c.Current().Version {\n\t\treturn false",
+		new:  "if m.Version == c.Current().Version {\n\t\treturn false",
+		test: foldGuards,
+	},
+	{
+		guarantee: "P10", name: "a newer manifest at a peer is not asked for",
+		file: "internal/server/heartbeat.go",
+		old:  "\tc.askManifest(from, beat.ManifestVersion)\n",
+		new:  "",
+		test: test{pkg: "internal/server", run: "^TestManifestReachesInstancesDuringOutage$"},
+	},
+}
