--- /dev/null
+++ b/internal/server/grant_repeat_test.go
@@ -0,0 +1,46 @@
+package server
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
+
+	"ragwortstile/internal/manifest"
+	"ragwortstile/internal/membership"
+	"ragwortstile/internal/sched"
+)
+
+// Guards P8 against a grant that was lost on its way to the owner and is repeated when the owner submits
+// the call again: its endpoint may have begun to leave meanwhile. Found by TestInstancesUnderFaults of
+// package whole at seed 6656.
+func TestRepeatedGrantAvoidsLeavingEndpoint(t *testing.T) {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	inst := &Instance{
+		cfg: Config{Instance: "a", Zone: "z0"}, session: "a.1", epoch: time.Now().Add(-time.Minute),
+		log: logger.WithField("instance", "a.1"),
+	}
+	c := newCore(inst)
+	inst.core = c
+	c.manifest = &manifest.Manifest{
+		Duties: []manifest.Duty{{Name: "d", Share: 1, Tenants: []string{"t"}, Pools: []string{"s"}}},
+		Pools:  []manifest.Pool{{Name: "s", Kind: manifest.PoolService, QueueLimit: 10}},
+		Endpoints: []manifest.Endpoint{
+			{Name: "s0", Pool: "s", MaxInFlight: 4}, {Name: "s1", Pool: "s", MaxInFlight: 4},
+		},
+	}
+	c.submit("s", sched.Request{ID: "p01-x/main/1/e1.1", Owner: "a.1", Program: "p01-x", Branch: "main", Tenant: "t", Duty: "d", Calls: 1})
+	s := c.submissions["p01-x/main/1/e1.1"]
+	granted := c.dispatchers["s"].grants["p01-x/main/1/e1.1"].Endpoint
+	must.NotEq(t, "", granted)
+	c.events.own = nil // the grant is lost
+	c.members.core.Step(inst.now(), membership.EndpointLeaving{Endpoint: granted})
+	c.followLeaving()
+	c.sendSubmit(s)
+	c.events.drainOwn()
+	must.NotEq(t, "", s.endpoint)
+	must.NotEq(t, granted, s.endpoint)
+}
--- a/internal/whole/caller_test.go
+++ b/internal/whole/caller_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"net/http"
 	"time"
 
 	"ragwortstile/internal/id"
@@ -124,7 +125,7 @@
 		c.opening = false
 		c.next = c.w.now + 300*time.Millisecond
 		c.opened = !res.broken && res.problem == nil
-		if p := res.problem; p != nil && p.Type == program.ProblemConflict {
+		if p := res.problem; p != nil && p.Type == program.ProblemConflict && p.Status == http.StatusConflict {
 			c.opened = true // an earlier request opened it
 		}
 	}})
@@ -149,9 +150,10 @@
 		c.send(&request{what: "branch " + l.name, event: func(req program.ReqID) program.Event {
 			return program.OpenBranch{Req: req, Tenant: "t", Program: c.pid, Name: l.name, Parent: id.MainBranch, Key: "branch " + l.name}
 		}, done: func(_ *request, res result) {
+			c.w.note("%s branch %s: broken %v, %+v", c.pid, l.name, res.broken, res.problem)
 			l.waits = false
 			l.next = c.w.now + 300*time.Millisecond
-			l.opened = !res.broken && (res.problem == nil || res.problem.Type == program.ProblemConflict)
+			l.opened = !res.broken && (res.problem == nil || res.problem.Type == program.ProblemConflict && res.problem.Status == http.StatusConflict)
 			c.checkStopped(res.problem)
 		}})
 		return
--- a/internal/whole/dispatch_test.go
+++ b/internal/whole/dispatch_test.go
@@ -74,6 +74,7 @@
 }
 
 func (n *node) sendGrant(pool string, g sched.Grant) {
+	n.w.note("%s grants %s at %s to %s", n.session, g.Request.ID, g.Endpoint, g.Request.Owner)
 	n.toOwner(g.Request.Owner, wire.Grant{Pool: pool, ID: g.Request.ID, Endpoint: g.Endpoint, Reason: g.Reason, MoveFrom: g.MoveFrom, Waited: g.Waited})
 }
 
@@ -143,10 +144,15 @@
 	}
 	switch e := ev.(type) {
 	case sched.Submit:
-		if g, ok := n.dispatch.grants[e.Request.ID]; ok {
+		g, ok := n.dispatch.grants[e.Request.ID]
+		if ok && !n.members.EndpointIsLeaving(g.Endpoint) {
 			n.sendGrant(pool, g)
 			return
 		}
+		if ok { // the first grant was lost, and its endpoint gets no new work any more
+			delete(n.dispatch.grants, e.Request.ID)
+			n.toSched(pool, sched.Done{ID: e.Request.ID, Endpoint: g.Endpoint, Result: sched.ResultCanceled})
+		}
 	case sched.Running:
 		n.dispatch.grants[e.Request.ID] = sched.Grant{Request: e.Request, Endpoint: e.Endpoint}
 	case sched.Done:
--- a/internal/whole/whole_test.go
+++ b/internal/whole/whole_test.go
@@ -16,8 +16,11 @@
 // fresh makes rapid tests draw new seeds. Without it they run the same cases each time.
 var fresh = flag.Bool("fresh", false, "run rapid tests with fresh seeds")
 
+var lines = flag.Int("lines", traceLines, "events that a failure shows")
+
 func TestMain(m *testing.M) {
 	flag.Parse()
+	traceLines = *lines
 	set := map[string]bool{}
 	flag.Visit(func(f *flag.Flag) { set[f.Name] = true })
 	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "40", "rapid.nofailfile": "true"} {
@@ -59,6 +62,15 @@
 	w.callers = append(w.callers, c)
 }
 
+// publishOne lets one operator publish the first version.
+func publishOne(w *world) {
+	data, err := record.Encode(record.Batch{Session: "op.1", Seq: 1, At: w.wall(), Records: []record.Record{record.Publish{Digest: "v1"}}})
+	if err != nil {
+		w.fail("encode: %v", err)
+	}
+	w.appendTo(streamConfig, data, func() {})
+}
+
 // publish lets two operators publish against the same version. Each tries until it sees an outcome.
 func (m *machine) publish() {
 	w := m.w
@@ -202,3 +214,35 @@
 		}
 	}
 }
+
+// Guards P8 against an instance that was paused while endpoints began to leave: when it resumes, it must
+// not send work to them on what it knew before. TestInstancesUnderFaults found it with seed 20261210 when
+// its bound counted from the list's change also for instances that were paused.
+func TestResumedInstanceAvoidsLeavingEndpoint(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.oracle.strictLeaving = true
+	publishOne(w)
+	w.advance(12 * time.Second)
+	c := &caller{w: w, pid: id.NewProgram(0, "x")}
+	l := &line{name: id.MainBranch, opened: true}
+	for n := range 2 {
+		l.calls = append(l.calls, &call{c: c, branch: l.name, key: fmt.Sprintf("k%d", n), kind: "model", pause: 2 * time.Second})
+	}
+	c.lines = []*line{l}
+	w.callers = []*caller{c}
+	for len(l.calls) > 1 && w.now < time.Minute {
+		w.advance(stepTime)
+	}
+	w.nodes[0].paused = true
+	for _, name := range sortedKeys(w.engines) {
+		w.setLeaving(name, true)
+	}
+	w.advance(5 * time.Second)
+	w.nodes[0].resume()
+	w.advance(5 * time.Second)
+	for _, name := range sortedKeys(w.engines) {
+		w.setLeaving(name, false)
+	}
+	w.advance(20 * time.Second)
+	w.oracle.atRest()
+}
--- a/internal/whole/world_test.go
+++ b/internal/whole/world_test.go
@@ -153,9 +153,12 @@
 	w.trace = append(w.trace, fmt.Sprintf("%8.2fs ", w.now.Seconds())+fmt.Sprintf(format, args...))
 }
 
+// traceLines bounds the events that a failure shows.
+var traceLines = 60
+
 // fail ends the run with the end of the trace.
 func (w *world) fail(format string, args ...any) {
-	for _, line := range w.trace[max(0, len(w.trace)-60):] {
+	for _, line := range w.trace[max(0, len(w.trace)-traceLines):] {
 		w.t.Logf("%s", line)
 	}
 	w.t.Fatalf("at %.2fs: "+format, append([]any{w.now.Seconds()}, args...)...)
