--- a/internal/server/instance.go
+++ b/internal/server/instance.go
@@ -67,7 +67,8 @@
 	httpListener net.Listener
 	peerListener net.Listener
 
-	reconcileNow atomic.Bool // compare the engines' caches at the next poll
+	mayDispatch  atomic.Int64 // end of the time for requests that may not be repeated, on the clock of now
+	reconcileNow atomic.Bool  // compare the engines' caches at the next poll
 
 	gate    sync.RWMutex // held while the instance is paused; work outside the loop passes through it
 	stopped chan struct{}
@@ -166,7 +167,7 @@
 		Stream:  stream,
 		Session: i.session,
 		Failed: func(err error) {
-			i.log.WithFields(logrus.Fields{"stream": stream, "reason": err.Error()}).Debug("append failed")
+			i.log.WithFields(logrus.Fields{"reason": err.Error()}).Debug("append to " + stream + " failed")
 		},
 	}
 	if stream == streamPrograms {
