--- a/internal/breaks/main.go
+++ b/internal/breaks/main.go
@@ -23,8 +23,15 @@
 	root := flag.String("root", ".", "root of the module")
 	workers := flag.Int("workers", 3, "tests that run at the same time")
 	only := flag.String("only", "", "regular expression that selects breaks by guarantee and name")
+	pkg := flag.String("pkg", "", "package whose tests run in place of those in the list, to see what they notice")
+	tests := flag.String("run", ".", "tests that run with -pkg")
+	args := flag.String("args", "", "flags of the test binary with -pkg")
 	flag.Parse()
-	ok, err := run(*root, *workers, *only, os.Stdout)
+	var instead *test
+	if *pkg != "" {
+		instead = &test{pkg: *pkg, run: *tests, args: *args}
+	}
+	ok, err := run(*root, *workers, *only, instead, os.Stdout)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "breaks:", err)
 		os.Exit(2)
@@ -41,7 +48,7 @@
 	took   time.Duration
 }
 
-func run(root string, workers int, only string, out io.Writer) (bool, error) {
+func run(root string, workers int, only string, instead *test, out io.Writer) (bool, error) {
 	pattern, err := regexp.Compile(only)
 	if err != nil {
 		return false, err
@@ -49,6 +56,9 @@
 	var selected []brk
 	for _, b := range breaks {
 		if pattern.MatchString(b.guarantee + " " + b.name) {
+			if instead != nil {
+				b.test = *instead
+			}
 			selected = append(selected, b)
 		}
 	}
--- a/internal/server/export_test.go
+++ b/internal/server/export_test.go
@@ -11,7 +11,6 @@
 		}
 		for _, d := range c.dispatchers {
 			out["grants"] += len(d.grants)
-			out["queued"] += len(d.queued)
 		}
 		answer <- out
 	})
--- a/internal/whole/caller_test.go
+++ b/internal/whole/caller_test.go
@@ -53,7 +53,6 @@
 	ending   bool
 	ended    bool
 	stopped  bool // the program ended by itself: budget or wall time
-	openTry  int
 	requests int
 }
 
--- a/internal/whole/endpoints_test.go
+++ b/internal/whole/endpoints_test.go
@@ -115,13 +115,7 @@
 	w.to(n, w.delay(), func() { n.step(fin) })
 }
 
-func (e *engine) held() []id.Program {
-	var out []id.Program
-	for _, n := range sortedKeys(e.cache) {
-		out = append(out, n)
-	}
-	return out
-}
+func (e *engine) held() []id.Program { return sortedKeys(e.cache) }
 
 // service executes operations. It checks neither fence nor expiry, so that only the scheduler prevents
 // a second execution.
