sched: admit a new program when no call of the pool is running

Cause: the working set of started programs counts until they end. A program that paused with a history above the pool's prefix memory kept every new program out, with all engines idle, until it ended (TestIdleProgramKeepsNobodyOut of package server). Change: admits is true when no endpoint has a call in flight: waiting frees no memory then.

--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -30,7 +30,7 @@
 // duties that are not. One that is far behind (as after a withdrawal of endpoints) may start programs
 // even if others have filled the memory.
 func (s *Scheduler) admits(d *duty) bool {
-	if s.opt.NoAdmission || s.cacheBudget == 0 {
+	if s.opt.NoAdmission || s.cacheBudget == 0 || s.idle() {
 		return true
 	}
 	// Programs that have just started will grow to the mean size.
@@ -42,6 +42,17 @@
 	return (reserved <= s.cacheBudget || s.startedPrograms == 0) && !s.claimed(d)
 }
 
+// idle tells whether no call of the pool is running. Waiting frees no memory then, and a program that
+// is paused for hours must not keep all new ones out.
+func (s *Scheduler) idle() bool {
+	for _, e := range s.endpoints {
+		if e.inFlight > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // isBehind tells whether a duty has received less than its owed share of the work.
 func (s *Scheduler) isBehind(d *duty) bool {
 	return !s.opt.NoShares && d.Share > 0 && d.behind > owedThreshold*s.meanWork
