--- a/internal/server/endpoint_test.go
+++ b/internal/server/endpoint_test.go
@@ -19,8 +19,8 @@
 // leavingBound is the time of guarantee P8.
 const leavingBound = 3 * time.Second
 
-// Guards P8 against a list that one instance reads late: the mark of another instance's list stops new
-// work everywhere within the bound. The dispatcher may be either instance.
+// Guards P8 against a list that lags by 1 s while calls go on: new work stops within the bound, and it
+// comes back with the endpoint.
 func TestLeavingEndpointGetsNoNewWork(t *testing.T) {
 	t.Parallel()
 	d := cluster(t, 3, nil)
