fsm: free the key of a program whose opening was refused

Cause: an open that the log does not confirm in 5 s is refused as not run, with Retry-After, and an End follows its record. The repeated key was then answered with the ended program, so every call was refused until its tombstone had gone.

--- a/internal/fsm/programs.go
+++ b/internal/fsm/programs.go
@@ -120,7 +120,7 @@
 
 func (p *Programs) addKey(prog *Program) {
 	k := openKey{prog.Tenant, prog.Key}
-	if _, taken := p.keys[k]; !taken && prog.Key != "" {
+	if _, taken := p.keys[k]; !taken && prog.Key != "" && !prog.unused() {
 		p.keys[k] = prog.ID
 	}
 }
@@ -257,6 +257,9 @@
 	v := prog.Apply(rec, p.now)
 	if _, isEnd := rec.(record.End); isEnd && v == Valid {
 		p.ended = append(p.ended, endedEntry{program: pid, slot: h.Slot, at: p.now})
+		if prog.unused() {
+			p.dropKey(prog)
+		}
 	}
 	return v
 }
--- a/internal/fsm/state.go
+++ b/internal/fsm/state.go
@@ -83,6 +83,13 @@
 // Ended tells whether the program was closed.
 func (p *Program) Ended() bool { return p.Cause != 0 }
 
+// unused tells whether the program was ended because its opening was refused or it was never used.
+// Its key may open another program: the refusal said that nothing was run.
+func (p *Program) unused() bool {
+	main := p.Branches[id.MainBranch]
+	return p.Cause == record.EndExpired && len(p.Outcomes) == 0 && len(p.Branches) == 1 && main != nil && main.Last == 0
+}
+
 // Counted is what counts against the limits: recorded spending and what take-overs lost.
 func (p *Program) Counted() record.Spend { return p.Spent.Add(p.Lost) }
 
