server: test that a refused open can be repeated

Cause: a refusal that says not run must lead to a usable program when its key is repeated. Change: a test over two instances with an outage of the log.

--- a/internal/server/log_test.go
+++ b/internal/server/log_test.go
@@ -252,3 +252,23 @@
 		must.StrContains(t, string(a.Body), string(text))
 	}
 }
+
+// Guards P6 against an open that is refused as not run during an outage of the log and that, when its
+// key is repeated as the refusal asks, leads to a program that was ended meanwhile.
+func TestRefusedOpenCanBeRepeated(t *testing.T) {
+	t.Parallel()
+	d := cluster(t, 2, nil)
+	ctx := waitContext(t)
+	c := caller(t, d)
+	d.Log.SetOutage(true)
+	_, err := c.Once(ctx, d.Bases()[0], http.MethodPost, "/v1/programs", "late", []byte(`{"duty":"work"}`), nil)
+	must.Eq(t, "no", problemOf(t, err).Executed)
+	d.Log.SetOutage(false)
+	prog, err := c.Open(ctx, "work", "late")
+	must.NoError(t, err)
+	again, err := c.Open(ctx, "work", "late")
+	must.NoError(t, err)
+	must.Eq(t, prog, again)
+	_, err = c.Model(ctx, trial.ModelCall{Program: prog, Key: "k", Model: "m", Say: "x", MaxTokens: 4})
+	must.NoError(t, err)
+}
