server: repeat lost reports of ended calls and lost drops of copies

Cause: a Done that was lost with its connection held a place at the dispatcher for ever, and a copy whose drop was not acknowledged stayed for 30 min. Change: an owner reports its running calls of each pool every 5 s and after a reconnection; the dispatcher ends grants that the report lacks. Drops are tried five times.

--- a/internal/server/copying.go
+++ b/internal/server/copying.go
@@ -15,6 +15,7 @@
 
 const (
 	copyTimeout = time.Second
+	dropTries   = 5
 	// copyTargets is the number of peers that hold a copy of a turn while the log is down.
 	copyTargets = 2
 	// fetchRetry is the pause before a peer that did not answer is asked for copies again.
@@ -113,9 +114,16 @@
 	m := wire.CopyDrop{Slot: a.Slot, Session: c.inst.session, Refs: a.Refs, Below: a.Below}
 	for _, to := range c.members.live() {
 		go func() {
-			ctx, cancel := context.WithTimeout(c.inst.ctx, copyTimeout)
-			defer cancel()
-			_, _ = c.inst.node.Ask(ctx, to, m) // copies that are not dropped expire
+			// A copy that is not dropped after these tries expires.
+			for range dropTries {
+				ctx, cancel := context.WithTimeout(c.inst.ctx, copyTimeout)
+				_, err := c.inst.node.Ask(ctx, to, m)
+				cancel()
+				if err == nil || c.inst.ctx.Err() != nil {
+					return
+				}
+				sleep(c.inst.ctx, copyTimeout)
+			}
 		}()
 	}
 	c.inst.copies.drop(m)
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -43,6 +43,7 @@
 	orders      *orders
 	submissions map[id.Attempt]*submission
 	dispatchers map[string]*dispatcher
+	nextSync    time.Duration // of the report of running calls
 
 	draining bool
 }
@@ -81,6 +82,7 @@
 		d.step(sched.Tick{}, "")
 	}
 	c.followDispatchers()
+	c.syncRunning(now)
 	c.claimSlots(now)
 	c.routeParked()
 	c.refreshManifest()
--- a/internal/server/dispatch.go
+++ b/internal/server/dispatch.go
@@ -72,8 +72,6 @@
 		return wire.ProgramPaused{Pool: pool, Paused: e}
 	case sched.ProgramEnded:
 		return wire.ProgramEnded{Pool: pool, Ended: e}
-	case sched.Running:
-		return wire.Running{Pool: pool, Calls: []wire.RunningCall{{Request: e.Request, Endpoint: e.Endpoint}}}
 	default:
 		return nil
 	}
@@ -147,7 +145,11 @@
 			c.sendSubmit(s)
 		case s.dispatcher != current:
 			s.dispatcher = current
-			c.toDispatcher(current, s.pool, sched.Running{Request: s.request, Endpoint: s.endpoint})
+			if current == c.inst.session {
+				c.toDispatcher(current, s.pool, sched.Running{Request: s.request, Endpoint: s.endpoint})
+			} else {
+				c.nextSync = 0
+			}
 		case s.endpoint == "" && now-s.at > resubmitAfter:
 			c.sendSubmit(s)
 		}
@@ -168,6 +170,7 @@
 type grant struct {
 	sched.Grant
 	owner id.Session
+	at    time.Duration
 }
 
 // dispatcher returns the scheduler of a pool and starts it if an owner takes this instance for the
@@ -196,7 +199,7 @@
 		}
 	case sched.Running:
 		d.owners[from] = true
-		d.grants[e.Request.ID] = grant{Grant: sched.Grant{Request: e.Request, Endpoint: e.Endpoint}, owner: from}
+		d.grants[e.Request.ID] = grant{Grant: sched.Grant{Request: e.Request, Endpoint: e.Endpoint}, owner: from, at: d.c.inst.now()}
 	case sched.Done:
 		delete(d.grants, e.ID)
 	case sched.OwnerLost:
@@ -216,7 +219,7 @@
 func (d *dispatcher) act(a sched.Action) {
 	switch a := a.(type) {
 	case sched.Grant:
-		g := grant{Grant: a, owner: a.Request.Owner}
+		g := grant{Grant: a, owner: a.Request.Owner, at: d.c.inst.now()}
 		d.grants[a.Request.ID] = g
 		d.send(g)
 	case sched.Refuse:
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -108,9 +108,7 @@
 	case wire.Done:
 		c.dispatcher(m.Pool).step(m.Done, from)
 	case wire.Running:
-		for _, call := range m.Calls {
-			c.dispatcher(m.Pool).step(sched.Running{Request: call.Request, Endpoint: call.Endpoint}, from)
-		}
+		c.running(from, m)
 	case wire.ProgramPaused:
 		c.dispatcher(m.Pool).step(m.Paused, from)
 	case wire.ProgramEnded:
@@ -132,8 +130,7 @@
 		}
 		if s.endpoint == "" {
 			c.sendSubmit(s)
-			continue
 		}
-		c.toDispatcher(r.Session, s.pool, sched.Running{Request: s.request, Endpoint: s.endpoint})
 	}
+	c.nextSync = 0
 }
