--- a/internal/server/claims.go
+++ b/internal/server/claims.go
@@ -137,6 +137,8 @@
 		return
 	}
 	if len(order) == 0 || order[0] == c.inst.session {
+		// A hand-over that did not come about is no longer wanted.
+		delete(c.claims.moving, s)
 		c.claims.better[s] = betterHolder{}
 		return
 	}
--- a/internal/server/soak_test.go
+++ b/internal/server/soak_test.go
@@ -68,7 +68,7 @@
 				}
 			}
 			return true
-		})
+		}, func() string { return fmt.Sprint(sizes) })
 	}
 	for _, s := range d.Services {
 		must.SliceEmpty(t, s.Doubled())
--- a/internal/server/thin_test.go
+++ b/internal/server/thin_test.go
@@ -89,11 +89,15 @@
 	return ctx
 }
 
-func await(t *testing.T, what string, ok func() bool) {
+// await waits for a condition. The optional function tells what was seen instead.
+func await(t *testing.T, what string, ok func() bool, seen ...func() string) {
 	t.Helper()
 	deadline := time.Now().Add(testWait)
 	for !ok() {
 		if time.Now().After(deadline) {
+			for _, f := range seen {
+				t.Log(f())
+			}
 			t.Fatalf("timeout waiting for: %s", what)
 		}
 		time.Sleep(10 * time.Millisecond)
