--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -6,7 +6,7 @@
 const (
 	cacheFill      = 0.9             // part of the pool's prefix memory that started programs may need
 	overFill       = 1.25            // the same for a duty behind its owed share
-	owedFill       = 2.0             // its owed part of the memory, in parts of its share
+	owedFill       = 1.5             // its owed part of the memory, in parts of its share
 	freshPenalty   = 5 * time.Second // a new program waits behind started ones that came up to 5 s later
 	freshWaitLimit = 8 * time.Second // predicted wait above which a new program is refused
 	startLearnRate = 0.1
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -175,7 +175,7 @@
 	}
 	s.aim = 1
 	if sum > 0 {
-		s.aim = min(max(aimTotal/sum, 1), maxAim)
+		s.aim = min(max(1/sum, 1), maxAim)
 	}
 	s.budget()
 }
--- a/internal/sched/share.go
+++ b/internal/sched/share.go
@@ -14,8 +14,7 @@
 	maxAhead      = 2.0  // what borrowing can be held against a duty
 	// The account aims above the owed share, since a duty that falls behind catches up only as fast
 	// as its new programs come to their calls.
-	maxAim   = 1.3
-	aimTotal = 0.97 // the sum of the shares that the account aims at stays below 1
+	maxAim = 1.15
 )
 
 // duty is the queue and the share account of one duty over all owners.
