whole: strike the holder of a slot at bad moments, check hand-overs

The machine now begins an outage, death, pause or planned stop at the holder of a slot among its calls, and the oracle fails when a planned hand-over fails a call.

--- a/internal/whole/node_test.go
+++ b/internal/whole/node_test.go
@@ -56,6 +56,7 @@
 
 	next     map[string]time.Duration // periodic work, own clock
 	claims   [slots]time.Duration
+	handed   [slots]id.Epoch // of the next holder, of slots that this process handed over
 	dispatch dispatching
 	exchange exchanges
 	copies   map[copyKey]wire.Copy
@@ -111,7 +112,16 @@
 func (n *node) now() time.Duration { return n.w.now + n.offset }
 
 func (n *node) step(ev program.Event) {
-	for _, a := range n.core.Step(n.now(), ev, nil) {
+	actions := n.core.Step(n.now(), ev, nil)
+	for _, a := range actions {
+		if h, ok := a.(program.HandOverReady); ok {
+			n.handed[h.Slot] = n.fold.Slot(h.Slot).Epoch
+		}
+	}
+	for _, a := range actions {
+		if r, ok := a.(program.Reply); ok && r.Problem != nil {
+			n.w.oracle.interrupted(n, r)
+		}
 		n.act(a)
 	}
 }
--- a/internal/whole/oracle_test.go
+++ b/internal/whole/oracle_test.go
@@ -263,6 +263,17 @@
 	}
 }
 
+// interrupted checks P9: a planned hand-over fails no call that is under way.
+func (o *oracle) interrupted(n *node, r program.Reply) {
+	s, err := r.Call.Program.Slot()
+	if err != nil || r.Problem.Type != program.ProblemOwnerChanged {
+		return
+	}
+	if n.handed[s] != 0 && n.handed[s] == n.fold.Slot(s).Epoch {
+		o.w.fail("P9: %s failed %s because it handed slot %d over", n.session, r.Call, s)
+	}
+}
+
 // drained checks P9: no caller of the instance and no instance that forwarded to it waits for it.
 func (o *oracle) drained(n *node) {
 	o.counts["drain"]++
--- a/internal/whole/whole_test.go
+++ b/internal/whole/whole_test.go
@@ -142,8 +142,45 @@
 	}
 }
 
+// ownerFault strikes the holder of a slot at a bad moment: an outage begins while calls are under way, and
+// the holder dies or is paused before the log is back; or a hand-over or stop comes among its calls.
+func (m *machine) ownerFault() {
+	w := m.w
+	n := w.node(w.ref.Slot(id.Slot(m.draw(slots, "slot"))).Holder)
+	if n == nil || n.paused || n.draining || w.now-m.deathAt < 15*time.Second || w.log.down || len(w.nodes) < 3 {
+		return
+	}
+	kind := m.draw(4, "owner fault")
+	w.advance(time.Duration(m.draw(20, "moment")) * stepTime)
+	switch {
+	case n.dead || n.paused || w.log.down:
+	case kind < 2:
+		w.setLogDown(true)
+		w.advance(time.Duration(m.draw(40, "moment in the outage")) * stepTime)
+		w.after(time.Duration(m.draw(8, "outage"))*time.Second, func() { w.setLogDown(false) })
+		m.deathAt = w.now
+		if kind == 0 && !n.dead {
+			w.kill(n)
+			w.after(12*time.Second, func() { w.start(n.name) })
+		} else {
+			n.paused = true
+			w.note("%s pauses", n.session)
+			w.after(9*time.Second, func() {
+				if n.paused && !n.dead {
+					n.resume()
+				}
+			})
+		}
+	default:
+		m.deathAt = w.now
+		n.drain()
+	}
+}
+
 func (m *machine) step() {
-	switch k := m.draw(12, "action"); {
+	switch k := m.draw(14, "action"); {
+	case k > 11:
+		m.ownerFault()
 	case k < 2:
 		m.program()
 	case k < 4:
