--- a/internal/program/end.go
+++ b/internal/program/end.go
@@ -63,6 +63,7 @@
 	}
 	rec := record.End{Holder: c.holder(p.slot), Program: p.id, Cause: cause, Endpoints: holding}
 	c.append(p, rec, done)
+	c.stop(p.wallTimer, p.idleTimer)
 	c.decide(p, Decision{What: "end", Reason: reason(cause.String())})
 	c.emit(NotifyEnded{Program: p.id, Pools: c.modelPools(st.Duty)})
 	c.startRelease(p, holding)
@@ -129,7 +130,7 @@
 }
 
 func (c *Core) onCacheReleased(e CacheReleased) {
-	if p := c.progs[e.Program]; p != nil && p.touched[e.Endpoint] == 0 {
+	if p := c.prog(e.Program); p != nil && p.touched[e.Endpoint] == 0 {
 		c.released(p, e.Endpoint)
 	}
 }
@@ -156,7 +157,7 @@
 			continue
 		}
 		st := c.fold.Program(pid)
-		p := c.progs[pid]
+		p := c.prog(pid)
 		switch {
 		case p != nil && p.touched[e.Endpoint] > 0:
 		case st == nil && p == nil:
@@ -166,7 +167,7 @@
 		}
 	}
 	for _, pid := range sortedKeys(c.progs) {
-		if p := c.progs[pid]; p.release[e.Endpoint] != nil && !held[pid] && p.touched[e.Endpoint] == 0 {
+		if p := c.prog(pid); p != nil && p.release[e.Endpoint] != nil && !held[pid] && p.touched[e.Endpoint] == 0 {
 			c.released(p, e.Endpoint)
 		}
 	}
@@ -186,7 +187,10 @@
 
 func (c *Core) endDebt(endpoint string) {
 	for _, pid := range sortedKeys(c.progs) {
-		p := c.progs[pid]
+		p := c.prog(pid)
+		if p == nil {
+			continue
+		}
 		if r := p.release[endpoint]; r != nil && p.touched[endpoint] == 0 {
 			r.tries = max(r.tries, 1)
 			c.released(p, endpoint)
@@ -209,6 +213,17 @@
 	}
 }
 
+// forget drops all that is kept for a program. What is asked about its outcomes has no use any more.
+func (c *Core) forget(p *prog) {
+	delete(c.progs, p.id)
+	c.stop(p.wallTimer, p.idleTimer)
+	for aid, q := range c.asked {
+		if q.prog == p {
+			delete(c.asked, aid)
+		}
+	}
+}
+
 // forgetLater drops an ended program from memory once its tombstone has gone.
 func (c *Core) forgetLater(p *prog) {
 	c.at(c.now+fsm.TombstoneAge+time.Minute, func() {
@@ -216,7 +231,7 @@
 			return
 		}
 		if c.fold.Program(p.id) == nil && p.unsettled == 0 {
-			delete(c.progs, p.id)
+			c.forget(p)
 			return
 		}
 		c.forgetLater(p)
