--- a/internal/breaks/list.go
+++ b/internal/breaks/list.go
@@ -43,7 +43,7 @@
 		file: "internal/program/slot.go",
 		old:  "\tc.recover(e.Slot, e.Records)\n",
 		new:  "",
-		test: rapidProgram,
+		test: test{pkg: "internal/program", run: "^TestCopiedTurnSurvivesOwner$"},
 	},
 	{
 		guarantee: "P2", name: "a batch that was appended twice counts twice",
