program: test that a call waits for the one ahead of it

Cause: no test noticed a call that started while an earlier call of its branch was under way. Change: a focused test; the deliberate break names it.

--- a/internal/breaks/list.go
+++ b/internal/breaks/list.go
@@ -29,7 +29,7 @@
 		file: "internal/program/call.go",
 		old:  "if len(q) == 0 || q[0].state != stateQueued {\n\t\treturn\n\t}",
 		new:  "if len(q) == 0 {\n\t\treturn\n\t}\n\tif n := len(q) - 1; n > 0 && q[n].state == stateQueued {\n\t\tc.start(q[n])\n\t\treturn\n\t}\n\tif q[0].state != stateQueued {\n\t\treturn\n\t}",
-		test: rapidProgram,
+		test: test{pkg: "internal/program", run: "^TestCallWaitsForTheOneAhead$"},
 	},
 	{
 		guarantee: "P2", name: "the prompt of a branch has the history of main",
--- a/internal/program/guarantee_test.go
+++ b/internal/program/guarantee_test.go
@@ -36,6 +36,24 @@
 	must.True(t, w.oracle.reqs[second].ok)
 }
 
+// P1: a call does not start while the one ahead of it on its branch is under way, even if it names no
+// sequence number.
+func TestCallWaitsForTheOneAhead(t *testing.T) {
+	w, o := started(t, 1)
+	pid := w.program(o, record.Limits{})
+	first := w.model(o, pid, "main", "k1", false)
+	second := w.service(o, pid, "main", "k2", "look")
+	third := w.service(o, pid, "main", "k3", "look")
+	p := o.core.progs[pid]
+	must.Eq(t, stateQueued, p.calls["k2"].state)
+	must.Eq(t, stateQueued, p.calls["k3"].state)
+	must.MapLen(t, 1, o.core.attempts)
+	w.pump()
+	must.True(t, first.ok && second.ok && third.ok)
+	must.Eq(t, uint64(2), w.ref.Program(pid).Outcomes["k2"].Call.Seq)
+	must.Eq(t, uint64(3), w.ref.Program(pid).Outcomes["k3"].Call.Seq)
+}
+
 // P2: a turn that only peers hold survives the death of its owner, although the log never had it.
 func TestCopiedTurnSurvivesOwner(t *testing.T) {
 	w, a := started(t, 3)
