server: measure calls, shares, cache, appends and control time; log typed events

Cause: the metrics of internal/telemetry were not filled, and log lines carried error texts, which can quote a request. Change: an observer in internal/server fills the histograms of each class (program latency, first token, time between tokens, queue wait), wasted cache, owed and given share over 30 s, refusals, retries, unknown outcomes, appends, configuration version and age, control bytes and control time. internal/sched sums the work that each duty was owed and given, internal/peer the time of its codecs, internal/platform the size of written batches. Control time is wall time of code that doesn't block, an upper bound of processor time. All lines of internal/server and of serve use the typed log; lines of the peer protocol name the other instance in the field peer.

--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -15,6 +15,7 @@
 
 	"ragwortstile/internal/peer"
 	"ragwortstile/internal/server"
+	"ragwortstile/internal/telemetry"
 )
 
 // serveSettings are the settings of serve as text. They are parsed together, so that one start
@@ -76,7 +77,7 @@
 		return err
 	}
 	i.Start()
-	cfg.Log.WithField("instance", i.Session()).WithField("http", i.HTTPAddr()).WithField("peer", i.PeerAddr()).Info("instance started")
+	telemetry.Typed(cfg.Log).Info("instance_started", telemetry.Instance(i.Session()), telemetry.HTTP(i.HTTPAddr()), telemetry.Listen(i.PeerAddr()))
 	select {
 	case <-ctx.Done():
 		return i.Drain(context.Background())
@@ -128,9 +129,7 @@
 }
 
 func (s *serveSettings) newLogger(out io.Writer, f *findings) *logrus.Logger {
-	l := logrus.New()
-	l.SetOutput(out)
-	l.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: time.RFC3339Nano})
+	l := telemetry.NewLog(out, logrus.InfoLevel)
 	level, err := logrus.ParseLevel(s.logLevel)
 	if err != nil {
 		f.add("log-level", "%q is not error, warn, info or debug", s.logLevel)
--- a/internal/peer/counters.go
+++ b/internal/peer/counters.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"ragwortstile/internal/wire"
 )
@@ -15,6 +16,7 @@
 }
 
 type counters struct {
+	codec                                        atomic.Int64 // ns
 	controlIn, controlOut, payloadIn, payloadOut atomic.Uint64
 }
 
@@ -47,3 +49,23 @@
 const kindOffset = 5
 
 func frameKind(data []byte) wire.Kind { return wire.Kind(data[kindOffset]) }
+
+// encode is wire.Encode with its time counted.
+func (c *counters) encode(e wire.Envelope) ([]byte, error) {
+	start := time.Now()
+	data, err := wire.Encode(e)
+	c.codec.Add(int64(time.Since(start)))
+	return data, err
+}
+
+// decode is wire.Decode with its time counted.
+func (c *counters) decode(f wire.Frame) (wire.Envelope, error) {
+	start := time.Now()
+	e, err := wire.Decode(f)
+	c.codec.Add(int64(time.Since(start)))
+	return e, err
+}
+
+// CodecTime returns the time that encoding and decoding of frames has taken. It is wall time: an
+// upper bound of the processor time, above it while the machine is overcommitted.
+func (n *Node) CodecTime() time.Duration { return time.Duration(n.bytes.codec.Load()) }
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -54,7 +54,7 @@
 }
 
 func (x *Exchange) send(ctx context.Context, m wire.Message) error {
-	data, err := wire.Encode(wire.Envelope{Exchange: x.id, Flags: wire.FlagRequest, Message: m})
+	data, err := x.conn.node.bytes.encode(wire.Envelope{Exchange: x.id, Flags: wire.FlagRequest, Message: m})
 	if err != nil {
 		return err
 	}
@@ -221,7 +221,7 @@
 }
 
 func (r *Replier) send(ctx context.Context, m wire.Message, flags wire.Flags) error {
-	data, err := wire.Encode(wire.Envelope{Exchange: r.id, Flags: flags, Message: m})
+	data, err := r.conn.node.bytes.encode(wire.Envelope{Exchange: r.id, Flags: flags, Message: m})
 	if err != nil {
 		return err
 	}
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -152,7 +152,7 @@
 	if err != nil {
 		return err
 	}
-	data, err := wire.Encode(wire.Envelope{Message: m})
+	data, err := n.bytes.encode(wire.Envelope{Message: m})
 	if err != nil {
 		return err
 	}
@@ -161,7 +161,7 @@
 
 // Broadcast sends a one-way message to every connected peer and returns how many took it.
 func (n *Node) Broadcast(m wire.Message) (int, error) {
-	data, err := wire.Encode(wire.Envelope{Message: m})
+	data, err := n.bytes.encode(wire.Envelope{Message: m})
 	if err != nil {
 		return 0, err
 	}
@@ -289,7 +289,7 @@
 		_ = nc.Close()
 		return
 	}
-	log := n.cfg.Log.WithFields(logrus.Fields{"instance": string(remote.Session), "dialed": dialed})
+	log := n.cfg.Log.WithFields(logrus.Fields{"peer": string(remote.Session), "dialed": dialed})
 	log.Info("peer connected")
 	err := c.run()
 	n.unregister(c)
--- a/internal/peer/pair.go
+++ b/internal/peer/pair.go
@@ -128,7 +128,7 @@
 			wait.Reset()
 		}
 		if err != nil && ctx.Err() == nil {
-			n.cfg.Log.WithFields(logrus.Fields{"instance": p.Instance, "reason": err.Error()}).Debug("peer dial failed")
+			n.cfg.Log.WithFields(logrus.Fields{"peer": p.Instance, "reason": err.Error()}).Debug("peer dial failed")
 		}
 		sleep(ctx, wait.NextBackOff())
 	}
@@ -146,7 +146,7 @@
 	nc, hello, err := n.dialHandshake(dctx, raw)
 	if err != nil {
 		_ = raw.Close()
-		n.cfg.Log.WithFields(logrus.Fields{"instance": p.Instance, "reason": err.Error()}).Warn("peer handshake failed")
+		n.cfg.Log.WithFields(logrus.Fields{"peer": p.Instance, "reason": err.Error()}).Warn("peer handshake failed")
 		return err
 	}
 	if hello.Session.Instance() != p.Instance {
--- a/internal/peer/read.go
+++ b/internal/peer/read.go
@@ -46,7 +46,7 @@
 			return err
 		}
 		c.node.bytes.in(f.Kind, f.Size())
-		e, err := wire.Decode(f)
+		e, err := c.node.bytes.decode(f)
 		if err != nil {
 			return err
 		}
--- a/internal/platform/appender.go
+++ b/internal/platform/appender.go
@@ -54,6 +54,8 @@
 	// Committed is called for each batch that the log has taken. The offset is 0 and known is false
 	// when the reader showed the batch before the answer came.
 	Committed func(seq, offset uint64, known bool)
+	// Written is called for each batch that the log has taken, with its records and bytes, for metrics.
+	Written func(records, bytes int)
 	// Failed is called for each append that failed, for metrics and logs.
 	Failed func(err error)
 }
@@ -88,6 +90,7 @@
 type openBatch struct {
 	seq   uint64
 	data  []byte
+	count int           // records
 	size  int           // bytes that it takes of the buffer
 	seen  chan struct{} // closed when the reader shows the batch
 	shown bool
@@ -230,7 +233,7 @@
 	}
 	a.seq++
 	a.pending = append([]sizedRecord(nil), a.pending[n:]...)
-	a.current = &openBatch{seq: a.seq, data: data, size: size, seen: make(chan struct{})}
+	a.current = &openBatch{seq: a.seq, data: data, size: size, count: n, seen: make(chan struct{})}
 	return a.current, nil
 }
 
--- a/internal/platform/appender_serve.go
+++ b/internal/platform/appender_serve.go
@@ -138,6 +138,9 @@
 	if took <= a.cfg.DownAfter {
 		a.setDown(false)
 	}
+	if a.cfg.Written != nil {
+		a.cfg.Written(b.count, len(b.data))
+	}
 	if a.cfg.Committed != nil {
 		a.cfg.Committed(b.seq, offset, known)
 	}
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -39,6 +39,7 @@
 	poolPrefill     float64 // tokens/s, mean over the pool
 	poolUnit        float64 // s per output token, mean over the pool
 	retries         float64 // retry budget
+	totalWork       float64 // s, of all duties since the start
 	aim             float64 // factor on owed shares in the account
 }
 
--- a/internal/sched/share.go
+++ b/internal/sched/share.go
@@ -22,6 +22,8 @@
 	Duty
 	started, fresh callHeap // calls of started programs; first calls of new programs
 	waiting        int      // in the heaps above and parked at endpoints
+	owedWork       float64  // work in seconds that its share of the pool's work was while it had calls
+	givenWork      float64  // work in seconds that it got
 	behind         float64  // work in seconds that the duty is owed; negative: it has borrowed
 	workingSet     int64    // tokens of its started programs
 	outputTokens   float64  // recent mean answer length
@@ -60,6 +62,7 @@
 // charge books work of a duty and what the duties with waiting calls are owed of it. An idle duty is
 // owed nothing, which lends its share to the others.
 func (s *Scheduler) charge(served *duty, work float64) {
+	s.note(served, work)
 	if s.opt.NoShares || work == 0 {
 		return
 	}
--- /dev/null
+++ b/internal/sched/totals.go
@@ -0,0 +1,38 @@
+package sched
+
+// DutyWork is what a duty was owed and given in a pool since the scheduler started, in seconds of
+// work. A duty is owed its share of the work that was granted while it had calls.
+type DutyWork struct {
+	Duty        string
+	Owed, Given float64
+}
+
+// Work returns the work of all duties of the manifest, and the pool's total.
+func (s *Scheduler) Work() (duties []DutyWork, total float64) {
+	for _, d := range s.duties {
+		duties = append(duties, DutyWork{Duty: d.Name, Owed: d.owedWork, Given: d.givenWork})
+	}
+	return duties, s.totalWork
+}
+
+// note books work for Work. A correction after the end of a call can be negative.
+func (s *Scheduler) note(served *duty, work float64) {
+	s.totalWork += work
+	served.givenWork += work
+	for _, d := range s.duties {
+		if d.waiting > 0 || d == served {
+			d.owedWork += d.Share * work
+		}
+	}
+}
+
+// Totals returns the account of all tenants together.
+func (s *Scheduler) Totals() Account {
+	var sum Account
+	for _, a := range s.accounts {
+		sum.Filled += a.Filled
+		sum.Reused += a.Reused
+		sum.Wasted += a.Wasted
+	}
+	return sum
+}
--- a/internal/server/actions.go
+++ b/internal/server/actions.go
@@ -1,10 +1,9 @@
 package server
 
 import (
-	"github.com/sirupsen/logrus"
-
 	"ragwortstile/internal/program"
 	"ragwortstile/internal/sched"
+	"ragwortstile/internal/telemetry"
 )
 
 // act carries out one action of the owner core.
@@ -47,6 +46,7 @@
 			r.sink.StreamData(a)
 		}
 	case program.StreamEnd:
+		c.inst.observer.refusal(a.Problem)
 		if r := c.finish(a.Req); r != nil {
 			r.sink.StreamEnd(a)
 		}
@@ -81,6 +81,7 @@
 		c.events.later(func() { c.routeLater(r) })
 		return
 	}
+	c.inst.observer.refusal(a.Problem)
 	c.finish(a.Req)
 	r.sink.Reply(a)
 }
@@ -100,11 +101,7 @@
 }
 
 func (c *core) logDecision(d program.Decision) {
-	c.inst.log.WithFields(logrus.Fields{
-		"program":  d.Call.Program,
-		"call":     d.Call.String(),
-		"epoch":    d.Epoch,
-		"endpoint": d.Endpoint,
-		"reason":   d.Reason,
-	}).Debug(d.What)
+	c.inst.observer.decided(d)
+	c.inst.log.Debug(telemetry.Event(d.What), telemetry.Program(d.Call.Program), telemetry.Call(d.Call), telemetry.Epoch(d.Epoch),
+		telemetry.Endpoint(d.Endpoint), telemetry.Reason(d.Reason))
 }
--- a/internal/server/claims.go
+++ b/internal/server/claims.go
@@ -8,6 +8,7 @@
 	"ragwortstile/internal/id"
 	"ragwortstile/internal/program"
 	"ragwortstile/internal/record"
+	"ragwortstile/internal/telemetry"
 )
 
 const (
@@ -60,7 +61,7 @@
 	}
 	if e.Verdict == fsm.Valid {
 		state := c.fold.Slot(slot)
-		c.inst.log.WithField("slot", slot).WithField("epoch", state.Epoch).WithField("holder", state.Holder).Info("slot holder changed")
+		c.inst.log.Info("slot_holder_changed", telemetry.Slot(slot), telemetry.Epoch(state.Epoch), telemetry.Peer(state.Holder))
 	}
 }
 
--- a/internal/server/config_stream.go
+++ b/internal/server/config_stream.go
@@ -10,6 +10,7 @@
 	"ragwortstile/internal/program"
 	"ragwortstile/internal/record"
 	"ragwortstile/internal/sched"
+	"ragwortstile/internal/telemetry"
 	"ragwortstile/internal/wire"
 )
 
@@ -50,12 +51,13 @@
 	parsed, err := manifest.FromLog(m.Data, m.Digest)
 	if err != nil {
 		// The publisher checked it, so it was written by a newer binary or by something else.
-		c.inst.log.WithField("version", m.Version).WithField("reason", err.Error()).Error("manifest can't be used")
+		c.inst.log.Error("manifest_unusable", telemetry.Version(m.Version), telemetry.Err(err))
 		return
 	}
 	c.manifest, c.manifestVersion, c.manifestRaw = parsed, m.Version, m
 	c.manifestAt = c.inst.now()
-	c.inst.log.WithField("version", m.Version).WithField("digest", m.Digest).Info("manifest in force")
+	c.inst.log.Info("manifest_in_force", telemetry.Version(m.Version))
+	c.inst.observer.manifest(parsed)
 	c.step(program.SetManifest{Version: m.Version, Manifest: parsed})
 	for pool, d := range c.dispatchers {
 		d.step(sched.Configure{Config: c.poolConfig(pool)}, "")
--- a/internal/server/copying.go
+++ b/internal/server/copying.go
@@ -10,6 +10,7 @@
 	"ragwortstile/internal/peer"
 	"ragwortstile/internal/program"
 	"ragwortstile/internal/record"
+	"ragwortstile/internal/telemetry"
 	"ragwortstile/internal/wire"
 )
 
@@ -26,7 +27,7 @@
 func (c *core) putCopies(a program.PutCopies) {
 	batch, err := record.Encode(record.Batch{Session: c.inst.session, Seq: a.Ref, At: time.Now(), Records: a.Records})
 	if err != nil {
-		c.inst.log.WithField("reason", err.Error()).Error("copy was not encoded")
+		c.inst.log.Error("copy_not_encoded", telemetry.Slot(a.Slot), telemetry.Epoch(a.Epoch), telemetry.Err(err))
 		return
 	}
 	m := wire.CopyPut{Copy: wire.Copy{Slot: a.Slot, Epoch: a.Epoch, Session: c.inst.session, Ref: a.Ref, Batch: batch}}
@@ -197,7 +198,7 @@
 	for _, c := range copies {
 		b, err := record.Decode(c.Batch)
 		if err != nil {
-			i.log.WithField("reason", err.Error()).Error("copy was not decoded")
+			i.log.Error("copy_not_decoded", telemetry.Slot(c.Slot), telemetry.Epoch(c.Epoch), telemetry.Err(err))
 			continue
 		}
 		records = append(records, b.Records...)
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -11,6 +11,7 @@
 	"ragwortstile/internal/program"
 	"ragwortstile/internal/record"
 	"ragwortstile/internal/sched"
+	"ragwortstile/internal/telemetry"
 )
 
 // core is the state that the loop owns. Its methods run on the loop only.
@@ -60,6 +61,7 @@
 
 // step gives an event to the owner core and carries out its actions.
 func (c *core) step(ev program.Event) {
+	c.inst.observer.event(ev)
 	if c.owner == nil {
 		return
 	}
@@ -82,6 +84,7 @@
 	c.routeParked()
 	c.refreshManifest()
 	c.ordersTick(now)
+	c.observeTick(now)
 	c.publishView()
 }
 
@@ -118,6 +121,7 @@
 }
 
 func (c *core) applied(e fsm.Effect) {
+	c.observeEffect(e)
 	c.noteClaim(e)
 	c.step(program.Applied{Effect: e})
 }
@@ -156,7 +160,7 @@
 			return
 		}
 		if err != nil { // it can never be appended and must not hold up the records behind it
-			c.inst.log.WithError(err).Error("record dropped")
+			c.inst.log.Error("record_dropped", telemetry.Err(err))
 		}
 		c.backlog = c.backlog[1:]
 	}
--- a/internal/server/dispatch.go
+++ b/internal/server/dispatch.go
@@ -1,12 +1,12 @@
 package server
 
 import (
-	"errors"
 	"time"
 
 	"ragwortstile/internal/id"
 	"ragwortstile/internal/program"
 	"ragwortstile/internal/sched"
+	"ragwortstile/internal/telemetry"
 	"ragwortstile/internal/wire"
 )
 
@@ -26,6 +26,7 @@
 // submit queues a call at the dispatcher of its pool.
 func (c *core) submit(pool string, r sched.Request) {
 	s := &submission{pool: pool, request: r}
+	c.inst.observer.submitted(pool, r)
 	c.submissions[r.ID] = s
 	c.sendSubmit(s)
 }
@@ -48,7 +49,7 @@
 		return
 	}
 	if err := c.inst.node.Send(to, m); err != nil {
-		c.inst.log.WithField("instance", to).WithField("reason", err.Error()).Debug("message to the dispatcher was not sent")
+		c.inst.log.Debug("dispatcher_not_reached", telemetry.Peer(to), telemetry.Pool(pool), telemetry.Err(err))
 	}
 }
 
@@ -85,6 +86,7 @@
 	s.dispatcher = from
 	s.endpoint = g.Endpoint
 	g.Request = s.request
+	c.inst.observer.granted(g)
 	c.step(program.Granted{Grant: g})
 }
 
@@ -226,6 +228,6 @@
 
 func (d *dispatcher) sendTo(owner id.Session, m wire.Message) {
 	if err := d.c.inst.node.Send(owner, m); err != nil {
-		d.c.inst.log.WithField("instance", owner).WithField("reason", errors.Unwrap(err)).Debug("message to an owner was not sent")
+		d.c.inst.log.Debug("owner_not_reached", telemetry.Peer(owner), telemetry.Pool(d.pool), telemetry.Err(err))
 	}
 }
--- a/internal/server/dispatching.go
+++ b/internal/server/dispatching.go
@@ -8,6 +8,7 @@
 	"ragwortstile/internal/id"
 	"ragwortstile/internal/program"
 	"ragwortstile/internal/record"
+	"ragwortstile/internal/telemetry"
 )
 
 // controlTimeout bounds orders to endpoints that are not calls.
@@ -54,7 +55,7 @@
 		ctx, cancel := context.WithTimeout(e.inst.ctx, controlTimeout)
 		defer cancel()
 		if err := e.engines.Cancel(ctx, a.Endpoint, a.Attempt); err != nil {
-			e.inst.log.WithField("endpoint", a.Endpoint).WithField("reason", err.Error()).Debug("attempt was not cancelled")
+			e.inst.log.Debug("attempt_not_cancelled", telemetry.Attempt(a.Attempt), telemetry.Endpoint(a.Endpoint), telemetry.Err(err))
 		}
 	})
 }
@@ -94,13 +95,13 @@
 		defer cancel()
 		if branch != "" {
 			if err := e.engines.ReleaseBranch(ctx, endpoint, p, branch); err != nil {
-				e.inst.log.WithField("endpoint", endpoint).WithField("reason", err.Error()).Debug("cache was not released")
+				e.inst.log.Debug("cache_not_released", telemetry.Program(p), telemetry.Endpoint(endpoint), telemetry.Err(err))
 			}
 			return
 		}
 		released, err := e.engines.Release(ctx, program.ReleaseCache{Endpoint: endpoint, Program: p})
 		if err != nil {
-			e.inst.log.WithField("endpoint", endpoint).WithField("reason", err.Error()).Debug("cache was not released")
+			e.inst.log.Debug("cache_not_released", telemetry.Program(p), telemetry.Endpoint(endpoint), telemetry.Err(err))
 			return
 		}
 		e.inst.core.events.post(func() { e.inst.core.step(released) })
--- a/internal/server/drain.go
+++ b/internal/server/drain.go
@@ -6,6 +6,7 @@
 
 	"ragwortstile/internal/membership"
 	"ragwortstile/internal/program"
+	"ragwortstile/internal/telemetry"
 )
 
 // drainPoll is the time between checks whether a drain step is complete.
@@ -19,7 +20,7 @@
 		i.Kill()
 		return nil
 	}
-	i.log.Info("drain started")
+	i.log.Info("drain_started")
 	i.core.events.post(i.core.startDrain)
 	sleep(ctx, i.cfg.DrainWait)
 	dctx, cancel := context.WithTimeout(ctx, i.cfg.DrainTimeout)
@@ -30,7 +31,7 @@
 	if ferr := i.programs.Flush(dctx); err == nil {
 		err = ferr
 	}
-	i.log.Info("drain finished")
+	i.log.Info("drain_finished", telemetry.Err(err))
 	i.cancel()
 	<-i.stopped
 	return err
--- a/internal/server/endpoints.go
+++ b/internal/server/endpoints.go
@@ -5,14 +5,13 @@
 	"sync"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"ragwortstile/internal/endpoint"
 	"ragwortstile/internal/engine"
 	"ragwortstile/internal/id"
 	"ragwortstile/internal/manifest"
 	"ragwortstile/internal/program"
 	"ragwortstile/internal/service"
+	"ragwortstile/internal/telemetry"
 )
 
 // endpoints carries out the owner's actions at engines and services, each in its own goroutine.
@@ -37,7 +36,7 @@
 func newEndpoints(i *Instance) *endpoints {
 	e := &endpoints{inst: i, http: endpoint.New(endpoint.Options{}), running: map[id.Attempt]*runningAttempt{}}
 	failed := func(attempt id.Attempt, err error) {
-		i.log.WithFields(logrus.Fields{"call": attempt, "reason": err.Error()}).Debug("attempt failed")
+		i.log.Debug("attempt_failed", telemetry.Attempt(attempt), telemetry.Err(err))
 	}
 	e.engines = engine.New(engine.Config{HTTP: e.http, URL: e.url, Failed: failed})
 	e.services = service.New(service.Config{HTTP: e.http, URL: e.url, Now: i.now, Failed: failed})
--- a/internal/server/heartbeat.go
+++ b/internal/server/heartbeat.go
@@ -9,6 +9,7 @@
 	"ragwortstile/internal/platform"
 	"ragwortstile/internal/program"
 	"ragwortstile/internal/sched"
+	"ragwortstile/internal/telemetry"
 	"ragwortstile/internal/wire"
 )
 
@@ -35,7 +36,7 @@
 	}
 	beat := c.members.core.Beat(now, c.manifestVersion, slots)
 	if _, err := c.inst.node.Broadcast(beat); err != nil {
-		c.inst.log.WithField("reason", err.Error()).Error("heartbeat was not sent")
+		c.inst.log.Error("heartbeat_not_sent", telemetry.Err(err))
 	}
 }
 
@@ -63,7 +64,7 @@
 	}
 	c.members.core.Step(now, membership.HeartbeatReceived{From: from, Zone: mb.zone, Beat: beat})
 	if err := c.inst.node.Send(from, c.members.core.Ack(now, beat.Round)); err != nil {
-		c.inst.log.WithField("peer", from).WithField("reason", err.Error()).Debug("heartbeat was not acknowledged")
+		c.inst.log.Debug("heartbeat_not_acknowledged", telemetry.Peer(from), telemetry.Err(err))
 	}
 	mb.heard, mb.beat = now, beat
 	c.askManifest(from, beat.ManifestVersion)
@@ -93,7 +94,7 @@
 	if c.members.core.EndpointIsLeaving(name) {
 		return
 	}
-	c.inst.log.WithField("endpoint", name).Info("endpoint is leaving")
+	c.inst.log.Info("endpoint_leaving", telemetry.Endpoint(name))
 	c.members.core.Step(c.inst.now(), membership.EndpointLeaving{Endpoint: name})
 	c.members.next = 0
 	c.followLeaving()
--- a/internal/server/instance.go
+++ b/internal/server/instance.go
@@ -10,6 +10,7 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
+	stdlog "log"
 	"net"
 	"net/http"
 	"strings"
@@ -17,13 +18,13 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"github.com/thejerf/suture/v4"
 
 	"ragwortstile/internal/api"
 	"ragwortstile/internal/id"
 	"ragwortstile/internal/peer"
 	"ragwortstile/internal/platform"
+	"ragwortstile/internal/telemetry"
 )
 
 // Streams of the log.
@@ -48,7 +49,7 @@
 	cfg     Config
 	session id.Session
 	epoch   time.Time // origin of the time that the cores see
-	log     *logrus.Entry
+	log     telemetry.Log
 
 	ctx    context.Context // ends when the instance stops
 	cancel context.CancelFunc
@@ -63,6 +64,7 @@
 	front    *http.Server
 	view     atomic.Pointer[view]
 	metrics  *instanceMetrics
+	observer *observer
 
 	httpListener net.Listener
 	peerListener net.Listener
@@ -87,7 +89,8 @@
 		copies:  newCopyStore(),
 		stopped: make(chan struct{}),
 	}
-	i.log = cfg.Log.WithField("instance", i.session)
+	i.log = telemetry.Typed(cfg.Log).With(telemetry.Instance(i.session))
+	i.observer = newObserver(i)
 	i.ctx, i.cancel = context.WithCancel(context.Background())
 	if err := i.listen(); err != nil {
 		i.cancel()
@@ -131,7 +134,7 @@
 		Session:      i.session,
 		Zone:         i.cfg.Zone,
 		Handler:      &peerHandler{inst: i},
-		Log:          i.log,
+		Log:          i.cfg.Log.WithField("instance", string(i.session)),
 		Keys:         i.cfg.Keys,
 		Certificates: i.cfg.Certificates,
 	})
@@ -155,7 +158,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		BaseContext:       func(net.Listener) context.Context { return i.ctx },
-		ErrorLog:          nil,
+		ErrorLog:          stdlog.New(httpErrors{i.log}, "", 0),
 	}
 	return nil
 }
@@ -165,8 +168,10 @@
 		Client:  client,
 		Stream:  stream,
 		Session: i.session,
+		Written: func(records, bytes int) { i.observer.metrics.Appended(records, bytes, true) },
 		Failed: func(err error) {
-			i.log.WithFields(logrus.Fields{"stream": stream, "reason": err.Error()}).Debug("append failed")
+			i.observer.metrics.Appended(0, 0, false)
+			i.log.Debug("append_failed", telemetry.Stream(stream), telemetry.Err(err))
 		},
 	}
 	if stream == streamPrograms {
@@ -211,7 +216,7 @@
 		defer close(i.stopped)
 		err := root.Serve(i.ctx)
 		if err != nil && !errors.Is(err, context.Canceled) {
-			i.log.WithField("reason", err.Error()).Error("instance stops")
+			i.log.Error("instance_failed", telemetry.Err(err))
 		}
 		i.cancel()
 		i.closeListeners()
@@ -242,7 +247,7 @@
 // fail stops the instance because of an error that makes its state unusable.
 func (i *Instance) fail(err error) {
 	i.fatal.CompareAndSwap(nil, &err)
-	i.log.WithField("reason", err.Error()).Error("instance stops")
+	i.log.Error("instance_failed", telemetry.Err(err))
 	i.cancel()
 }
 
@@ -297,7 +302,7 @@
 	if i.ctx.Err() != nil {
 		return
 	}
-	i.log.WithField("reason", e.String()).Warn("supervisor event")
+	i.log.Warn("supervisor_event", telemetry.Reason(supervisorReason(e)))
 }
 
 // frontService serves callers.
--- a/internal/server/loop.go
+++ b/internal/server/loop.go
@@ -64,15 +64,19 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
+		var start time.Time
 		select {
 		case <-ctx.Done():
 			return suture.ErrDoNotRestart
 		case f := <-l.c.events.tasks:
+			start = time.Now()
 			f()
 		case <-ticker.C:
+			start = time.Now()
 			l.c.tick()
 		}
 		l.c.events.drainOwn()
+		l.c.inst.observer.loopTime.Add(int64(time.Since(start)))
 	}
 }
 
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -35,11 +35,8 @@
 	}
 	gauge("ragwortstile_slots_held", func(v *view) float64 { return float64(len(v.slots)) })
 	gauge("ragwortstile_programs_open", func(v *view) float64 { return float64(v.status.Programs) })
-	gauge("ragwortstile_manifest_version", func(v *view) float64 { return float64(v.raw.Version) })
 	gauge("ragwortstile_log_down", func(v *view) float64 { return boolNumber(v.status.LogDown) })
 	gauge("ragwortstile_ready", func(v *view) float64 { return boolNumber(v.ready == nil) })
-	set.NewGauge("ragwortstile_peer_control_bytes_out", func() float64 { return float64(i.node.Bytes().ControlOut) })
-	set.NewGauge("ragwortstile_peer_control_bytes_in", func() float64 { return float64(i.node.Bytes().ControlIn) })
 	return m
 }
 
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -6,6 +6,7 @@
 	"ragwortstile/internal/id"
 	"ragwortstile/internal/peer"
 	"ragwortstile/internal/sched"
+	"ragwortstile/internal/telemetry"
 	"ragwortstile/internal/wire"
 )
 
@@ -19,7 +20,7 @@
 
 // Disconnected implements peer.Handler.
 func (h *peerHandler) Disconnected(r peer.Remote, err error) {
-	h.inst.log.WithField("peer", r.Session).WithField("reason", errText(err)).Debug("peer disconnected")
+	h.inst.log.Debug("peer_disconnected", telemetry.Peer(r.Session), telemetry.Err(err))
 }
 
 func errText(err error) string {
--- a/internal/server/platform.go
+++ b/internal/server/platform.go
@@ -2,18 +2,16 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 
-	"github.com/sirupsen/logrus"
-
 	"ragwortstile/internal/peer"
 	"ragwortstile/internal/platform"
 	"ragwortstile/internal/record"
+	"ragwortstile/internal/telemetry"
 )
 
 // errFellBehind tells that the log dropped records that were not read.
-var errFellBehind = errors.New("the log dropped records before they were read")
+var errFellBehind error = codedError{code: "fell_behind", text: "the log dropped records before they were read"}
 
 // tailer returns the reader of a stream.
 func (i *Instance) tailer(stream string) *platform.Tailer {
@@ -29,7 +27,7 @@
 			i.fail(fmt.Errorf("stream %s, offsets %d to %d: %w", stream, from, earliest, errFellBehind))
 		},
 		Failed: func(err error) {
-			i.log.WithFields(logrus.Fields{"stream": stream, "reason": err.Error()}).Debug("read failed")
+			i.log.Debug("read_failed", telemetry.Stream(stream), telemetry.Err(err))
 		},
 	})
 }
@@ -39,7 +37,7 @@
 func (i *Instance) deliver(stream string, e platform.Entry) {
 	b, err := record.Decode(e.Data)
 	if err != nil {
-		i.log.WithFields(logrus.Fields{"stream": stream, "offset": e.Offset, "reason": err.Error()}).Error("log entry was skipped")
+		i.log.Error("log_entry_skipped", telemetry.Stream(stream), telemetry.Offset(e.Offset), telemetry.Err(err))
 	}
 	i.passGate()
 	i.core.events.post(func() { i.core.entry(stream, e.Offset, b, err == nil) })
@@ -64,7 +62,7 @@
 			i.passGate()
 			i.core.events.post(func() { i.core.listed(l) })
 		},
-		Failed: func(err error) { i.log.WithField("reason", err.Error()).Debug("list was not read") },
+		Failed: func(err error) { i.log.Debug("list_not_read", telemetry.Err(err)) },
 	})
 }
 
--- a/internal/server/requests.go
+++ b/internal/server/requests.go
@@ -129,6 +129,7 @@
 		}
 	}
 	r.cancel()
+	c.inst.observer.metrics.Refused("no_owner")
 	refuseRequest(r.sink, program.Problem{Type: "no_owner", Status: http.StatusServiceUnavailable,
 		Detail: "the program's slot has no live owner yet; repeat the request with the same key", Executed: executed},
 		retryAfterTakeover)
@@ -204,6 +205,7 @@
 		return
 	}
 	r.cancel()
+	i.observer.metrics.Refused("owner_lost")
 	p := program.Problem{Type: "owner_lost", Status: http.StatusServiceUnavailable,
 		Detail:   "the connection to the program's owner broke; repeat the request with the same key",
 		Executed: record.ExecutedUnknown}
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -211,4 +211,7 @@
 }
 
 // WriteMetrics implements api.Backend.
-func (i *Instance) WriteMetrics(w io.Writer) { i.metrics.write(w) }
+func (i *Instance) WriteMetrics(w io.Writer) {
+	i.metrics.write(w)
+	i.observer.write(w)
+}
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -64,6 +64,21 @@
 // Instance is the field "instance".
 func Instance(s id.Session) Field { return Field{"instance", name(string(s))} }
 
+// Peer is the field "peer": another instance than the one that writes the line.
+func Peer(s id.Session) Field { return Field{"peer", name(string(s))} }
+
+// Stream is the field "stream" of the platform's log.
+func Stream(n string) Field { return Field{"stream", name(n)} }
+
+// Offset is the field "offset" in a stream.
+func Offset(n uint64) Field { return Field{"offset", n} }
+
+// HTTP is the field "http", the address of the callers' front.
+func HTTP(addr string) Field { return Field{"http", name(addr)} }
+
+// Listen is the field "listen", the address of the peer protocol.
+func Listen(addr string) Field { return Field{"listen", name(addr)} }
+
 // Epoch is the field "epoch".
 func Epoch(e id.Epoch) Field { return Field{"epoch", uint64(e)} }
 
@@ -142,11 +157,19 @@
 }
 
 // Log writes typed events.
-type Log struct{ out *logrus.Logger }
+type Log struct {
+	out  *logrus.Logger
+	base []Field
+}
 
 // Typed returns the typed functions of a logger of NewLog.
 func Typed(l *logrus.Logger) Log { return Log{out: l} }
 
+// With returns a log whose lines all have some fields.
+func (l Log) With(fields ...Field) Log {
+	return Log{out: l.out, base: append(l.base[:len(l.base):len(l.base)], fields...)}
+}
+
 // Debug writes an event that helps to find a fault.
 func (l Log) Debug(e Event, fields ...Field) { l.write(logrus.DebugLevel, e, fields) }
 
@@ -163,7 +186,10 @@
 	if !l.out.IsLevelEnabled(level) {
 		return
 	}
-	data := make(logrus.Fields, len(fields))
+	data := make(logrus.Fields, len(l.base)+len(fields))
+	for _, f := range l.base {
+		data[f.key] = f.value
+	}
 	for _, f := range fields {
 		data[f.key] = f.value
 	}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -84,12 +84,15 @@
 }
 
 // Reclassify chooses the tenants with a class of their own by the calls since the last choice. Call
-// it about every 10 min. Series of tenants that lose their class are removed.
-func (m *Metrics) Reclassify() {
+// it about every 10 min. Series of tenants that lose their class are removed. It returns how many
+// tenants have a class of their own.
+func (m *Metrics) Reclassify() int {
 	m.classes.mu.Lock()
 	present := maps.Clone(m.classes.values)
 	m.classes.mu.Unlock()
-	m.classes.set(m.traffic.choose(MaxClasses, present))
+	chosen := m.traffic.choose(MaxClasses, present)
+	m.classes.set(chosen)
+	return len(chosen)
 }
 
 // WritePrometheus writes all series in the text format.
