--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -129,14 +129,11 @@
 }
 
 func (s *serveSettings) newLogger(out io.Writer, f *findings) *logrus.Logger {
-	l := telemetry.NewLog(out, logrus.InfoLevel)
 	level, err := logrus.ParseLevel(s.logLevel)
 	if err != nil {
 		f.add("log-level", "%q is not error, warn, info or debug", s.logLevel)
-		return l
 	}
-	l.SetLevel(level)
-	return l
+	return telemetry.NewLog(out, level)
 }
 
 func (s *serveSettings) parsePeers(f *findings) []peer.Peer {
--- a/internal/server/loop.go
+++ b/internal/server/loop.go
@@ -64,21 +64,24 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
-		var start time.Time
 		select {
 		case <-ctx.Done():
 			return suture.ErrDoNotRestart
 		case f := <-l.c.events.tasks:
-			start = time.Now()
-			f()
+			l.run(f)
 		case <-ticker.C:
-			start = time.Now()
-			l.c.tick()
+			l.run(l.c.tick)
 		}
-		l.c.events.drainOwn()
-		l.c.inst.observer.loopTime.Add(int64(time.Since(start)))
 	}
 }
 
+// run handles one event and what follows from it, and counts the time that it takes.
+func (l coreLoop) run(f func()) {
+	start := time.Now()
+	f()
+	l.c.events.drainOwn()
+	l.c.inst.observer.loopTime.Add(int64(time.Since(start)))
+}
+
 // String names the loop in the supervisor's log.
 func (l coreLoop) String() string { return "core loop" }
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -6,24 +6,20 @@
 	"github.com/VictoriaMetrics/metrics"
 )
 
-// instanceMetrics is the metric set of one instance. Each instance has its own set, because several
-// can run in one process.
+// instanceMetrics is the gauges of one instance and the counters of its front; the observer has the
+// other metrics. Each instance has its own set, because several can run in one process.
 type instanceMetrics struct {
-	set       *metrics.Set
-	requests  *metrics.Counter
+	set       *metrics.Set // gauges of this package
 	forwarded *metrics.Counter
 	parked    *metrics.Counter
-	refused   *metrics.Counter
 }
 
 func newInstanceMetrics(i *Instance) *instanceMetrics {
 	set := metrics.NewSet()
 	m := &instanceMetrics{
 		set:       set,
-		requests:  set.NewCounter("ragwortstile_requests_total"),
 		forwarded: set.NewCounter("ragwortstile_requests_forwarded_total"),
 		parked:    set.NewCounter("ragwortstile_requests_parked_total"),
-		refused:   set.NewCounter("ragwortstile_requests_refused_total"),
 	}
 	gauge := func(name string, f func(*view) float64) {
 		set.NewGauge(name, func() float64 {
@@ -47,4 +43,6 @@
 	return 0
 }
 
-func (m *instanceMetrics) write(w io.Writer) { m.set.WritePrometheus(w) }
+func (m *instanceMetrics) write(w io.Writer) {
+	m.set.WritePrometheus(w)
+}
