Show endpoints, shares, versions and programs in need; explain what calls cost

Cause: status lacked endpoints, duties, the declared manifest version and open unknown outcomes, and explain forgot everything with the death of the owner. Change: dispatchers report their endpoints and the owed and given share of each duty over the last 30 s with work; each instance reports the manifest version it has read besides the one in force, and up to 50 programs that need a person (unknown outcome, deadline passed, budget spent). A tenant gets its own programs and neither endpoints nor shares. explain lists the recorded calls with outcome and cost from the log, besides the last 32 decisions of the present owner.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -44,8 +44,9 @@
 	AcceptsPrograms() bool
 	// Ready returns nil when the instance can serve callers.
 	Ready() error
-	// Status returns the state of the instance as a value that encodes to JSON.
-	Status() any
+	// Status returns the state of the deployment as a value that encodes to JSON, with the programs
+	// of one tenant or, for an empty name, of all.
+	Status(tenant string) any
 	// WriteMetrics writes the metrics in Prometheus text format.
 	WriteMetrics(w io.Writer)
 }
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -50,7 +50,7 @@
 func (b *fakeBackend) LocalSlot() (id.Slot, bool)   { return 5, true }
 func (b *fakeBackend) AcceptsPrograms() bool        { return !b.draining }
 func (b *fakeBackend) Ready() error                 { return errors.New("starting") }
-func (b *fakeBackend) Status() any                  { return struct{}{} }
+func (b *fakeBackend) Status(string) any            { return struct{}{} }
 func (b *fakeBackend) WriteMetrics(io.Writer)       {}
 func (b *fakeBackend) Manifest() *manifest.Manifest { return testManifest }
 
--- a/internal/api/ops.go
+++ b/internal/api/ops.go
@@ -25,8 +25,8 @@
 	f.backend.WriteMetrics(w)
 }
 
-func (f *Front) status(w http.ResponseWriter, _ *http.Request, _ caller) {
-	writeJSON(w, f.backend.Status())
+func (f *Front) status(w http.ResponseWriter, _ *http.Request, c caller) {
+	writeJSON(w, f.backend.Status(c.name()))
 }
 
 // modelEntry and modelList have the form in which client libraries list models.
--- a/internal/command/query.go
+++ b/internal/command/query.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"flag"
 	"fmt"
 	"io"
 	"net/http"
 	"strings"
-	"text/tabwriter"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -98,33 +96,6 @@
 		})
 }
 
-func printStatus(out io.Writer, s server.FleetStatus) error {
-	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "SESSION\tZONE\tSTATE\tLOG\tMANIFEST\tSLOTS\tPROGRAMS\tPOOLS")
-	for _, i := range s.Instances {
-		state := "ready"
-		switch {
-		case i.Error != "":
-			state = "no answer: " + i.Error
-		case i.Draining:
-			state = "draining"
-		case !i.Ready:
-			state = "not ready"
-		}
-		logState := "up"
-		if i.LogDown {
-			logState = "down"
-		}
-		var pools []string
-		for _, p := range i.Pools {
-			pools = append(pools, fmt.Sprintf("%s %d waiting %d running", p.Pool, p.Waiting, p.Running))
-		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s\n", i.Session, i.Zone, state, logState, i.ManifestVersion,
-			i.Slots, i.Programs, strings.Join(pools, ", "))
-	}
-	return w.Flush()
-}
-
 func explainCommand(env environment) *ffcli.Command {
 	fs := newFlagSet(env, "ragwortstile explain")
 	var q queryFlags
@@ -146,32 +117,3 @@
 			return printDecisions(env.stdout, body)
 		})
 }
-
-// explanation is the part of the answer to explain that is printed.
-type explanation struct {
-	Decisions []struct {
-		At   int64 `json:"at_ns"`
-		Call struct {
-			Branch string
-			Seq    uint64
-		} `json:"call"`
-		Attempt  string `json:"attempt"`
-		Endpoint string `json:"endpoint"`
-		What     string `json:"what"`
-		Reason   string `json:"reason"`
-	} `json:"decisions"`
-}
-
-func printDecisions(out io.Writer, body []byte) error {
-	var e explanation
-	if err := json.Unmarshal(body, &e); err != nil {
-		return errors.Join(errors.New("the answer could not be read"), err)
-	}
-	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "AT\tCALL\tDECISION\tREASON\tENDPOINT")
-	for _, d := range e.Decisions {
-		at := time.Duration(d.At).Round(time.Millisecond)
-		fmt.Fprintf(w, "%s\t%s/%d\t%s\t%s\t%s\n", at, d.Call.Branch, d.Call.Seq, d.What, d.Reason, d.Endpoint)
-	}
-	return w.Flush()
-}
--- a/internal/program/api.go
+++ b/internal/program/api.go
@@ -398,6 +398,7 @@
 	Reason   sched.Reason    `json:"reason"`
 	Used     record.Spend    `json:"used"`
 	Executed record.Executed `json:"-"`
+	Waited   time.Duration   `json:"waited_ns,omitempty"` // at the dispatcher
 }
 
 // Log asks the shell to log a decision.
--- a/internal/program/attempt.go
+++ b/internal/program/attempt.go
@@ -118,7 +118,7 @@
 	if cl.model != nil {
 		cl.prog.touched[g.Endpoint]++
 	}
-	c.decide(cl.prog, Decision{Call: cl.id(), Attempt: a.id, Endpoint: g.Endpoint, What: "dispatch", Reason: g.Reason})
+	c.decide(cl.prog, Decision{Call: cl.id(), Attempt: a.id, Endpoint: g.Endpoint, What: "dispatch", Reason: g.Reason, Waited: g.Waited})
 	c.dispatch(a, g.MoveFrom)
 }
 
--- /dev/null
+++ b/internal/program/explain.go
@@ -0,0 +1,61 @@
+package program
+
+import (
+	"cmp"
+	"slices"
+
+	"ragwortstile/internal/fsm"
+	"ragwortstile/internal/id"
+	"ragwortstile/internal/record"
+)
+
+// explanation is the answer to ExplainProgram. The calls come from the log and outlive a take-over;
+// the decisions are the last ones of the present owner.
+type explanation struct {
+	Program   id.Program    `json:"program"`
+	Tenant    string        `json:"tenant"`
+	Duty      string        `json:"duty"`
+	State     string        `json:"state"` // open, or the cause of its end
+	Limits    record.Limits `json:"limits"`
+	Spent     record.Spend  `json:"spent"`
+	Lost      record.Spend  `json:"counted_after_take_over"`
+	Calls     []explained   `json:"calls"`
+	Decisions []Decision    `json:"decisions"`
+}
+
+// explained is a recorded call.
+type explained struct {
+	Branch   string       `json:"branch"`
+	Seq      uint64       `json:"seq"`
+	Key      string       `json:"key"`
+	Executed string       `json:"executed"`
+	Status   int          `json:"status,omitempty"`
+	Used     record.Spend `json:"used"`
+	Blocks   bool         `json:"blocks_branch,omitempty"` // a person must settle it
+}
+
+func (c *Core) explanation(p *prog) explanation {
+	st := c.fold.Program(p.id)
+	out := explanation{
+		Program: st.ID, Tenant: st.Tenant, Duty: st.Duty, State: "open", Limits: st.Limits, Spent: st.Spent, Lost: st.Lost,
+		Calls: []explained{}, Decisions: p.explain,
+	}
+	if st.Ended() {
+		out.State = st.Cause.String()
+	}
+	for key, o := range st.Outcomes {
+		out.Calls = append(out.Calls, explainCall(st, key, o))
+	}
+	slices.SortFunc(out.Calls, func(a, b explained) int {
+		return cmp.Or(cmp.Compare(a.Branch, b.Branch), cmp.Compare(a.Seq, b.Seq), cmp.Compare(a.Key, b.Key))
+	})
+	return out
+}
+
+func explainCall(st *fsm.Program, key string, o *fsm.Outcome) explained {
+	out := explained{Branch: o.Call.Branch, Seq: o.Call.Seq, Key: key, Executed: o.Executed.String(), Status: o.Status, Used: o.Used}
+	if b := st.Branches[o.Call.Branch]; b != nil {
+		out.Blocks = b.Unknown == key
+	}
+	return out
+}
--- a/internal/program/read.go
+++ b/internal/program/read.go
@@ -95,11 +95,7 @@
 	if p == nil {
 		return
 	}
-	body := struct {
-		Program   id.Program `json:"program"`
-		Decisions []Decision `json:"decisions"`
-	}{p.id, p.explain}
-	c.emit(Reply{Req: e.Req, Status: 200, Body: mustJSON(body)})
+	c.emit(Reply{Req: e.Req, Status: 200, Body: mustJSON(c.explanation(p))})
 }
 
 // writeDue writes again what depends on records that the log will soon drop. A program with unread
--- a/internal/sched/totals.go
+++ b/internal/sched/totals.go
@@ -36,3 +36,23 @@
 	}
 	return sum
 }
+
+// EndpointState is an endpoint as the scheduler sees it.
+type EndpointState struct {
+	Name     string
+	Zone     string
+	InFlight int
+	Limit    int // calls that it may have now; 0 while it is leaving or its circuit breaker is open
+	Leaving  bool
+	Open     bool // the circuit breaker keeps calls away, apart from a probe
+}
+
+// Endpoints returns the endpoints of the configuration in its order.
+func (s *Scheduler) Endpoints() []EndpointState {
+	out := make([]EndpointState, 0, len(s.endpoints))
+	for _, e := range s.endpoints {
+		out = append(out, EndpointState{Name: e.Name, Zone: e.Zone, InFlight: e.inFlight, Limit: s.limit(e),
+			Leaving: e.Leaving, Open: e.pause > 0})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/server/attention.go
@@ -0,0 +1,91 @@
+package server
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"ragwortstile/internal/fsm"
+	"ragwortstile/internal/id"
+	"ragwortstile/internal/record"
+	"ragwortstile/internal/wire"
+)
+
+const (
+	// maxNeeds bounds the programs that one instance lists in its status.
+	maxNeeds = 50
+	// attentionInterval is the time between searches for programs that need a person.
+	attentionInterval = time.Second
+)
+
+// Reasons for which a program needs a person.
+const (
+	needUnknown  = "unknown_outcome" // a branch is blocked until the outcome is settled
+	needDeadline = "deadline_passed"
+	needBudget   = "budget_spent"
+)
+
+// attention is the last search of a core.
+type attention struct {
+	at    time.Duration
+	list  []wire.NeedsPerson
+	count int
+}
+
+// look searches the programs of the slots held here for those that need a person.
+func (c *core) look(now time.Duration) {
+	if c.fold == nil || (c.attention.at > 0 && now-c.attention.at < attentionInterval) {
+		return
+	}
+	c.attention = attention{at: now}
+	for s := range id.Slot(id.Slots) {
+		if c.fold.Slot(s).Holder != c.inst.session {
+			continue
+		}
+		c.fold.Each(s, func(p *fsm.Program) {
+			if !p.Ended() {
+				c.attention.add(needsOf(p, time.Now()))
+			}
+		})
+	}
+}
+
+func (a *attention) add(needs []wire.NeedsPerson) {
+	a.count += len(needs)
+	a.list = append(a.list, needs[:min(len(needs), maxNeeds-len(a.list))]...)
+}
+
+func needsOf(p *fsm.Program, now time.Time) []wire.NeedsPerson {
+	var out []wire.NeedsPerson
+	need := wire.NeedsPerson{Program: p.ID, Tenant: p.Tenant, Duty: p.Duty}
+	for _, name := range slices.Sorted(maps.Keys(p.Branches)) {
+		b := p.Branches[name]
+		if b.Unknown == "" {
+			continue
+		}
+		n := need
+		n.Reason, n.Branch, n.Key = needUnknown, name, b.Unknown
+		if o := p.Outcomes[b.Unknown]; o != nil {
+			n.Seq = o.Call.Seq
+			if o.Intent != nil {
+				n.Service, n.Operation = o.Intent.Service, o.Intent.Operation
+			}
+		}
+		out = append(out, n)
+	}
+	switch {
+	case !p.Deadline.IsZero() && now.After(p.Deadline):
+		need.Reason = needDeadline
+	case spent(p.Counted(), p.Limits):
+		need.Reason = needBudget
+	default:
+		return out
+	}
+	return append(out, need)
+}
+
+// spent tells whether nothing is left of one of the limits. A limit of 0 is none.
+func spent(used record.Spend, l record.Limits) bool {
+	over := func(used, limit int64) bool { return limit > 0 && used >= limit }
+	return over(used.Tokens, l.Tokens) || over(used.Calls, l.Calls) || over(used.ChargeCents, l.ChargeCents)
+}
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -43,7 +43,8 @@
 	submissions map[id.Attempt]*submission
 	dispatchers map[string]*dispatcher
 
-	draining bool
+	draining  bool
+	attention attention
 }
 
 func newCore(i *Instance) *core {
@@ -85,6 +86,7 @@
 	c.refreshManifest()
 	c.ordersTick(now)
 	c.observeTick(now)
+	c.look(now)
 	c.publishView()
 }
 
--- a/internal/server/observe_accounts.go
+++ b/internal/server/observe_accounts.go
@@ -5,6 +5,7 @@
 
 	"ragwortstile/internal/id"
 	"ragwortstile/internal/telemetry"
+	"ragwortstile/internal/wire"
 )
 
 // poolAccount is what was read of a dispatcher's accounts.
@@ -12,18 +13,11 @@
 	filled, wasted int64
 	total          float64
 	work           map[string]dutyWork // at the start of the share window
-	shares         []DutyShare         // of the last full window
+	shares         []wire.DutyStatus   // of the last full window
 }
 
 type dutyWork struct{ owed, given float64 }
 
-// DutyShare is the owed and the given share of a duty in a pool, from 0 to 1, over the last window.
-type DutyShare struct {
-	Duty  string  `json:"duty"`
-	Owed  float64 `json:"owed"`
-	Given float64 `json:"given"`
-}
-
 // observeTick reads what is counted elsewhere and drops what this instance owns no more.
 func (c *core) observeTick(now time.Duration) {
 	o := c.inst.observer
@@ -81,7 +75,7 @@
 		a.total, a.shares = total, nil
 		for _, w := range duties {
 			old := a.work[w.Duty]
-			share := DutyShare{Duty: w.Duty, Owed: (w.Owed - old.owed) / done, Given: (w.Given - old.given) / done}
+			share := wire.DutyStatus{Duty: w.Duty, Owed: (w.Owed - old.owed) / done, Given: (w.Given - old.given) / done}
 			a.work[w.Duty] = dutyWork{owed: w.Owed, given: w.Given}
 			a.shares = append(a.shares, share)
 			o.metrics.Share(telemetry.PoolDuty{Pool: name, Duty: w.Duty}, share.Owed, share.Given)
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -1,11 +1,9 @@
 package server
 
 import (
-	"context"
 	"errors"
 	"io"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"ragwortstile/internal/fsm"
@@ -26,9 +24,6 @@
 // still forward requests and serve those that may be repeated.
 const leaseGrace = 8 * time.Second
 
-// statusTimeout bounds how long a status waits for the other instances.
-const statusTimeout = time.Second
-
 // view is what goroutines other than the loop may read of the loop's state. It is replaced, never
 // changed.
 type view struct {
@@ -72,9 +67,11 @@
 	}
 	for pool, d := range c.dispatchers {
 		if c.dispatcherOf(pool) == c.inst.session {
-			v.status.Pools = append(v.status.Pools, wire.PoolStatus{Pool: pool, Waiting: d.sched.Waiting(), Running: len(d.grants)})
+			v.status.Pools = append(v.status.Pools, c.poolStatus(pool, d))
 		}
 	}
+	v.status.DeclaredVersion = c.declaredVersion()
+	v.status.Needs, v.status.NeedsCount = c.attention.list, c.attention.count
 	c.inst.view.Store(v)
 }
 
@@ -149,67 +146,6 @@
 	return wire.Status{Session: i.session, Zone: i.cfg.Zone}
 }
 
-// InstanceStatus is the state of one instance as operators see it.
-type InstanceStatus struct {
-	Session         id.Session `json:"session"`
-	Zone            string     `json:"zone"`
-	Ready           bool       `json:"ready"`
-	Draining        bool       `json:"draining"`
-	LogDown         bool       `json:"log_down"`
-	ManifestVersion uint64     `json:"manifest_version"`
-	Slots           int        `json:"slots"`
-	Programs        int        `json:"programs"`
-	Pools           []PoolLine `json:"pools"`
-	Error           string     `json:"error,omitempty"` // why the instance did not answer
-}
-
-// PoolLine is the state of a pool at its dispatcher.
-type PoolLine struct {
-	Pool    string `json:"pool"`
-	Waiting int    `json:"waiting"`
-	Running int    `json:"running"`
-}
-
-// FleetStatus is the state of all instances, as one of them sees it.
-type FleetStatus struct {
-	Instances []InstanceStatus `json:"instances"`
-}
-
-// Status implements api.Backend. It asks all live instances.
-func (i *Instance) Status() any {
-	out := FleetStatus{Instances: []InstanceStatus{statusLine(i.status())}}
-	v := i.view.Load()
-	if v == nil {
-		return out
-	}
-	ctx, cancel := context.WithTimeout(i.ctx, statusTimeout)
-	defer cancel()
-	lines := make([]InstanceStatus, len(v.peers))
-	var wg sync.WaitGroup
-	for n, session := range v.peers {
-		wg.Go(func() {
-			m, err := i.node.Ask(ctx, session, wire.StatusGet{})
-			if s, ok := m.(wire.Status); err == nil && ok {
-				lines[n] = statusLine(s)
-				return
-			}
-			lines[n] = InstanceStatus{Session: session, Pools: []PoolLine{}, Error: errText(err)}
-		})
-	}
-	wg.Wait()
-	out.Instances = append(out.Instances, lines...)
-	return out
-}
-
-func statusLine(s wire.Status) InstanceStatus {
-	line := InstanceStatus{Session: s.Session, Zone: s.Zone, Ready: s.Ready, Draining: s.Draining, LogDown: s.LogDown,
-		ManifestVersion: s.ManifestVersion, Slots: len(s.Slots), Programs: s.Programs, Pools: []PoolLine{}}
-	for _, p := range s.Pools {
-		line.Pools = append(line.Pools, PoolLine(p))
-	}
-	return line
-}
-
 // WriteMetrics implements api.Backend.
 func (i *Instance) WriteMetrics(w io.Writer) {
 	i.metrics.write(w)
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -258,6 +258,40 @@
 	Pool    string `msgpack:"po"`
 	Waiting int    `msgpack:"w"`
 	Running int    `msgpack:"r"`
+
+	Endpoints []EndpointStatus `msgpack:"e"`
+	Duties    []DutyStatus     `msgpack:"d"`
+}
+
+// EndpointStatus is an endpoint as the dispatcher of its pool sees it.
+type EndpointStatus struct {
+	Name     string `msgpack:"n" json:"name"`
+	Zone     string `msgpack:"z" json:"zone"`
+	InFlight int    `msgpack:"i" json:"in_flight"`
+	Limit    int    `msgpack:"l" json:"limit"` // calls that it may have now
+	Leaving  bool   `msgpack:"v" json:"leaving"`
+	Open     bool   `msgpack:"o" json:"breaker_open"`
+}
+
+// DutyStatus is the owed and the given share of a duty in a pool, from 0 to 1, over the last window
+// in which the pool had work.
+type DutyStatus struct {
+	Duty  string  `msgpack:"d" json:"duty"`
+	Owed  float64 `msgpack:"o" json:"owed"`
+	Given float64 `msgpack:"g" json:"given"`
+}
+
+// NeedsPerson is a program that goes on only after a person has acted, or should be looked at.
+type NeedsPerson struct {
+	Program   id.Program `msgpack:"p" json:"program"`
+	Tenant    string     `msgpack:"t" json:"tenant"`
+	Duty      string     `msgpack:"d" json:"duty"`
+	Reason    string     `msgpack:"r" json:"reason"` // unknown_outcome, deadline_passed or budget_spent
+	Branch    string     `msgpack:"b" json:"branch,omitempty"`
+	Seq       uint64     `msgpack:"s" json:"seq,omitempty"`
+	Key       string     `msgpack:"k" json:"key,omitempty"`
+	Service   string     `msgpack:"sv" json:"service,omitempty"`
+	Operation string     `msgpack:"op" json:"operation,omitempty"`
 }
 
 // PeerAge tells how long ago an instance heard from a peer directly.
@@ -279,4 +313,8 @@
 	Programs        int           `msgpack:"pn"` // open programs of the slots held
 	Pools           []PoolStatus  `msgpack:"ps"` // pools this instance dispatches
 	Peers           []PeerAge     `msgpack:"pr"`
+
+	DeclaredVersion uint64        `msgpack:"dv"` // highest manifest version that the instance has read
+	Needs           []NeedsPerson `msgpack:"np"` // the first ones; NeedsCount has their number
+	NeedsCount      int           `msgpack:"nc"`
 }
