--- a/internal/api/auth.go
+++ b/internal/api/auth.go
@@ -88,7 +88,7 @@
 		writeProblem(w, *p, 0)
 		return
 	}
-	r.Body = http.MaxBytesReader(w, r.Body, MaxBodyBytes)
+	r.Body = &timedBody{ReadCloser: http.MaxBytesReader(w, r.Body, MaxBodyBytes), control: http.NewResponseController(w)}
 	h(w, r, c)
 }
 
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -30,6 +30,9 @@
 	operatorDigest                     string
 	retention, drainWait, drainTimeout string
 	listInterval, logLevel             string
+	httpCert, httpKey                  string
+
+	rotation rotation
 }
 
 func (s *serveSettings) flags(fs *flag.FlagSet) {
@@ -42,10 +45,12 @@
 	fs.StringVar(&s.weightsURL, "weights-url", "", "base URL of the weight store; empty: none")
 	fs.StringVar(&s.peers, "peers", "", "instances to connect to before the list has answered: name=address,...")
 	fs.StringVar(&s.peerKey, "peer-key", "", "pre-shared keys of the peer protocol, separated by commas, the preferred one first")
-	fs.StringVar(&s.peerKeyFile, "peer-key-file", "", "file with one pre-shared key per line; replaces peer-key")
+	fs.StringVar(&s.peerKeyFile, "peer-key-file", "", "file with one pre-shared key per line, read again when it changes; replaces peer-key")
 	fs.StringVar(&s.tlsCert, "peer-tls-cert", "", "PEM file of this instance's certificate for the peer protocol")
 	fs.StringVar(&s.tlsKey, "peer-tls-key", "", "PEM file of the certificate's key")
 	fs.StringVar(&s.tlsCA, "peer-tls-ca", "", "PEM file of the shared CA")
+	fs.StringVar(&s.httpCert, "http-tls-cert", "", "PEM file of the certificate of the callers' front; empty: no TLS")
+	fs.StringVar(&s.httpKey, "http-tls-key", "", "PEM file of the certificate's key")
 	fs.StringVar(&s.operatorDigest, "operator-key-digest", "", "hex SHA-256 of the operator's bearer key; empty: none")
 	fs.StringVar(&s.retention, "retention", server.DefaultRetention.String(), "how long the log keeps records")
 	fs.StringVar(&s.drainWait, "drain-wait", server.DefaultDrainWait.String(), "time for the balancer to see that the instance stops")
@@ -67,16 +72,17 @@
 			if err != nil {
 				return &usageError{err: err}
 			}
-			return serve(ctx, env, cfg)
+			return serve(ctx, cfg, &s.rotation)
 		})
 }
 
-func serve(ctx context.Context, env environment, cfg server.Config) error {
+func serve(ctx context.Context, cfg server.Config, r *rotation) error {
 	i, err := server.New(cfg)
 	if err != nil {
 		return err
 	}
 	i.Start()
+	go r.run(ctx, telemetry.Typed(cfg.Log).With(telemetry.Instance(i.Session())))
 	telemetry.Typed(cfg.Log).Info("instance_started", telemetry.Instance(i.Session()), telemetry.HTTP(i.HTTPAddr()), telemetry.Listen(i.PeerAddr()))
 	select {
 	case <-ctx.Done():
@@ -118,6 +124,7 @@
 	}
 	cfg.Peers = s.parsePeers(&f)
 	s.parseAuth(&cfg, &f)
+	cfg.HTTPTLS = s.parseFrontTLS(&f)
 	cfg.Log = s.newLogger(logOutput, &f)
 	if len(f.all) == 0 {
 		return cfg, cfg.Check()
@@ -173,6 +180,11 @@
 			return
 		}
 		cfg.Keys = ring
+		if s.peerKeyFile != "" {
+			if err := s.rotation.add(keyFile(s.peerKeyFile, ring)); err != nil {
+				f.add("peer-key-file", "%v", err)
+			}
+		}
 	}
 	if s.tlsCert == "" && s.tlsKey == "" && s.tlsCA == "" {
 		return
@@ -198,4 +210,7 @@
 		return
 	}
 	cfg.Certificates = certs
+	if err := s.rotation.add(peerCertificates(s.tlsCert, s.tlsKey, s.tlsCA, certs)); err != nil {
+		f.add("peer-tls-cert", "%v", err)
+	}
 }
--- a/internal/server/config.go
+++ b/internal/server/config.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -38,6 +39,9 @@
 	Keys         *peer.Keyring      // pre-shared keys of the peer protocol; nil with Certificates
 	Certificates *peer.Certificates // TLS of the peer protocol; nil with Keys
 
+	// HTTPTLS serves callers by TLS; nil: plain HTTP, behind a balancer that ends TLS.
+	HTTPTLS *tls.Config
+
 	OperatorDigest string // hex SHA-256 of the operator's bearer key; empty: none
 
 	Retention    time.Duration // how long the log keeps records
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -45,6 +45,7 @@
 
 	draining  bool
 	attention attention
+	quota     quota
 }
 
 func newCore(i *Instance) *core {
@@ -87,6 +88,7 @@
 	c.ordersTick(now)
 	c.observeTick(now)
 	c.look(now)
+	c.countPrograms(now)
 	c.publishView()
 }
 
--- a/internal/server/instance.go
+++ b/internal/server/instance.go
@@ -158,6 +158,7 @@
 		Handler:           api.New(i, i.cfg.OperatorDigest),
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		IdleTimeout:       idleTimeout,
 		BaseContext:       func(net.Listener) context.Context { return i.ctx },
 		ErrorLog:          stdlog.New(httpErrors{i.log}, "", 0),
 	}
@@ -311,7 +312,7 @@
 
 // Serve implements suture.Service.
 func (s *frontService) Serve(ctx context.Context) error {
-	err := s.i.front.Serve(s.i.httpListener)
+	err := s.i.front.Serve(newFrontListener(s.i.httpListener, s.i.cfg.HTTPTLS))
 	if ctx.Err() != nil || errors.Is(err, http.ErrServerClosed) {
 		<-ctx.Done()
 		return ctx.Err()
--- a/internal/server/observe.go
+++ b/internal/server/observe.go
@@ -47,6 +47,7 @@
 	tenant    string
 	submitted time.Duration
 	granted   time.Duration
+	streamed  bool // bytes came before the end; otherwise its token times are not known
 }
 
 // programTime is the time from the first call of a program to its latest answer. A program that was
@@ -132,6 +133,13 @@
 
 // event notes the end of an attempt, which brings its token times.
 func (o *observer) event(ev program.Event) {
+	if p, ok := ev.(program.Progress); ok {
+		if w, known := o.attempts[p.Attempt]; known && !w.streamed {
+			w.streamed = true
+			o.attempts[p.Attempt] = w
+		}
+		return
+	}
 	e, ok := ev.(program.Finished)
 	if !ok {
 		return
@@ -141,7 +149,7 @@
 		return
 	}
 	delete(o.attempts, e.Attempt)
-	if e.Result != sched.ResultOK || e.FirstToken <= 0 {
+	if e.Result != sched.ResultOK || e.FirstToken <= 0 || !w.streamed {
 		return
 	}
 	class := o.metrics.Class(w.tenant)
@@ -160,6 +168,8 @@
 			p.last = o.inst.now()
 			o.programs[d.Call.Program] = p
 		}
+	case "refuse":
+		o.metrics.Refused(string(d.Reason))
 	case "fail":
 		o.callEnded(d.Call)
 	case "end":
@@ -173,9 +183,9 @@
 
 func (o *observer) callEnded(c id.Call) { delete(o.calls, branchOf(c)) }
 
-// refusal counts a problem that ends a request.
+// refusal counts a problem that ends a request. Refusals of a dispatcher are counted by its reason.
 func (o *observer) refusal(p *program.Problem) {
-	if p != nil {
+	if p != nil && p.Type != program.ProblemRefused {
 		o.metrics.Refused(p.Type)
 	}
 }
--- a/internal/server/requests.go
+++ b/internal/server/requests.go
@@ -35,6 +35,7 @@
 	arrived time.Duration
 	hops    int
 	waits   bool // it has been parked
+	counted bool // it passed the limit of open programs
 	remote  bool // it came from another instance and is not forwarded again
 	req     program.ReqID
 	ctx     context.Context // ends when the caller is gone
@@ -77,7 +78,7 @@
 // route takes a request to its owner: the core here, another instance, or the waiting list while
 // the slot has no live holder.
 func (c *core) route(r *request) {
-	if r.ctx.Err() != nil {
+	if r.ctx.Err() != nil || c.overQuota(r) {
 		return
 	}
 	switch holder := c.holder(r.slot); {
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -79,6 +79,9 @@
 // Listen is the field "listen", the address of the peer protocol.
 func Listen(addr string) Field { return Field{"listen", name(addr)} }
 
+// Name is the field "name" of a setting.
+func Name(n string) Field { return Field{"name", name(n)} }
+
 // Epoch is the field "epoch".
 func Epoch(e id.Epoch) Field { return Field{"epoch", uint64(e)} }
 
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -24,7 +24,7 @@
 	logrus.FieldKeyTime, logrus.FieldKeyLevel, logrus.FieldKeyMsg,
 	"program", "call", "instance", "epoch", "reason",
 	"attempt", "slot", "tenant", "duty", "pool", "endpoint", "zone", "version", "fence", "error",
-	"count", "bytes", "took", "age", "status", "peer", "stream", "offset", "http", "listen", "remote", "dialed", droppedField,
+	"count", "bytes", "took", "age", "status", "name", "peer", "stream", "offset", "http", "listen", "remote", "dialed", droppedField,
 }
 
 const droppedField = "dropped_fields"
