--- a/internal/program/core.go
+++ b/internal/program/core.go
@@ -171,14 +171,20 @@
 	attained  time.Duration // service time
 	raising   bool
 	attemptNo int // last attempt number used under this epoch
+	wallTimer *timer
+	idleTimer *timer
 }
 
 // prog returns the entry of a known program in a held slot, or nil.
 func (c *Core) prog(pid id.Program) *prog {
+	state := c.fold.Program(pid)
 	if p := c.progs[pid]; p != nil {
-		return p
+		if state != nil {
+			return p
+		}
+		c.forget(p) // its tombstone has gone
+		return nil
 	}
-	state := c.fold.Program(pid)
 	s, err := pid.Slot()
 	if state == nil || err != nil || !c.slots[s].held {
 		return nil
@@ -208,6 +214,7 @@
 	duties     map[string]manifest.Duty
 	operations map[opKey]manifest.Operation
 	endpoints  map[string]manifest.Endpoint
+	tenants    map[string]manifest.Tenant
 }
 
 type opKey struct{ service, operation string }
@@ -222,6 +229,10 @@
 		duties:     make(map[string]manifest.Duty, len(e.Manifest.Duties)),
 		operations: map[opKey]manifest.Operation{},
 		endpoints:  make(map[string]manifest.Endpoint, len(e.Manifest.Endpoints)),
+		tenants:    make(map[string]manifest.Tenant, len(e.Manifest.Tenants)),
+	}
+	for _, t := range e.Manifest.Tenants {
+		ix.tenants[t.Name] = t
 	}
 	for _, p := range e.Manifest.Pools {
 		ix.pools[p.Name] = p
--- a/internal/server/config_stream.go
+++ b/internal/server/config_stream.go
@@ -63,6 +63,7 @@
 		d.step(sched.Configure{Config: c.poolConfig(pool)}, "")
 	}
 	c.inst.engines.setManifest(parsed)
+	c.orders.configure()
 	c.publishView()
 }
 
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -7,6 +7,7 @@
 	"ragwortstile/internal/fsm"
 	"ragwortstile/internal/id"
 	"ragwortstile/internal/manifest"
+	"ragwortstile/internal/order"
 	"ragwortstile/internal/platform"
 	"ragwortstile/internal/program"
 	"ragwortstile/internal/record"
@@ -40,12 +41,12 @@
 	lastReq  program.ReqID
 	parked   []*request
 
+	orders      *orders
 	submissions map[id.Attempt]*submission
 	dispatchers map[string]*dispatcher
 
 	draining  bool
 	attention attention
-	quota     quota
 }
 
 func newCore(i *Instance) *core {
@@ -58,6 +59,7 @@
 		claims:      newClaimState(),
 	}
 	c.members = newMembers(i)
+	c.orders = newOrders(c)
 	return c
 }
 
@@ -85,10 +87,9 @@
 	c.claimSlots(now)
 	c.routeParked()
 	c.refreshManifest()
-	c.ordersTick(now)
+	c.orders.step(order.Tick{})
 	c.observeTick(now)
 	c.look(now)
-	c.countPrograms(now)
 	c.publishView()
 }
 
@@ -127,6 +128,7 @@
 func (c *core) applied(e fsm.Effect) {
 	c.observeEffect(e)
 	c.noteClaim(e)
+	c.orders.applied(e)
 	c.step(program.Applied{Effect: e})
 }
 
--- a/internal/server/dispatch.go
+++ b/internal/server/dispatch.go
@@ -23,6 +23,10 @@
 // ignores a repeated ID or repeats its grant.
 const resubmitAfter = 2 * time.Second
 
+// regrantPause is the time until a call that was granted to a leaving endpoint is submitted again. The
+// dispatcher hears of the endpoint with the next heartbeat.
+const regrantPause = 200 * time.Millisecond
+
 // submit queues a call at the dispatcher of its pool.
 func (c *core) submit(pool string, r sched.Request) {
 	s := &submission{pool: pool, request: r}
@@ -83,6 +87,12 @@
 	if s.endpoint != "" {
 		return // the same grant again
 	}
+	if c.members.core.EndpointIsLeaving(g.Endpoint) {
+		// The endpoint began to leave while the grant was on its way.
+		c.toDispatcher(from, pool, sched.Done{ID: g.Request.ID, Endpoint: g.Endpoint, Result: sched.ResultCanceled})
+		s.at = c.inst.now() - resubmitAfter + regrantPause
+		return
+	}
 	s.dispatcher = from
 	s.endpoint = g.Endpoint
 	g.Request = s.request
@@ -172,8 +182,12 @@
 	case sched.Submit:
 		d.owners[from] = true
 		if g, ok := d.grants[e.Request.ID]; ok {
-			d.send(g)
-			return
+			if !d.c.members.core.EndpointIsLeaving(g.Endpoint) {
+				d.send(g)
+				return
+			}
+			// The grant was lost on its way and its endpoint gets no new work any more.
+			d.step(sched.Done{ID: e.Request.ID, Endpoint: g.Endpoint, Result: sched.ResultCanceled}, from)
 		}
 	case sched.Running:
 		d.owners[from] = true
