platform: write the record time into batches

Cause: the appender left the time of a batch empty, so the fold's clock stood still. Change: a batch carries the time at which it was made. A repeat has the same bytes.

--- a/internal/platform/appender.go
+++ b/internal/platform/appender.go
@@ -227,7 +227,7 @@
 	for i := range records {
 		records[i] = a.pending[i].rec
 	}
-	data, err := record.Encode(record.Batch{Session: a.cfg.Session, Seq: a.seq + 1, Records: records})
+	data, err := record.Encode(record.Batch{Session: a.cfg.Session, Seq: a.seq + 1, At: time.Now(), Records: records})
 	if err != nil {
 		return nil, err
 	}
