--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -12,6 +12,7 @@
 	"ragwortstile/internal/program"
 	"ragwortstile/internal/record"
 	"ragwortstile/internal/sched"
+	"ragwortstile/internal/telemetry"
 )
 
 // core is the state that the loop owns. Its methods run on the loop only.
@@ -45,7 +46,8 @@
 	dispatchers map[string]*dispatcher
 	nextSync    time.Duration // of the report of running calls
 
-	draining bool
+	draining  bool
+	attention attention
 }
 
 func newCore(i *Instance) *core {
@@ -64,6 +66,7 @@
 
 // step gives an event to the owner core and carries out its actions.
 func (c *core) step(ev program.Event) {
+	c.inst.observer.event(ev)
 	if c.owner == nil {
 		return
 	}
@@ -87,7 +90,8 @@
 	c.routeParked()
 	c.refreshManifest()
 	c.orders.step(order.Tick{})
-	c.inst.metrics.tick(now)
+	c.observeTick(now)
+	c.look(now)
 	c.publishView()
 }
 
@@ -124,10 +128,8 @@
 }
 
 func (c *core) applied(e fsm.Effect) {
+	c.observeEffect(e)
 	c.noteClaim(e)
-	if end, ok := e.Record.(record.End); ok && e.Writer == c.inst.session {
-		c.inst.metrics.ended(e, c.fold.Program(end.Program))
-	}
 	c.orders.applied(e)
 	c.step(program.Applied{Effect: e})
 }
@@ -176,7 +178,7 @@
 // rejectTooLarge tells the owner core that a record that fits no append will never be valid. Without
 // this it would hold up all records behind it.
 func (c *core) rejectTooLarge(r record.Record) {
-	c.inst.log.WithField("reason", "too_large").Errorf("record of kind %d fits no append", r.Kind())
+	c.inst.log.Error("record_rejected", telemetry.Reason("too_large"), telemetry.Count(int(r.Kind())))
 	c.events.later(func() {
 		c.step(program.Applied{Effect: fsm.Effect{Writer: c.inst.session, Record: r, Verdict: fsm.OutOfOrder}})
 	})
--- a/internal/server/dispatch.go
+++ b/internal/server/dispatch.go
@@ -1,12 +1,12 @@
 package server
 
 import (
-	"errors"
 	"time"
 
 	"ragwortstile/internal/id"
 	"ragwortstile/internal/program"
 	"ragwortstile/internal/sched"
+	"ragwortstile/internal/telemetry"
 	"ragwortstile/internal/wire"
 )
 
@@ -17,7 +17,6 @@
 	dispatcher id.Session // that it was last submitted to
 	at         time.Duration
 	endpoint   string // not empty: granted
-	waited     time.Duration
 }
 
 // resubmitAfter repeats a submission that got no answer, in case a message was lost. The dispatcher
@@ -31,9 +30,7 @@
 // submit queues a call at the dispatcher of its pool.
 func (c *core) submit(pool string, r sched.Request) {
 	s := &submission{pool: pool, request: r}
-	if r.Retry > 0 {
-		c.inst.metrics.Retried(pool)
-	}
+	c.inst.observer.submitted(pool, r)
 	c.submissions[r.ID] = s
 	c.sendSubmit(s)
 }
@@ -56,7 +53,7 @@
 		return
 	}
 	if err := c.inst.node.Send(to, m); err != nil {
-		c.inst.log.WithField("remote", to).WithField("reason", err.Error()).Debug("message to the dispatcher was not sent")
+		c.inst.log.Debug("dispatcher_not_reached", telemetry.Peer(to), telemetry.Pool(pool), telemetry.Err(err))
 	}
 }
 
@@ -96,8 +93,8 @@
 	}
 	s.dispatcher = from
 	s.endpoint = g.Endpoint
-	s.waited = g.Waited
 	g.Request = s.request
+	c.inst.observer.granted(g)
 	c.step(program.Granted{Grant: g})
 }
 
@@ -107,7 +104,6 @@
 		return
 	}
 	delete(c.submissions, r.Request.ID)
-	c.inst.metrics.Refused(string(r.Reason))
 	r.Request = s.request
 	c.step(program.Refused{Refuse: r})
 }
@@ -129,7 +125,6 @@
 		return
 	}
 	delete(c.submissions, d.ID)
-	c.inst.metrics.finished(s, d)
 	c.toDispatcher(s.dispatcher, pool, d)
 }
 
@@ -244,6 +239,6 @@
 
 func (d *dispatcher) sendTo(owner id.Session, m wire.Message) {
 	if err := d.c.inst.node.Send(owner, m); err != nil {
-		d.c.inst.log.WithField("remote", owner).WithField("reason", errors.Unwrap(err)).Debug("message to an owner was not sent")
+		d.c.inst.log.Debug("owner_not_reached", telemetry.Peer(owner), telemetry.Pool(d.pool), telemetry.Err(err))
 	}
 }
--- a/internal/server/grant_repeat_test.go
+++ b/internal/server/grant_repeat_test.go
@@ -11,18 +11,18 @@
 	"ragwortstile/internal/manifest"
 	"ragwortstile/internal/membership"
 	"ragwortstile/internal/sched"
+	"ragwortstile/internal/telemetry"
 )
 
 // Guards P8 against a grant that was lost on its way to the owner and is repeated when the owner submits
 // the call again: its endpoint may have begun to leave meanwhile. Found by TestInstancesUnderFaults of
 // package whole at seed 6656.
 func TestRepeatedGrantAvoidsLeavingEndpoint(t *testing.T) {
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
 	inst := &Instance{
 		cfg: Config{Instance: "a", Zone: "z0"}, session: "a.1", epoch: time.Now().Add(-time.Minute),
-		log: logger.WithField("instance", "a.1"),
+		log: telemetry.Typed(telemetry.NewLog(io.Discard, logrus.InfoLevel)),
 	}
+	inst.observer = newObserver(inst)
 	c := newCore(inst)
 	inst.core = c
 	c.manifest = &manifest.Manifest{
--- a/internal/server/instance.go
+++ b/internal/server/instance.go
@@ -10,7 +10,7 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
-	"log"
+	stdlog "log"
 	"net"
 	"net/http"
 	"strings"
@@ -18,13 +18,13 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"github.com/thejerf/suture/v4"
 
 	"ragwortstile/internal/api"
 	"ragwortstile/internal/id"
 	"ragwortstile/internal/peer"
 	"ragwortstile/internal/platform"
+	"ragwortstile/internal/telemetry"
 )
 
 // Streams of the log.
@@ -40,8 +40,6 @@
 	nonceBytes = 10
 	// headerTimeout ends connections of callers that send no request.
 	headerTimeout = 10 * time.Second
-	// idleTimeout closes connections of callers that send nothing more.
-	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes bounds the header of a caller request.
 	maxHeaderBytes = 32 << 10
 )
@@ -51,7 +49,7 @@
 	cfg     Config
 	session id.Session
 	epoch   time.Time // origin of the time that the cores see
-	log     *logrus.Entry
+	log     telemetry.Log
 
 	ctx    context.Context // ends when the instance stops
 	cancel context.CancelFunc
@@ -66,6 +64,7 @@
 	front    *http.Server
 	view     atomic.Pointer[view]
 	metrics  *instanceMetrics
+	observer *observer
 
 	httpListener net.Listener
 	peerListener net.Listener
@@ -91,7 +90,8 @@
 		copies:  newCopyStore(),
 		stopped: make(chan struct{}),
 	}
-	i.log = cfg.Log.WithField("instance", i.session)
+	i.log = telemetry.Typed(cfg.Log).With(telemetry.Instance(i.session))
+	i.observer = newObserver(i)
 	i.ctx, i.cancel = context.WithCancel(context.Background())
 	if err := i.listen(); err != nil {
 		i.cancel()
@@ -135,7 +135,7 @@
 		Session:      i.session,
 		Zone:         i.cfg.Zone,
 		Handler:      &peerHandler{inst: i},
-		Log:          i.log,
+		Log:          i.cfg.Log.WithField("instance", string(i.session)),
 		Keys:         i.cfg.Keys,
 		Certificates: i.cfg.Certificates,
 	})
@@ -158,9 +158,9 @@
 		Handler:           api.New(i, i.cfg.OperatorDigest),
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		BaseContext:       func(net.Listener) context.Context { return i.ctx },
 		IdleTimeout:       idleTimeout,
-		ErrorLog:          log.New(httpLog{i.log}, "", 0),
+		BaseContext:       func(net.Listener) context.Context { return i.ctx },
+		ErrorLog:          stdlog.New(httpErrors{i.log}, "", 0),
 	}
 	return nil
 }
@@ -170,8 +170,10 @@
 		Client:  client,
 		Stream:  stream,
 		Session: i.session,
+		Written: func(records, bytes int) { i.observer.metrics.Appended(records, bytes, true) },
 		Failed: func(err error) {
-			i.log.WithFields(logrus.Fields{"reason": err.Error()}).Debug("append to " + stream + " failed")
+			i.observer.metrics.Appended(0, 0, false)
+			i.log.Debug("append_failed", telemetry.Stream(stream), telemetry.Err(err))
 		},
 	}
 	if stream == streamPrograms {
@@ -216,7 +218,7 @@
 		defer close(i.stopped)
 		err := root.Serve(i.ctx)
 		if err != nil && !errors.Is(err, context.Canceled) {
-			i.log.WithField("reason", err.Error()).Error("instance stops")
+			i.log.Error("instance_failed", telemetry.Err(err))
 		}
 		i.cancel()
 		i.closeListeners()
@@ -247,7 +249,7 @@
 // fail stops the instance because of an error that makes its state unusable.
 func (i *Instance) fail(err error) {
 	i.fatal.CompareAndSwap(nil, &err)
-	i.log.WithField("reason", err.Error()).Error("instance stops")
+	i.log.Error("instance_failed", telemetry.Err(err))
 	i.cancel()
 }
 
@@ -302,16 +304,7 @@
 	if i.ctx.Err() != nil {
 		return
 	}
-	i.log.WithField("reason", e.String()).Warn("supervisor event")
-}
-
-// httpLog takes what the HTTP server reports.
-type httpLog struct{ log *logrus.Entry }
-
-// Write implements io.Writer.
-func (h httpLog) Write(p []byte) (int, error) {
-	h.log.WithField("reason", strings.TrimSpace(string(p))).Debug("front")
-	return len(p), nil
+	i.log.Warn("supervisor_event", telemetry.Reason(supervisorReason(e)))
 }
 
 // frontService serves callers.
@@ -319,7 +312,7 @@
 
 // Serve implements suture.Service.
 func (s *frontService) Serve(ctx context.Context) error {
-	err := s.i.front.Serve(s.i.httpListener)
+	err := s.i.front.Serve(newFrontListener(s.i.httpListener, s.i.cfg.HTTPTLS))
 	if ctx.Err() != nil || errors.Is(err, http.ErrServerClosed) {
 		<-ctx.Done()
 		return ctx.Err()
--- a/internal/server/loop.go
+++ b/internal/server/loop.go
@@ -80,7 +80,7 @@
 	start := time.Now()
 	f()
 	l.c.events.drainOwn()
-	l.c.inst.metrics.busy += time.Since(start)
+	l.c.inst.observer.loopTime.Add(int64(time.Since(start)))
 }
 
 // String names the loop in the supervisor's log.
--- a/internal/server/orders.go
+++ b/internal/server/orders.go
@@ -13,6 +13,8 @@
 	"ragwortstile/internal/order"
 	"ragwortstile/internal/platform"
 	"ragwortstile/internal/record"
+	"ragwortstile/internal/sched"
+	"ragwortstile/internal/telemetry"
 )
 
 // orders runs the controller of orders to engines. The loop owns it.
@@ -80,7 +82,7 @@
 			o.step(order.StateRead{Endpoint: a.Endpoint, Read: a.Read, Known: true, State: state})
 		})
 	case order.Log:
-		o.c.inst.log.WithField("endpoint", a.Endpoint).WithField("fence", a.Fence.String()).WithField("reason", a.Reason).Info(a.What)
+		o.c.inst.log.Info(telemetry.Event(a.What), telemetry.Endpoint(a.Endpoint), telemetry.Fence(a.Fence), telemetry.Reason(sched.Reason(a.Reason)))
 	}
 }
 
--- a/internal/server/platform.go
+++ b/internal/server/platform.go
@@ -2,22 +2,20 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"ragwortstile/internal/peer"
 	"ragwortstile/internal/platform"
 	"ragwortstile/internal/record"
+	"ragwortstile/internal/telemetry"
 )
 
 // tailWait is the long poll at the tail of the programs stream, a quarter of membership.TailBound.
 const tailWait = 500 * time.Millisecond
 
 // errFellBehind tells that the log dropped records that were not read.
-var errFellBehind = errors.New("the log dropped records before they were read")
+var errFellBehind error = codedError{code: "fell_behind", text: "the log dropped records before they were read"}
 
 // tailer returns the reader of a stream.
 func (i *Instance) tailer(stream string) *platform.Tailer {
@@ -47,7 +45,7 @@
 			i.fail(fmt.Errorf("stream %s, offsets %d to %d: %w", stream, from, earliest, errFellBehind))
 		},
 		Failed: func(err error) {
-			i.log.WithFields(logrus.Fields{"reason": err.Error()}).Debug("read of " + stream + " failed")
+			i.log.Debug("read_failed", telemetry.Stream(stream), telemetry.Err(err))
 		},
 	}
 }
@@ -57,7 +55,7 @@
 func (i *Instance) deliver(stream string, e platform.Entry) {
 	b, err := record.Decode(e.Data)
 	if err != nil {
-		i.log.WithFields(logrus.Fields{"reason": err.Error()}).Errorf("entry %d of %s was skipped", e.Offset, stream)
+		i.log.Error("log_entry_skipped", telemetry.Stream(stream), telemetry.Offset(e.Offset), telemetry.Err(err))
 	}
 	i.passGate()
 	i.core.events.post(func() { i.core.entry(stream, e.Offset, b, err == nil) })
@@ -82,7 +80,7 @@
 			i.passGate()
 			i.core.events.post(func() { i.core.listed(l) })
 		},
-		Failed: func(err error) { i.log.WithField("reason", err.Error()).Debug("list was not read") },
+		Failed: func(err error) { i.log.Debug("list_not_read", telemetry.Err(err)) },
 	})
 }
 
