--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -49,7 +49,7 @@
 	}
 }
 
-// Guards against a start that reports one wrong setting at a time, or names no place to mend it.
+// Guards against a start that reports one wrong setting at a time, or names no place to fix it.
 func TestServeReportsAllFindings(t *testing.T) {
 	t.Setenv("RAGWORTSTILE_RETENTION", "soon")
 	t.Setenv("RAGWORTSTILE_PEER_KEY", "short")
