program, wire: give caller requests their own interface

Cause: the switch over the nine caller requests stood four times, in package server and again in the tests of package whole. Change: program.Request has WithReq and Target; wire.NewForward and Forward.Request convert. The front takes program.Request, so another event can no longer be submitted by mistake.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -35,7 +35,7 @@
 	// Submit hands an event to the owner of its program, here or at another instance. The Req field
 	// is set by the backend. The answers arrive in the sink; exactly one Reply or StreamEnd ends them.
 	// The returned function tells that the caller is gone.
-	Submit(ev program.Event, sink Sink) (gone func())
+	Submit(ev program.Request, sink Sink) (gone func())
 	// LocalSlot returns a slot that this instance holds.
 	LocalSlot() (id.Slot, bool)
 	// Manifest returns the manifest in force, or nil.
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -24,12 +24,12 @@
 // fakeBackend keeps the events that it gets and answers them by answer.
 type fakeBackend struct {
 	mu       sync.Mutex
-	events   []program.Event
-	answer   func(ev program.Event, sink Sink)
+	events   []program.Request
+	answer   func(ev program.Request, sink Sink)
 	draining bool
 }
 
-func (b *fakeBackend) Submit(ev program.Event, sink Sink) func() {
+func (b *fakeBackend) Submit(ev program.Request, sink Sink) func() {
 	b.mu.Lock()
 	b.events = append(b.events, ev)
 	b.mu.Unlock()
@@ -41,10 +41,10 @@
 	return func() {}
 }
 
-func (b *fakeBackend) seen() []program.Event {
+func (b *fakeBackend) seen() []program.Request {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return append([]program.Event(nil), b.events...)
+	return append([]program.Request(nil), b.events...)
 }
 
 func (b *fakeBackend) LocalSlot() (id.Slot, bool)   { return 5, true }
@@ -151,7 +151,7 @@
 // seen it never repeats the call.
 func TestClosingEventWaitsForTheEnd(t *testing.T) {
 	end := make(chan struct{})
-	b := &fakeBackend{answer: func(_ program.Event, sink Sink) {
+	b := &fakeBackend{answer: func(_ program.Request, sink Sink) {
 		go func() {
 			sink.StreamData(program.StreamData{Data: []byte("data: {\"a\":1}\n\nda")})
 			sink.StreamData(program.StreamData{Offset: 17, Data: []byte("ta: [DONE]\n\n")})
@@ -187,7 +187,7 @@
 
 // Guards against a failed stream that a caller takes for a whole one.
 func TestFailedStreamHasNoClosingEvent(t *testing.T) {
-	b := &fakeBackend{answer: func(_ program.Event, sink Sink) {
+	b := &fakeBackend{answer: func(_ program.Request, sink Sink) {
 		sink.StreamData(program.StreamData{Data: []byte("data: {}\n\ndata: [DONE]\n\n")})
 		sink.StreamEnd(program.StreamEnd{Problem: &program.Problem{Type: "owner_changed", Status: 503}})
 	}}
@@ -204,7 +204,7 @@
 	var problem *program.Problem
 	ended := make(chan id.Program, 1)
 	b := &fakeBackend{}
-	b.answer = func(ev program.Event, sink Sink) {
+	b.answer = func(ev program.Request, sink Sink) {
 		switch e := ev.(type) {
 		case program.OpenProgram:
 			sink.Reply(program.Reply{Status: 201, Body: []byte(`{"id":"p07-first"}`)})
@@ -236,7 +236,7 @@
 
 // Guards against an answer that is cut off when its instance stops and looks whole to the caller.
 func TestInterruptedAnswerBreaksTheConnection(t *testing.T) {
-	b := &fakeBackend{answer: func(program.Event, Sink) {}}
+	b := &fakeBackend{answer: func(program.Request, Sink) {}}
 	stop, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	s := httptest.NewUnstartedServer(New(b, ""))
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -67,7 +67,7 @@
 
 // serveForward runs a caller request that another instance passed on.
 func (i *Instance) serveForward(ctx context.Context, m wire.Forward, r *peer.Replier) error {
-	ev := fromForward(m)
+	ev := m.Request()
 	sink := &remoteSink{chunkSink: newChunkSink(), refused: make(chan id.Session, 1)}
 	req := i.newRequest(ev, sink)
 	if req == nil {
--- a/internal/server/requests.go
+++ b/internal/server/requests.go
@@ -27,7 +27,7 @@
 
 // request is one caller request on its way to or at the owner.
 type request struct {
-	ev      program.Event
+	ev      program.Request
 	prog    id.Program
 	slot    id.Slot
 	key     string
@@ -42,7 +42,7 @@
 }
 
 // Submit implements api.Backend.
-func (i *Instance) Submit(ev program.Event, sink api.Sink) func() {
+func (i *Instance) Submit(ev program.Request, sink api.Sink) func() {
 	r := i.newRequest(ev, sink)
 	if r == nil {
 		refuseRequest(sink, program.Problem{Type: "unknown_program", Status: http.StatusNotFound,
@@ -60,8 +60,8 @@
 	}
 }
 
-func (i *Instance) newRequest(ev program.Event, sink api.Sink) *request {
-	prog, key := programOf(ev)
+func (i *Instance) newRequest(ev program.Request, sink api.Sink) *request {
+	prog, key := ev.Target()
 	slot, err := prog.Slot()
 	if err != nil {
 		return nil
@@ -100,7 +100,7 @@
 	c.lastReq++
 	r.req = c.lastReq
 	c.requests[r.req] = r
-	c.step(withReq(r.ev, r.req))
+	c.step(r.ev.WithReq(r.req))
 }
 
 // routeParked tries the waiting requests again and refuses those that waited too long.
@@ -152,7 +152,7 @@
 
 // forward passes a request to another instance and its answers back to the caller.
 func (i *Instance) forward(r *request, holder id.Session) {
-	x, err := i.node.Call(r.ctx, holder, toForward(r.ev))
+	x, err := i.node.Call(r.ctx, holder, wire.NewForward(r.ev))
 	if err != nil {
 		// The request did not leave this instance.
 		i.core.events.post(func() { i.core.park(r) })
--- a/internal/whole/caller_test.go
+++ b/internal/whole/caller_test.go
@@ -118,7 +118,7 @@
 		return
 	}
 	c.opening = true
-	c.send(&request{what: "open " + string(c.pid), event: func(req program.ReqID) program.Event {
+	c.send(&request{what: "open " + string(c.pid), event: func(req program.ReqID) program.Request {
 		return program.OpenProgram{Req: req, Program: c.pid, Tenant: "t", Duty: "d", Limits: c.limits, Now: c.w.wall(), Key: "open " + string(c.pid)}
 	}, done: func(_ *request, res result) {
 		c.opening = false
@@ -132,7 +132,7 @@
 
 func (c *caller) end() {
 	c.ending = true
-	c.send(&request{what: "end " + string(c.pid), event: func(req program.ReqID) program.Event {
+	c.send(&request{what: "end " + string(c.pid), event: func(req program.ReqID) program.Request {
 		return program.EndProgram{Req: req, Tenant: "t", Program: c.pid}
 	}, done: func(_ *request, res result) {
 		c.ending = false
@@ -146,7 +146,7 @@
 func (c *caller) advance(l *line) {
 	l.waits = true
 	if !l.opened {
-		c.send(&request{what: "branch " + l.name, event: func(req program.ReqID) program.Event {
+		c.send(&request{what: "branch " + l.name, event: func(req program.ReqID) program.Request {
 			return program.OpenBranch{Req: req, Tenant: "t", Program: c.pid, Name: l.name, Parent: id.MainBranch, Key: "branch " + l.name}
 		}, done: func(_ *request, res result) {
 			c.w.note("%s branch %s: broken %v, %+v", c.pid, l.name, res.broken, res.problem)
@@ -165,7 +165,7 @@
 	c.send(&request{call: k, what: k.key, event: k.event, done: func(r *request, res result) { c.done(l, k, r, res) }})
 }
 
-func (k *call) event(req program.ReqID) program.Event {
+func (k *call) event(req program.ReqID) program.Request {
 	c := k.c
 	if k.kind == "model" || k.kind == "stream" {
 		return program.ModelCall{Req: req, Tenant: "t", Program: c.pid, Branch: k.branch, Key: k.key, Digest: 7, Model: "m",
@@ -230,7 +230,7 @@
 	if c.w.oracle.execs[callID{c.pid, k.key}] > 0 {
 		x = record.ExecutedYes
 	}
-	c.send(&request{what: "settle " + k.key, event: func(req program.ReqID) program.Event {
+	c.send(&request{what: "settle " + k.key, event: func(req program.ReqID) program.Request {
 		return program.SettleCall{Req: req, Tenant: "t", Program: c.pid, Key: k.key, Executed: x, Body: fmt.Appendf(nil, `{"done":%q}`, string(c.pid)+" "+k.key)}
 	}, done: func(_ *request, res result) {
 		l.waits = false
--- a/internal/whole/front_test.go
+++ b/internal/whole/front_test.go
@@ -14,7 +14,7 @@
 	caller *caller
 	call   *call // nil for open, branch, settle and end
 	what   string
-	event  func(program.ReqID) program.Event
+	event  func(program.ReqID) program.Request
 	got    []byte
 	done   func(*request, result)
 	taken  bool // by a front
@@ -55,7 +55,7 @@
 	default:
 		number := n.w.exchangeID()
 		n.exchange.forwards[number] = &forward{to: holder, req: r}
-		m := n.frame(wire.Envelope{Exchange: number, Flags: wire.FlagRequest, Message: forwardOf(r.event(0))}).Message.(wire.Forward)
+		m := n.frame(wire.Envelope{Exchange: number, Flags: wire.FlagRequest, Message: wire.NewForward(r.event(0))}).Message.(wire.Forward)
 		lost := n.w.rng.Float64() < n.w.loss
 		n.w.after(n.w.delay(), func() {
 			owner := n.w.node(holder)
@@ -64,7 +64,7 @@
 				return
 			}
 			n.w.to(owner, 0, func() {
-				owner.serveRequest(&sink{from: n.session, exchange: number}, func(req program.ReqID) program.Event { return eventOf(m, req) })
+				owner.serveRequest(&sink{from: n.session, exchange: number}, func(req program.ReqID) program.Request { return m.Request().WithReq(req) })
 			})
 		})
 	}
@@ -72,7 +72,7 @@
 
 func (n *node) answer(r *request, res result) { n.w.after(n.w.delay(), func() { r.end(n.w, res) }) }
 
-func (n *node) serveRequest(s *sink, event func(program.ReqID) program.Event) {
+func (n *node) serveRequest(s *sink, event func(program.ReqID) program.Request) {
 	n.exchange.nextReq++
 	n.exchange.sinks[n.exchange.nextReq] = s
 	n.step(event(n.exchange.nextReq))
@@ -160,47 +160,6 @@
 	}
 }
 
-func forwardOf(ev program.Event) wire.Forward {
-	switch e := ev.(type) {
-	case program.OpenProgram:
-		return wire.Forward{Open: &e}
-	case program.OpenBranch:
-		return wire.Forward{Branch: &e}
-	case program.ModelCall:
-		return wire.Forward{Model: &e}
-	case program.ServiceCall:
-		return wire.Forward{Service: &e}
-	case program.SettleCall:
-		return wire.Forward{Settle: &e}
-	default:
-		end := ev.(program.EndProgram)
-		return wire.Forward{End: &end}
-	}
-}
-
-func eventOf(f wire.Forward, req program.ReqID) program.Event {
-	switch {
-	case f.Open != nil:
-		f.Open.Req = req
-		return *f.Open
-	case f.Branch != nil:
-		f.Branch.Req = req
-		return *f.Branch
-	case f.Model != nil:
-		f.Model.Req = req
-		return *f.Model
-	case f.Service != nil:
-		f.Service.Req = req
-		return *f.Service
-	case f.Settle != nil:
-		f.Settle.Req = req
-		return *f.Settle
-	default:
-		f.End.Req = req
-		return *f.End
-	}
-}
-
 // act carries out an action of the owner core.
 func (n *node) act(a program.Action) {
 	w := n.w
