breaks: test that a dispatcher knows of leaving endpoints

Cause: since owners give back grants at leaving endpoints, no test noticed a dispatcher that was not told of them; every such call would have gone round in circles.

--- a/internal/breaks/list.go
+++ b/internal/breaks/list.go
@@ -169,7 +169,14 @@
 		file: "internal/server/heartbeat.go",
 		old:  "\tc.members.leaving = leaving\n",
 		new:  "\tc.members.leaving = leaving\n\tif len(leaving) > 0 {\n\t\treturn\n\t}\n",
-		test: test{pkg: "internal/server", run: "^TestLeavingEndpointGetsNoNewWork$"},
+		test: test{pkg: "internal/server", run: "^TestDispatcherAvoidsLeavingEndpoint$"},
+	},
+	{
+		guarantee: "P8", name: "a dispatcher repeats a grant at a leaving endpoint",
+		file: "internal/server/dispatch.go",
+		old:  "\t\t\tif !d.c.members.core.EndpointIsLeaving(g.Endpoint) {\n",
+		new:  "\t\t\tif true {\n",
+		test: test{pkg: "internal/server", run: "^TestRepeatedGrantAvoidsLeavingEndpoint$"},
 	},
 	{
 		guarantee: "P9", name: "a drain cuts streams",
