server: tie the wait of the owner core to that of membership

Cause: two packages state the time for which a claimant leaves open intents alone, and one could be changed without the other. Measured: the build and go vet pass.

--- a/internal/server/heartbeat.go
+++ b/internal/server/heartbeat.go
@@ -14,6 +14,10 @@
 	"ragwortstile/internal/wire"
 )
 
+// The owner core must leave open intents alone at least as long as membership asks for; a negative
+// difference does not compile.
+const _ = uint(program.SettleWait - membership.SettleWait)
+
 // membershipTick sends a round of heartbeats when it is due and drops what dead instances left.
 func (c *core) membershipTick(now time.Duration) {
 	c.members.core.Step(now, membership.Tick{})
