program, manifest: use slices.Contains

Cause: two packages each had their own copy of the search that the standard library has. Change: slices.Contains in their place; behaviour and tests are as before. Measured: the tests of program, manifest and breaks pass.

--- a/internal/manifest/check.go
+++ b/internal/manifest/check.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"regexp"
+	"slices"
 	"time"
 )
 
@@ -163,7 +164,7 @@
 		c.add(place, "there is no duty %q", t.DefaultDuty)
 		return
 	}
-	if !contains(d.Tenants, t.Name) {
+	if !slices.Contains(d.Tenants, t.Name) {
 		c.add(place, "duty %q does not list tenant %q", t.DefaultDuty, t.Name)
 	}
 }
@@ -206,7 +207,7 @@
 	for i, p := range c.m.Pools {
 		sum := 0.0
 		for _, d := range c.m.Duties {
-			if contains(d.Pools, p.Name) && d.Share >= 0 && d.Share <= 1 {
+			if slices.Contains(d.Pools, p.Name) && d.Share >= 0 && d.Share <= 1 {
 				sum += d.Share
 			}
 		}
--- a/internal/manifest/index.go
+++ b/internal/manifest/index.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
+	"slices"
 )
 
 // Index answers the look-ups of the run time on one manifest. It is immutable and safe for
@@ -104,7 +105,7 @@
 		name = t.DefaultDuty
 	}
 	d := x.duties[name]
-	if d == nil || !contains(d.Tenants, t.Name) {
+	if d == nil || !slices.Contains(d.Tenants, t.Name) {
 		return nil
 	}
 	return d
@@ -116,7 +117,7 @@
 // PoolOf returns the pool if the duty's programs may use it and it is of the kind, or nil.
 func (x *Index) PoolOf(d *Duty, name string, kind PoolKind) *Pool {
 	p := x.pools[name]
-	if p == nil || p.Kind != kind || !contains(d.Pools, name) {
+	if p == nil || p.Kind != kind || !slices.Contains(d.Pools, name) {
 		return nil
 	}
 	return p
@@ -133,7 +134,7 @@
 func (x *Index) DutiesOf(pool string) []*Duty {
 	var duties []*Duty
 	for i := range x.Manifest.Duties {
-		if d := &x.Manifest.Duties[i]; contains(d.Pools, pool) {
+		if d := &x.Manifest.Duties[i]; slices.Contains(d.Pools, pool) {
 			duties = append(duties, d)
 		}
 	}
@@ -153,12 +154,3 @@
 	}
 	return nil
 }
-
-func contains(list []string, want string) bool {
-	for _, s := range list {
-		if s == want {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/program/attempt.go
+++ b/internal/program/attempt.go
@@ -1,6 +1,7 @@
 package program
 
 import (
+	"slices"
 	"time"
 
 	"ragwortstile/internal/fsm"
@@ -278,7 +279,7 @@
 		return
 	}
 	c.retries[cl.pool] = c.retryBudget(cl.pool) - 1
-	if failed != "" && !contains(cl.avoid, failed) {
+	if failed != "" && !slices.Contains(cl.avoid, failed) {
 		cl.avoid = append(cl.avoid[:len(cl.avoid):len(cl.avoid)], failed)
 	}
 	cl.state = stateRetry
--- a/internal/program/call.go
+++ b/internal/program/call.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"ragwortstile/internal/fsm"
@@ -75,7 +76,7 @@
 		return
 	}
 	pool, ok := c.pools.pools[e.Model]
-	if !ok || !contains(c.pools.duties[c.state(p).Duty].Pools, e.Model) {
+	if !ok || !slices.Contains(c.pools.duties[c.state(p).Duty].Pools, e.Model) {
 		c.refuse(e.Req, &Problem{Type: ProblemPoolNotFound, Status: 404, Detail: "the duty may not use this model", Place: "model", Executed: c.notRun(p, e.Key, false)}, 0)
 		return
 	}
@@ -102,7 +103,7 @@
 		return
 	}
 	pool, ok := c.pools.pools[e.Service]
-	if !ok || !contains(c.pools.duties[c.state(p).Duty].Pools, e.Service) {
+	if !ok || !slices.Contains(c.pools.duties[c.state(p).Duty].Pools, e.Service) {
 		c.refuse(e.Req, &Problem{Type: ProblemPoolNotFound, Status: 404, Detail: "the duty may not use this service", Place: "service", Executed: c.notRun(p, e.Key, false)}, 0)
 		return
 	}
--- a/internal/program/open.go
+++ b/internal/program/open.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"ragwortstile/internal/fsm"
@@ -78,7 +79,7 @@
 	}
 	duty, known := c.pools.duties[e.Duty]
 	switch {
-	case !known || !contains(duty.Tenants, e.Tenant):
+	case !known || !slices.Contains(duty.Tenants, e.Tenant):
 		c.refuse(e.Req, &Problem{Type: ProblemDutyUnknown, Status: 422, Detail: "the tenant has no such duty", Place: "duty", Executed: record.ExecutedNo}, 0)
 		return
 	case c.draining || c.slots[s].moveTo != "":
@@ -344,12 +345,3 @@
 	}
 	return data
 }
-
-func contains(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/program/world_test.go
+++ b/internal/program/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"ragwortstile/internal/fsm"
@@ -394,7 +395,7 @@
 
 func (w *world) grant(o *owner, x Submit) {
 	endpoint := map[string]string{"m": "m1", "s": "s1"}[x.Pool]
-	if x.Pool == "m" && (contains(x.Request.Avoid, "m1") || w.pick(2, "endpoint") == 1) {
+	if x.Pool == "m" && (slices.Contains(x.Request.Avoid, "m1") || w.pick(2, "endpoint") == 1) {
 		endpoint = "m2"
 	}
 	if w.pick(20, "refuse") == 19 {
