--- /dev/null
+++ b/internal/balance/balance.go
@@ -0,0 +1,243 @@
+// Package balance chooses the endpoint of a request. It has no I/O.
+//
+// The load that it answers: many instances, each with a small part of the requests, share a few
+// endpoints that differ in speed and serve a bounded number of requests at once, in order of arrival.
+// An endpoint above that number delays or refuses what comes. So each instance counts what it has at
+// each endpoint, learns the same of its peers with a lag, and learns how long endpoints take; it
+// chooses the endpoint that is expected to finish first.
+package balance
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// smoothing is the weight of the newest figure in a moving average.
+	smoothing = 0.15
+	// peerLoadAge is how long a peer's report counts. Reports come several times in this span.
+	peerLoadAge = 600 * time.Millisecond
+	// failureRest keeps new requests off an endpoint after failures in a row, doubled by each up to
+	// maxRest.
+	failureRest = 50 * time.Millisecond
+	maxRest     = 2 * time.Second
+	// refusalRest does the same after an endpoint said that it was full.
+	refusalRest = 25 * time.Millisecond
+	// explore is the part of the expected time by which estimates are varied, so that instances with the
+	// same knowledge don't all choose the same endpoint.
+	explore = 0.1
+	// fullPenalty is how many times a request's own time each request above the number served at once
+	// costs, as a share of that number.
+	fullPenalty = 1.0
+	// zonePenalty is what another availability zone costs: time on the way, and bytes that are paid for.
+	zonePenalty = 0.02
+	// coldFactor is how much longer an endpoint takes shortly after its start.
+	coldFactor = 1.5
+)
+
+// Endpoint is a candidate.
+type Endpoint struct {
+	ID    string
+	Addr  string
+	Zone  string
+	Slots int
+	Cold  time.Duration
+}
+
+// state is what is known of an endpoint.
+type state struct {
+	running  int
+	took     float64 // moving average of seconds a request takes when it doesn't wait; 0 when unknown
+	failures int
+	rest     time.Time
+}
+
+type report struct {
+	running map[string]int
+	at      time.Time
+}
+
+// Balancer holds what an instance knows of the load of endpoints. It is not safe for concurrent use.
+type Balancer struct {
+	zone   string
+	states map[string]*state
+	peers  map[string]report
+	rand   *rand.Rand
+}
+
+// New returns a Balancer for an instance in an availability zone.
+func New(zone string, seed uint64) *Balancer {
+	return &Balancer{
+		zone: zone, states: make(map[string]*state), peers: make(map[string]report),
+		rand: rand.New(rand.NewPCG(seed, seed)),
+	}
+}
+
+func (b *Balancer) state(id string) *state {
+	s := b.states[id]
+	if s == nil {
+		s = &state{}
+		b.states[id] = s
+	}
+	return s
+}
+
+// Query asks for an endpoint.
+type Query struct {
+	Candidates []Endpoint
+	Tried      map[string]bool    // endpoints that the request was sent to
+	Saves      map[string]float64 // part of its time that a request saves at an endpoint, 0 to 1
+}
+
+// Pick returns the endpoint that is expected to finish first, and the number of requests that are
+// there. It returns false when there is none left.
+func (b *Balancer) Pick(q Query, now time.Time) (Endpoint, int, bool) {
+	usual := b.usual(q.Candidates)
+	best, bestCost, bestLoad := -1, 0.0, 0
+	for i, e := range q.Candidates {
+		if q.Tried[e.ID] {
+			continue
+		}
+		load := b.load(e.ID, now)
+		cost := b.cost(e, load, usual, q.Saves[e.ID], now)
+		if best < 0 || cost < bestCost {
+			best, bestCost, bestLoad = i, cost, load
+		}
+	}
+	if best < 0 {
+		return Endpoint{}, 0, false
+	}
+	return q.Candidates[best], bestLoad, true
+}
+
+// cost is the expected time of a request at an endpoint, in seconds.
+func (b *Balancer) cost(e Endpoint, load int, usual, saved float64, now time.Time) float64 {
+	s := b.state(e.ID)
+	took := s.took
+	if took == 0 {
+		took = usual
+	}
+	cost := took * (1 - saved)
+	if e.Cold > 0 {
+		cost *= coldFactor
+	}
+	if over := load + 1 - e.Slots; over > 0 {
+		cost += took * fullPenalty * float64(over) / float64(e.Slots) * float64(max(e.Slots/2, 1))
+	} else {
+		cost += took * 0.2 * float64(load) / float64(e.Slots)
+	}
+	if e.Zone != b.zone {
+		cost += usual * zonePenalty
+	}
+	if s.rest.After(now) {
+		cost += s.rest.Sub(now).Seconds() + usual
+	}
+	return cost * (1 + explore*b.rand.Float64())
+}
+
+// usual is the mean time of the candidates that are known.
+func (b *Balancer) usual(candidates []Endpoint) float64 {
+	sum, n := 0.0, 0
+	for _, e := range candidates {
+		if s := b.states[e.ID]; s != nil && s.took > 0 {
+			sum += s.took
+			n++
+		}
+	}
+	if n == 0 {
+		return unknownTime
+	}
+	return sum / float64(n)
+}
+
+// unknownTime stands for the time of a request, in seconds, until one has been seen.
+const unknownTime = 0.1
+
+// load is the number of requests at an endpoint, as far as is known.
+func (b *Balancer) load(id string, now time.Time) int {
+	load := 0
+	if s := b.states[id]; s != nil {
+		load = s.running
+	}
+	for _, r := range b.peers {
+		if now.Sub(r.at) < peerLoadAge {
+			load += r.running[id]
+		}
+	}
+	return load
+}
+
+// Places returns the requests that run at candidates and the number that they serve at once.
+func (b *Balancer) Places(candidates []Endpoint, now time.Time) (running, slots int) {
+	for _, e := range candidates {
+		running += b.load(e.ID, now)
+		slots += e.Slots
+	}
+	return running, slots
+}
+
+// Sent notes that a request is on its way to an endpoint.
+func (b *Balancer) Sent(id string) { b.state(id).running++ }
+
+// Result tells how a request ended at an endpoint.
+type Result uint8
+
+// Results.
+const (
+	Served  Result = iota
+	Refused        // the endpoint said that it did not run the request
+	Failed         // no whole answer
+	Left           // the caller left, or the time was over
+)
+
+// Ended notes the end of a request. took is its time, or 0 if that says nothing of the endpoint.
+func (b *Balancer) Ended(id string, result Result, took time.Duration, now time.Time) {
+	s := b.state(id)
+	s.running = max(s.running-1, 0)
+	switch result {
+	case Served:
+		s.failures = 0
+		if took > 0 {
+			if s.took == 0 {
+				s.took = took.Seconds()
+			}
+			s.took += smoothing * (took.Seconds() - s.took)
+		}
+	case Refused:
+		s.rest = now.Add(refusalRest)
+	case Failed:
+		s.failures++
+		s.rest = now.Add(min(failureRest<<min(s.failures, 6), maxRest))
+	case Left:
+	}
+}
+
+// Own returns the instance's own requests by endpoint.
+func (b *Balancer) Own() map[string]int {
+	own := make(map[string]int)
+	for id, s := range b.states {
+		if s.running > 0 {
+			own[id] = s.running
+		}
+	}
+	return own
+}
+
+// Peer takes the report of a peer.
+func (b *Balancer) Peer(name string, running map[string]int, now time.Time) {
+	b.peers[name] = report{running: running, at: now}
+}
+
+// Keep drops what is known of endpoints that are not listed and have no requests.
+func (b *Balancer) Keep(listed map[string]bool, now time.Time) {
+	for id, s := range b.states {
+		if !listed[id] && s.running == 0 {
+			delete(b.states, id)
+		}
+	}
+	for name, r := range b.peers {
+		if now.Sub(r.at) > peerLoadAge {
+			delete(b.peers, name)
+		}
+	}
+}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -91,6 +91,7 @@
 		FlagSet:    newFlagSet(env, "ragwortstile"),
 		Subcommands: []*ffcli.Command{
 			serveCommand(env),
+			gatewayCommand(env),
 			demoCommand(env),
 			manifestCommand(env),
 			statusCommand(env),
--- /dev/null
+++ b/internal/gateway/beliefs.go
@@ -0,0 +1,297 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"ragwortstile/internal/balance"
+	"ragwortstile/internal/discovery"
+	"ragwortstile/internal/routing"
+	"ragwortstile/internal/store"
+)
+
+// Times of reading the lists.
+const (
+	// configWait is the longest that a read waits for a change; the store answers at once when one comes.
+	configWait = 10 * time.Second
+	// silentRead is how much later than asked for an answer counts as lost.
+	silentRead = 700 * time.Millisecond
+	// endpointFraction is the part of the time in which leaving endpoints must be known that passes
+	// between two reads of the list.
+	endpointFraction = 5
+	minRetry         = 50 * time.Millisecond
+	maxRetry         = 400 * time.Millisecond
+	// lapseGrace is how long after an outage of the store entries that lapsed in it may come back.
+	lapseGrace = 2200 * time.Millisecond
+)
+
+// beliefs holds the configuration and the endpoints that the instance acts on.
+type beliefs struct {
+	lists Lists
+	store store.Keyed
+	log   logrus.FieldLogger
+	dep   *dependency
+
+	table     atomic.Pointer[routing.Table]
+	endpoints atomic.Pointer[map[string][]balance.Endpoint]
+	readAt    atomic.Int64 // when the configuration was last known to be the newest, as Unix nanoseconds of the steady clock
+
+	onConfig    func(*routing.Table)
+	onEndpoints func(listed map[string]bool, addrs map[string]bool)
+
+	mu   sync.Mutex
+	list *discovery.List
+}
+
+// epoch is the origin of times that are kept as numbers.
+var epoch = time.Now()
+
+func newBeliefs(lists Lists, keyed store.Keyed, log logrus.FieldLogger, dep *dependency) *beliefs {
+	return &beliefs{lists: lists, store: keyed, log: log, dep: dep, list: discovery.NewList(lapseGrace)}
+}
+
+// known tells whether requests can be served.
+func (b *beliefs) known() bool { return b.table.Load() != nil && b.endpoints.Load() != nil }
+
+// configAge is how long ago the configuration was known to be the newest.
+func (b *beliefs) configAge() time.Duration {
+	return time.Since(epoch) - time.Duration(b.readAt.Load())
+}
+
+// candidates returns the usable endpoints of a service.
+func (b *beliefs) candidates(service string) []balance.Endpoint {
+	all := b.endpoints.Load()
+	if all == nil {
+		return nil
+	}
+	return (*all)[service]
+}
+
+// follow reads a topic whole and then its changes, until the context ends.
+func (b *beliefs) follow(ctx context.Context, topic string, wait, pause time.Duration, whole, change func([]store.Item)) error {
+	retry := minRetry
+	end, loaded := int64(0), false
+	for ctx.Err() == nil {
+		var items []store.Item
+		var err error
+		rctx, cancel := context.WithTimeout(ctx, wait+silentRead)
+		if !loaded {
+			items, end, err = b.store.Newest(rctx, topic)
+		} else {
+			items, end, err = b.store.Changes(rctx, topic, end, wait)
+		}
+		cancel()
+		b.dep.result(err)
+		var trimmed *store.TrimmedError
+		switch {
+		case errors.As(err, &trimmed):
+			b.log.WithFields(logrus.Fields{"name": topic, "offset": trimmed.First}).Info("changes were dropped, list is read whole")
+			loaded = false
+			continue
+		case err != nil:
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			b.log.WithFields(logrus.Fields{"name": topic, "reason": err.Error()}).Debug("list not read")
+			b.lost(topic)
+			retry = b.sleep(ctx, retry)
+			continue
+		}
+		retry = minRetry
+		b.mu.Lock()
+		if topic == b.lists.EndpointTopic {
+			b.list.Reached(time.Now())
+		}
+		if loaded {
+			change(items)
+		} else {
+			whole(items)
+		}
+		b.mu.Unlock()
+		loaded = true
+		if pause > 0 {
+			b.sleep(ctx, pause)
+		}
+	}
+	return ctx.Err()
+}
+
+func (b *beliefs) lost(topic string) {
+	if topic != b.lists.EndpointTopic {
+		return
+	}
+	b.mu.Lock()
+	b.list.Lost()
+	b.mu.Unlock()
+}
+
+// sleep waits and returns the next, longer wait.
+func (b *beliefs) sleep(ctx context.Context, d time.Duration) time.Duration {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+	return min(2*d, maxRetry)
+}
+
+// followConfig keeps the configuration.
+func (b *beliefs) followConfig(ctx context.Context) error {
+	take := func(items []store.Item) {
+		b.readAt.Store(int64(time.Since(epoch)))
+		for _, i := range items {
+			if i.Key == b.lists.ConfigKey && len(i.Value) > 0 {
+				b.takeConfig(i)
+			}
+		}
+	}
+	return b.follow(ctx, b.lists.ConfigTopic, configWait, 0, take, take)
+}
+
+func (b *beliefs) takeConfig(i store.Item) {
+	c, err := b.lists.DecodeConfig(i.Value)
+	if err != nil {
+		b.log.WithFields(logrus.Fields{"offset": i.Offset, "reason": err.Error()}).Error("configuration refused, the one before stays")
+		return
+	}
+	old := b.table.Load()
+	if old != nil && c.Version <= old.Version {
+		return
+	}
+	t := routing.NewTable(c)
+	b.table.Store(t)
+	b.log.WithFields(logrus.Fields{"version": c.Version, "count": len(c.Routes), "offset": i.Offset}).Info("configuration in force")
+	b.onConfig(t)
+}
+
+// followEndpoints keeps the list of endpoints.
+func (b *beliefs) followEndpoints(ctx context.Context, within time.Duration) error {
+	whole := func(items []store.Item) {
+		ids := make(map[string]bool, len(items))
+		for _, i := range items {
+			ids[i.Key] = true
+		}
+		now := time.Now()
+		changed := len(b.list.Keep(ids, now)) > 0
+		for _, i := range items {
+			changed = b.takeEndpoint(i, now) || changed
+		}
+		b.publish(now, true)
+	}
+	change := func(items []store.Item) {
+		now := time.Now()
+		changed := false
+		for _, i := range items {
+			changed = b.takeEndpoint(i, now) || changed
+		}
+		b.publish(now, changed)
+	}
+	return b.follow(ctx, b.lists.EndpointTopic, 0, within/endpointFraction, whole, change)
+}
+
+// takeEndpoint takes an entry or a removal. It tells whether the endpoints to be used changed.
+func (b *beliefs) takeEndpoint(i store.Item, now time.Time) bool {
+	if i.Key == "" {
+		return false
+	}
+	if len(i.Value) == 0 {
+		changed := b.list.Remove(i.Key, now)
+		if changed {
+			b.log.WithFields(logrus.Fields{"endpoint": i.Key, "offset": i.Offset}).Info("endpoint removed from the list")
+		}
+		return changed
+	}
+	e, err := b.lists.DecodeEndpoint(i.Key, i.Value)
+	if err != nil {
+		b.log.WithFields(logrus.Fields{"offset": i.Offset, "reason": err.Error()}).Debug("entry skipped")
+		return false
+	}
+	changed := b.list.Put(e)
+	if changed {
+		b.log.WithFields(logrus.Fields{
+			"endpoint": e.ID, "name": e.Service, "remote": e.Addr, "zone": e.Zone, "status": leavingWord(e.Leaving), "offset": i.Offset,
+		}).Info("endpoint listed")
+	}
+	return changed
+}
+
+func leavingWord(leaving bool) string {
+	if leaving {
+		return "leaving"
+	}
+	return "ready"
+}
+
+// publish makes the list available to requests.
+func (b *beliefs) publish(now time.Time, changed bool) {
+	for _, id := range b.list.Expire(now) {
+		b.log.WithField("endpoint", id).Info("endpoint dropped, its lapsed entry did not come back")
+		changed = true
+	}
+	if !changed && b.endpoints.Load() != nil {
+		return
+	}
+	byService := make(map[string][]balance.Endpoint)
+	listed, addrs := make(map[string]bool), make(map[string]bool)
+	for service, endpoints := range b.list.Usable() {
+		for _, e := range endpoints {
+			byService[service] = append(byService[service], balance.Endpoint{
+				ID: e.ID, Addr: e.Addr, Zone: e.Zone, Slots: e.Slots, Cold: e.Cold,
+			})
+			listed[e.ID], addrs[e.Addr] = true, true
+		}
+	}
+	b.endpoints.Store(&byService)
+	b.onEndpoints(listed, addrs)
+}
+
+// dependency follows whether the store answers, and logs changes of that.
+type dependency struct {
+	name string
+	log  logrus.FieldLogger
+
+	mu       sync.Mutex
+	failures int
+	lostAt   time.Time
+}
+
+// lostAfter is the number of failures in a row after which a dependency counts as lost.
+const lostAfter = 3
+
+// result takes the outcome of a call. Answers that refuse for a reason of the call's own count as
+// reached.
+func (d *dependency) result(err error) {
+	reached := err == nil || answered(err)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if reached {
+		if !d.lostAt.IsZero() {
+			d.log.WithFields(logrus.Fields{"name": d.name, "took": time.Since(d.lostAt).Milliseconds()}).Info("dependency regained")
+		}
+		d.failures, d.lostAt = 0, time.Time{}
+		return
+	}
+	if d.failures++; d.failures == lostAfter {
+		d.lostAt = time.Now()
+		d.log.WithFields(logrus.Fields{"name": d.name, "reason": err.Error()}).Warn("dependency lost")
+	}
+}
+
+func answered(err error) bool {
+	var moved *store.MovedError
+	var sequence *store.SequenceError
+	var trimmed *store.TrimmedError
+	return errors.Is(err, store.ErrFenced) || errors.Is(err, store.ErrNotMember) ||
+		errors.As(err, &moved) || errors.As(err, &sequence) || errors.As(err, &trimmed)
+}
+
+// lost tells whether the dependency is out of reach.
+func (d *dependency) lost() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.lostAt.IsZero()
+}
--- /dev/null
+++ b/internal/ledger/keeper.go
@@ -0,0 +1,554 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"ragwortstile/internal/history"
+	"ragwortstile/internal/store"
+)
+
+// Times of a keeper.
+const (
+	// reserveLinger is how long a reservation waits for others to share its append. A caller notices
+	// nothing: an engine takes longer to its first event.
+	reserveLinger = 8 * time.Millisecond
+	// minAppendTimeout is above ten times the store's usual answer.
+	minAppendTimeout = 60 * time.Millisecond
+	maxAppendTimeout = time.Second
+	// appendSlack times the usual answer is the time after which an append is sent again.
+	appendSlack = 3
+	// refusedPause keeps the rate of appends low while the store refuses them.
+	refusedPause = 40 * time.Millisecond
+	// readBytes is the most that one read of a claim returns.
+	readBytes = 1 << 20
+	// smoothing is the weight of the newest figure in a moving average.
+	smoothing = 0.2
+	// trimEvery is the time between deletions of records that are not needed any more.
+	trimEvery = 20 * time.Second
+	// trimSlack is kept beyond the longest retention.
+	trimSlack = 30 * time.Second
+)
+
+// producer names the writer of history in the store's fences. All holders share it; the epoch tells
+// them apart.
+const producer = "history"
+
+// Errors of a keeper.
+var (
+	errNotHolder = errors.New("partition is held by another instance")
+	errStopping  = errors.New("instance stops")
+)
+
+// entry is a record on its way into the store.
+type entry struct {
+	data   []byte
+	urgent bool
+	since  time.Time
+	done   chan struct{} // closed once err is set
+	err    error
+}
+
+// keeper holds one partition: it alone writes it under its epoch, and answers from memory.
+type keeper struct {
+	part  store.Partition
+	epoch int64
+	limit int // bytes of an append
+	name  string
+	log   store.Log
+	lines logrus.FieldLogger
+	watch func(err error) // told of each append's outcome
+
+	ready  chan struct{} // closed once the partition is claimed and read
+	closed chan struct{} // closed when the keeper holds the partition no more
+	cancel context.CancelFunc
+
+	mu       sync.Mutex
+	state    *history.State
+	pending  []*entry
+	writing  map[string]*entry // reservations on their way, by attempt
+	changed  chan struct{}     // closed and replaced when an attempt ends
+	wake     chan struct{}
+	cause    error
+	sequence int64
+	usual    time.Duration // moving average of an append's time
+	marks    []mark
+	lastTrim time.Time
+}
+
+// mark remembers when the partition ended at an offset.
+type mark struct {
+	offset int64
+	at     time.Time
+}
+
+func newKeeper(part store.Partition, epoch int64, name string, limit int, log store.Log, lines logrus.FieldLogger, watch func(error)) *keeper {
+	return &keeper{
+		part: part, epoch: epoch, limit: limit, name: name, log: log, watch: watch,
+		lines:   lines.WithFields(logrus.Fields{"slot": part.Part, "epoch": epoch}),
+		ready:   make(chan struct{}),
+		closed:  make(chan struct{}),
+		state:   history.NewState(),
+		writing: make(map[string]*entry),
+		changed: make(chan struct{}),
+		wake:    make(chan struct{}, 1),
+	}
+}
+
+// run claims the partition and writes its records until the context ends or another holder is found.
+func (k *keeper) run(ctx context.Context) {
+	err := k.claim(ctx)
+	if err == nil {
+		close(k.ready)
+		err = k.write(ctx)
+	}
+	k.stop(err)
+}
+
+func (k *keeper) stop(cause error) {
+	k.mu.Lock()
+	k.cause = cause
+	for _, e := range k.pending {
+		e.finish(errNotHolder)
+	}
+	k.pending = nil
+	k.mu.Unlock()
+	close(k.closed)
+	k.lines.WithField("reason", fmt.Sprint(cause)).Info("partition released")
+}
+
+// claim reads the whole partition and appends a claim at its end, so that nothing can follow that the
+// state doesn't have.
+func (k *keeper) claim(ctx context.Context) error {
+	start := time.Now()
+	from, records := int64(0), 0
+	for {
+		end, n, err := k.load(ctx, from)
+		records += n
+		if err != nil {
+			if err := k.pause(ctx, "read", err); err != nil {
+				return err
+			}
+			continue
+		}
+		from = end
+		if k.state.Epoch() > k.epoch {
+			return fmt.Errorf("claimed under epoch %d: %w", k.state.Epoch(), errNotHolder)
+		}
+		if err = k.appendClaim(ctx, from); err == nil {
+			break
+		}
+		var moved *store.MovedError
+		switch {
+		case errors.As(err, &moved):
+		case errors.Is(err, store.ErrFenced):
+			return err
+		default:
+			if err := k.pause(ctx, "claim", err); err != nil {
+				return err
+			}
+		}
+	}
+	k.lines.WithFields(logrus.Fields{
+		"count": records, "offset": from, "took": time.Since(start).Milliseconds(), "bytes": k.state.Turns(),
+	}).Info("partition claimed")
+	return nil
+}
+
+// load reads from an offset to the end.
+func (k *keeper) load(ctx context.Context, from int64) (end int64, count int, err error) {
+	for {
+		b, err := k.read(ctx, from)
+		var trimmed *store.TrimmedError
+		if errors.As(err, &trimmed) && trimmed.First > from {
+			from = trimmed.First
+			continue
+		}
+		if err != nil {
+			return from, count, err
+		}
+		now, wall := time.Now(), time.Now()
+		for _, data := range b.Records {
+			r, err := history.Decode(data)
+			if err != nil {
+				k.lines.WithField("reason", err.Error()).WithField("offset", from).Warn("record skipped")
+				continue
+			}
+			k.state.Load(r, now, wall)
+		}
+		count += len(b.Records)
+		from += int64(len(b.Records))
+		if from >= b.End || len(b.Records) == 0 {
+			return max(from, b.End), count, nil
+		}
+	}
+}
+
+func (k *keeper) read(ctx context.Context, from int64) (store.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, maxAppendTimeout)
+	defer cancel()
+	return k.log.Read(ctx, k.part, from, readBytes, 0)
+}
+
+func (k *keeper) appendClaim(ctx context.Context, at int64) error {
+	data, err := history.Record{
+		Kind: history.RecordClaim, At: time.Now().UnixMilli(), Epoch: k.epoch, Holder: k.name,
+	}.Encode()
+	if err != nil {
+		return err
+	}
+	actx, cancel := context.WithTimeout(ctx, maxAppendTimeout)
+	defer cancel()
+	_, err = k.log.Append(actx, store.Append{
+		Partition: k.part, Records: [][]byte{data}, Producer: producer, Epoch: k.epoch, Sequence: 0, At: at,
+	})
+	k.watch(err)
+	return err
+}
+
+// pause waits before a call is made again. It fails when the context ends.
+func (k *keeper) pause(ctx context.Context, call string, err error) error {
+	k.lines.WithFields(logrus.Fields{"name": call, "reason": err.Error()}).Debug("store call failed")
+	select {
+	case <-ctx.Done():
+		return errStopping
+	case <-time.After(refusedPause):
+		return nil
+	}
+}
+
+// write appends pending records until the context ends.
+func (k *keeper) write(ctx context.Context) error {
+	k.sequence = 1
+	for {
+		batch, err := k.take(ctx)
+		if err != nil {
+			return err
+		}
+		if err := k.append(ctx, batch); err != nil {
+			for _, e := range batch {
+				e.finish(errNotHolder)
+			}
+			return err
+		}
+		k.sequence++
+		k.mu.Lock()
+		for _, e := range batch {
+			e.finish(nil)
+		}
+		k.mu.Unlock()
+	}
+}
+
+// take waits for records and returns those of the next append.
+func (k *keeper) take(ctx context.Context) ([]*entry, error) {
+	for {
+		k.mu.Lock()
+		batch, wait := k.due(time.Now())
+		k.mu.Unlock()
+		if len(batch) > 0 {
+			return batch, nil
+		}
+		var linger <-chan time.Time
+		if wait > 0 {
+			linger = time.After(wait)
+		}
+		select {
+		case <-ctx.Done():
+			return nil, errStopping
+		case <-k.wake:
+		case <-linger:
+		}
+	}
+}
+
+// due returns the next records, or how long they may still wait for others.
+func (k *keeper) due(now time.Time) ([]*entry, time.Duration) {
+	if len(k.pending) == 0 {
+		return nil, 0
+	}
+	urgent := false
+	for _, e := range k.pending {
+		urgent = urgent || e.urgent
+	}
+	if left := reserveLinger - now.Sub(k.pending[0].since); !urgent && left > 0 {
+		return nil, left
+	}
+	size, n := 0, 0
+	for n < len(k.pending) && (n == 0 || size+len(k.pending[n].data) < k.limit) {
+		size += len(k.pending[n].data) + lengthPrefix
+		n++
+	}
+	batch := k.pending[:n:n]
+	k.pending = k.pending[n:]
+	return batch, 0
+}
+
+// lengthPrefix is what the store adds to each record of a call.
+const lengthPrefix = 4
+
+// append writes a batch, again and again until its outcome is known. The sequence number keeps an
+// append that was done without an answer from being done twice.
+func (k *keeper) append(ctx context.Context, batch []*entry) error {
+	records := make([][]byte, len(batch))
+	for i, e := range batch {
+		records[i] = e.data
+	}
+	for try := 0; ; try++ {
+		timeout := min(max(appendSlack*k.usual, minAppendTimeout)<<min(try, 4), maxAppendTimeout)
+		actx, cancel := context.WithTimeout(ctx, timeout)
+		start := time.Now()
+		end, err := k.log.Append(actx, store.Append{
+			Partition: k.part, Records: records, Producer: producer, Epoch: k.epoch, Sequence: k.sequence, At: -1,
+		})
+		cancel()
+		k.watch(err)
+		var sequence *store.SequenceError
+		switch {
+		case err == nil:
+			k.measured(time.Since(start), end)
+			return nil
+		case errors.Is(err, store.ErrFenced):
+			return err
+		case errors.As(err, &sequence):
+			if sequence.Expected == k.sequence+1 {
+				return nil
+			}
+			return fmt.Errorf("own sequence number %d: %w", k.sequence, err)
+		case ctx.Err() != nil:
+			return errStopping
+		}
+		k.lines.WithFields(logrus.Fields{"reason": err.Error(), "count": try, "took": time.Since(start).Milliseconds()}).
+			Debug("append failed")
+		if errors.Is(err, store.ErrUnavailable) || time.Since(start) < timeout {
+			select {
+			case <-ctx.Done():
+				return errStopping
+			case <-time.After(refusedPause):
+			}
+		}
+	}
+}
+
+func (k *keeper) measured(took time.Duration, end int64) {
+	k.usual += time.Duration(smoothing * float64(took-k.usual))
+	now := time.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if n := len(k.marks); n == 0 || now.Sub(k.marks[n-1].at) > time.Second {
+		k.marks = append(k.marks, mark{offset: end, at: now})
+	}
+}
+
+func (e *entry) finish(err error) {
+	e.err = err
+	close(e.done)
+}
+
+// add queues a record. The caller holds the lock.
+func (k *keeper) add(r history.Record, urgent bool) (*entry, error) {
+	data, err := r.Encode()
+	if err != nil {
+		return nil, err
+	}
+	e := &entry{data: data, urgent: urgent, since: time.Now(), done: make(chan struct{})}
+	k.pending = append(k.pending, e)
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+	return e, nil
+}
+
+// serving waits until the partition is claimed.
+func (k *keeper) serving(ctx context.Context) error {
+	select {
+	case <-k.closed:
+		return errNotHolder
+	case <-k.ready:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// begin decides on an attempt. It returns the text of the chain unless the asker knows it.
+func (k *keeper) begin(ctx context.Context, b history.Begin) (history.Outcome, []byte, error) {
+	if err := k.serving(ctx); err != nil {
+		return 0, nil, err
+	}
+	for {
+		outcome, body, changed, err := k.tryBegin(b)
+		if err != nil || outcome != history.Waits {
+			return outcome, body, err
+		}
+		select {
+		case <-changed:
+		case <-time.After(overdueCheck): // attempts may end unseen
+		case <-k.closed:
+			return 0, nil, errNotHolder
+		case <-ctx.Done():
+			return history.Waits, nil, nil
+		}
+	}
+}
+
+// overdueCheck is how often a waiting attempt looks for others whose time is over.
+const overdueCheck = 200 * time.Millisecond
+
+func (k *keeper) tryBegin(b history.Begin) (history.Outcome, []byte, <-chan struct{}, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.isClosed() {
+		return 0, nil, nil, errNotHolder
+	}
+	var body []byte
+	if b.Previous != "" && !b.Known {
+		var ok bool
+		if body, ok = k.state.Body(b.Previous); !ok {
+			return history.UnknownTurn, nil, nil, nil
+		}
+	}
+	outcome, record := k.state.Begin(b, time.Now())
+	if outcome != history.Granted || !b.Limited {
+		return outcome, body, k.changed, nil
+	}
+	e, err := k.add(record, false)
+	if err != nil {
+		return 0, nil, nil, err
+	}
+	k.writing[b.Turn] = e
+	return outcome, body, nil, nil
+}
+
+func (k *keeper) isClosed() bool {
+	select {
+	case <-k.closed:
+		return true
+	default:
+		return false
+	}
+}
+
+// confirm waits until the reservation of an attempt is in the store.
+func (k *keeper) confirm(ctx context.Context, attempt string) error {
+	k.mu.Lock()
+	e := k.writing[attempt]
+	k.mu.Unlock()
+	if e == nil {
+		return errNotHolder
+	}
+	return k.wait(ctx, e)
+}
+
+func (k *keeper) wait(ctx context.Context, e *entry) error {
+	select {
+	case <-e.done:
+		return e.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// end takes the end of an attempt and waits until a whole turn is in the store.
+func (k *keeper) end(ctx context.Context, end history.End) error {
+	if err := k.serving(ctx); err != nil {
+		return err
+	}
+	k.mu.Lock()
+	if k.isClosed() {
+		k.mu.Unlock()
+		return errNotHolder
+	}
+	record, isNew := k.state.End(end, time.Now())
+	delete(k.writing, end.Turn)
+	if !isNew {
+		k.mu.Unlock()
+		return k.barrier(ctx)
+	}
+	e, err := k.add(record, end.Whole)
+	close(k.changed)
+	k.changed = make(chan struct{})
+	k.mu.Unlock()
+	if err != nil || !end.Whole {
+		return err
+	}
+	return k.wait(ctx, e)
+}
+
+// barrier waits until all that is pending now is in the store.
+func (k *keeper) barrier(ctx context.Context) error {
+	k.mu.Lock()
+	record := history.Record{Kind: history.RecordClaim, At: time.Now().UnixMilli(), Epoch: k.epoch, Holder: k.name}
+	e, err := k.add(record, true)
+	k.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	return k.wait(ctx, e)
+}
+
+// find returns the text up to and with a turn.
+func (k *keeper) find(ctx context.Context, turn string) ([]byte, bool, error) {
+	if err := k.serving(ctx); err != nil {
+		return nil, false, err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.isClosed() {
+		return nil, false, errNotHolder
+	}
+	body, ok := k.state.Body(turn)
+	return body, ok, nil
+}
+
+// adopt takes the chain of a turn of another partition.
+func (k *keeper) adopt(ctx context.Context, turn string, body []byte, keep time.Duration) error {
+	if err := k.serving(ctx); err != nil {
+		return err
+	}
+	k.mu.Lock()
+	if k.isClosed() {
+		k.mu.Unlock()
+		return errNotHolder
+	}
+	if k.state.Has(turn) {
+		k.mu.Unlock()
+		return nil
+	}
+	e, err := k.add(k.state.Import(turn, body, keep, time.Now()), true)
+	k.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	return k.wait(ctx, e)
+}
+
+// expire drops what is over, here and, from time to time, in the store.
+func (k *keeper) expire(ctx context.Context, keep time.Duration) {
+	now := time.Now()
+	k.mu.Lock()
+	k.state.Expire(now)
+	before := int64(0)
+	if now.Sub(k.lastTrim) > trimEvery {
+		k.lastTrim = now
+		for len(k.marks) > 0 && now.Sub(k.marks[0].at) > keep+trimSlack {
+			before = k.marks[0].offset
+			k.marks = k.marks[1:]
+		}
+	}
+	k.mu.Unlock()
+	if before == 0 {
+		return
+	}
+	tctx, cancel := context.WithTimeout(ctx, maxAppendTimeout)
+	defer cancel()
+	if err := k.log.Trim(tctx, k.part, before); err != nil {
+		k.lines.WithField("reason", err.Error()).Info("trim failed, tried again later")
+	}
+}
--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,602 @@
+// Package ledger keeps the history of programs in the store and serves it to all instances.
+//
+// Programs are divided into partitions of one topic. The store's group deals the partitions out; the
+// holder of a partition claims it under the group's generation, reads it whole, and from then on
+// answers from memory and writes every change. The fence of the store makes sure that a holder which
+// has been replaced, and doesn't know it, can write nothing more. What a caller relies on is
+// confirmed only once it is in the store.
+package ledger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+
+	"ragwortstile/internal/history"
+	"ragwortstile/internal/id"
+	"ragwortstile/internal/peer"
+	"ragwortstile/internal/store"
+	"ragwortstile/internal/wire"
+)
+
+// Names in the store.
+const (
+	topic = "history"
+	group = "history"
+)
+
+// Times of membership.
+const (
+	// ttlFactor times the least lifetime that the store allows is the lifetime of a membership. It
+	// bounds how long the partitions of an instance that died stay without a holder.
+	ttlFactor = 1.2
+	// joinFraction is the part of that lifetime after which membership is renewed.
+	joinFraction = 3
+	// ownersEvery is the time between reads of all assignments while nothing points at a change.
+	ownersEvery = 2 * time.Second
+	// ownersAtOnce is the least time between two such reads.
+	ownersAtOnce = 150 * time.Millisecond
+	callTimeout  = 700 * time.Millisecond
+	// retryPause is the wait before a holder is asked again.
+	retryPause = 25 * time.Millisecond
+	// askTimeout bounds one question to a holder; some wait for an append.
+	askTimeout  = 1500 * time.Millisecond
+	expireEvery = 2 * time.Second
+)
+
+// Errors of the client side.
+var (
+	// ErrUnavailable means that nothing certain can be said now.
+	ErrUnavailable = errors.New("history is not available")
+	// ErrUnknownTurn means that no partition has the turn.
+	ErrUnknownTurn = errors.New("no such turn")
+	// ErrOverBudget means that the program's budget doesn't hold the turn.
+	ErrOverBudget = errors.New("over budget")
+)
+
+// Store is what a Ledger needs of the store.
+type Store interface {
+	store.Log
+	store.Groups
+}
+
+// Config holds the settings of a Ledger.
+type Config struct {
+	Instance  string
+	PeerAddr  string
+	Parts     int
+	CallBytes int
+	MinTTL    time.Duration // of a membership, by the store
+	Store     Store
+	Node      *peer.Node
+	Log       logrus.FieldLogger
+	// Reached is told of the outcome of each call to the store.
+	Reached func(error)
+}
+
+// Ledger is one instance's part in the history.
+type Ledger struct {
+	cfg Config
+	ttl time.Duration
+
+	mu         sync.Mutex
+	keepers    map[int]*keeper
+	owners     map[int]string // member by partition
+	sessions   map[string]id.Session
+	generation int64
+	keep       time.Duration
+	leaving    bool
+	lastOwners time.Time
+	refresh    chan struct{}
+	rejoin     chan struct{}
+	wg         sync.WaitGroup
+}
+
+// New returns a Ledger.
+func New(cfg Config) *Ledger {
+	return &Ledger{
+		cfg: cfg, ttl: time.Duration(ttlFactor * float64(cfg.MinTTL)),
+		keepers: make(map[int]*keeper), owners: make(map[int]string), sessions: make(map[string]id.Session),
+		refresh: make(chan struct{}, 1), rejoin: make(chan struct{}, 1),
+	}
+}
+
+// SetKeep takes the longest time for which turns are kept.
+func (l *Ledger) SetKeep(keep time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.keep = keep
+}
+
+// Connected and Disconnected follow the connections with peers.
+func (l *Ledger) Connected(r peer.Remote) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sessions[r.Session.Instance()] = r.Session
+}
+
+// Disconnected follows the end of a connection.
+func (l *Ledger) Disconnected(r peer.Remote) {
+	l.mu.Lock()
+	if l.sessions[r.Session.Instance()] == r.Session {
+		delete(l.sessions, r.Session.Instance())
+	}
+	l.mu.Unlock()
+}
+
+// member returns the name under which the instance is in the group. Others find its address in it.
+func (l *Ledger) member() string { return l.cfg.Instance + "@" + l.cfg.PeerAddr }
+
+func splitMember(member string) (peer.Peer, bool) {
+	name, addr, ok := strings.Cut(member, "@")
+	return peer.Peer{Instance: name, Addr: addr}, ok
+}
+
+// part returns the partition of a program.
+func (l *Ledger) part(program string) int {
+	return int(xxhash.Sum64String(program) % uint64(l.cfg.Parts))
+}
+
+// Serve keeps the membership until the context ends, then releases all partitions.
+func (l *Ledger) Serve(ctx context.Context) error {
+	join := time.NewTimer(0)
+	defer join.Stop()
+	expire := time.NewTicker(expireEvery)
+	defer expire.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			l.release()
+			return ctx.Err()
+		case <-l.rejoin:
+			l.join(ctx)
+		case <-join.C:
+			l.join(ctx)
+			join.Reset(l.ttl / joinFraction)
+		case <-l.refresh:
+			l.readOwners(ctx, ownersAtOnce)
+		case <-expire.C:
+			l.readOwners(ctx, ownersEvery)
+			l.expire(ctx)
+		}
+	}
+}
+
+// Leave gives the membership up, so that others take the partitions over at once.
+func (l *Ledger) Leave(ctx context.Context) {
+	l.mu.Lock()
+	l.leaving = true
+	l.mu.Unlock()
+	l.release()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := l.cfg.Store.Leave(ctx, group, l.member()); err != nil {
+		l.cfg.Log.WithField("reason", err.Error()).Warn("leaving the group failed, the membership lapses")
+	}
+}
+
+func (l *Ledger) release() {
+	l.mu.Lock()
+	held := l.keepers
+	l.keepers = make(map[int]*keeper)
+	l.mu.Unlock()
+	for _, k := range held {
+		k.cancel()
+		<-k.closed
+	}
+}
+
+// join renews the membership and takes up or gives up partitions.
+func (l *Ledger) join(ctx context.Context) {
+	l.mu.Lock()
+	leaving, generation := l.leaving, l.generation
+	l.mu.Unlock()
+	if leaving {
+		return
+	}
+	jctx, cancel := context.WithTimeout(ctx, callTimeout)
+	m, err := l.cfg.Store.Join(jctx, group, l.member(), []string{topic}, l.ttl, generation)
+	cancel()
+	l.cfg.Reached(err)
+	if err != nil {
+		l.cfg.Log.WithField("reason", err.Error()).Debug("join failed")
+		return
+	}
+	changed := m.Generation != generation
+	l.mu.Lock()
+	l.generation = m.Generation
+	held := make(map[int]bool, len(m.Held))
+	var dropped []*keeper
+	for _, p := range m.Held {
+		if p.Topic == topic {
+			held[p.Part] = true
+		}
+	}
+	for part, k := range l.keepers {
+		if !held[part] || k.isClosed() {
+			delete(l.keepers, part)
+			dropped = append(dropped, k)
+		}
+	}
+	if !l.leaving {
+		for part := range held {
+			if l.keepers[part] == nil {
+				l.keepers[part] = l.start(ctx, part, m.Generation)
+			}
+		}
+	}
+	l.mu.Unlock()
+	for _, k := range dropped {
+		k.cancel()
+		<-k.closed
+	}
+	if changed {
+		l.cfg.Log.WithFields(logrus.Fields{"version": m.Generation, "count": len(held)}).Info("group changed")
+		l.readOwners(ctx, 0)
+	}
+	if len(dropped) > 0 {
+		l.poke(l.rejoin) // tells the store that the partitions are free
+	}
+}
+
+// start takes a partition up. The caller holds the lock.
+func (l *Ledger) start(ctx context.Context, part int, epoch int64) *keeper {
+	k := newKeeper(store.Partition{Topic: topic, Part: part}, epoch, l.cfg.Instance, l.cfg.CallBytes,
+		l.cfg.Store, l.cfg.Log, l.cfg.Reached)
+	kctx, cancel := context.WithCancel(ctx)
+	k.cancel = cancel
+	go k.run(kctx)
+	return k
+}
+
+func (l *Ledger) poke(signal chan struct{}) {
+	select {
+	case signal <- struct{}{}:
+	default:
+	}
+}
+
+// readOwners learns who holds which partition, unless that was learnt a short time ago.
+func (l *Ledger) readOwners(ctx context.Context, atLeast time.Duration) {
+	l.mu.Lock()
+	recent := time.Since(l.lastOwners) < atLeast
+	l.mu.Unlock()
+	if recent {
+		return
+	}
+	octx, cancel := context.WithTimeout(ctx, callTimeout)
+	rows, err := l.cfg.Store.Owners(octx, group)
+	cancel()
+	l.cfg.Reached(err)
+	l.mu.Lock()
+	l.lastOwners = time.Now()
+	if err != nil {
+		l.mu.Unlock()
+		l.cfg.Log.WithField("reason", err.Error()).Debug("reading assignments failed")
+		return
+	}
+	peers := make(map[string]peer.Peer)
+	for _, row := range rows {
+		if row.Topic != topic || row.Member == "" {
+			continue
+		}
+		l.owners[row.Part] = row.Member
+		if p, ok := splitMember(row.Member); ok && p.Instance != l.cfg.Instance {
+			peers[p.Instance] = p
+		}
+	}
+	l.mu.Unlock()
+	list := make([]peer.Peer, 0, len(peers))
+	for _, p := range peers {
+		list = append(list, p)
+	}
+	l.cfg.Node.SetPeers(list)
+}
+
+func (l *Ledger) expire(ctx context.Context) {
+	l.mu.Lock()
+	held := make([]*keeper, 0, len(l.keepers))
+	for _, k := range l.keepers {
+		held = append(held, k)
+	}
+	keep := l.keep
+	l.mu.Unlock()
+	for _, k := range held {
+		k.expire(ctx, keep)
+	}
+}
+
+// Held returns the partitions that this instance holds, and the number of turns in them.
+func (l *Ledger) Held() (parts, turns int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, k := range l.keepers {
+		k.mu.Lock()
+		turns += k.state.Turns()
+		k.mu.Unlock()
+	}
+	return len(l.keepers), turns
+}
+
+// holder returns the own keeper of a partition, or the session that holds it.
+func (l *Ledger) holder(part int) (*keeper, id.Session, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if k := l.keepers[part]; k != nil {
+		return k, "", nil
+	}
+	p, ok := splitMember(l.owners[part])
+	if !ok {
+		return nil, "", fmt.Errorf("partition %d has no holder: %w", part, ErrUnavailable)
+	}
+	session, ok := l.sessions[p.Instance]
+	if !ok {
+		return nil, "", fmt.Errorf("holder %s of partition %d is out of reach: %w", p.Instance, part, ErrUnavailable)
+	}
+	return nil, session, nil
+}
+
+// ask runs a question at the holder of a partition, until it is answered or the context ends.
+func (l *Ledger) ask(
+	ctx context.Context, part int, local func(context.Context, *keeper) error, remote wire.Message, take func(wire.Message) error,
+) error {
+	for {
+		err := l.askOnce(ctx, part, local, remote, take)
+		if err == nil || errors.Is(err, errWrongReply) {
+			return err
+		}
+		if ctx.Err() != nil {
+			return fmt.Errorf("%w: %w", ErrUnavailable, err)
+		}
+		l.poke(l.refresh)
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%w: %w", ErrUnavailable, err)
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+func (l *Ledger) askOnce(
+	ctx context.Context, part int, local func(context.Context, *keeper) error, remote wire.Message, take func(wire.Message) error,
+) error {
+	k, session, err := l.holder(part)
+	if err != nil {
+		return err
+	}
+	actx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	if k != nil {
+		return local(actx, k)
+	}
+	reply, err := l.cfg.Node.Ask(actx, session, remote)
+	if err != nil {
+		return err
+	}
+	return take(reply)
+}
+
+var errWrongReply = errors.New("reply of an unexpected kind")
+
+func takeAck(m wire.Message) error {
+	if _, ok := m.(wire.Ack); !ok {
+		return fmt.Errorf("%w: %s", errWrongReply, m.Kind())
+	}
+	return nil
+}
+
+// Begin asks for leave to run an attempt. It returns the text of the chain before it, unless b.Known is
+// set. The attempt may be sent to an endpoint at once, but nothing may be handed out before Confirm.
+func (l *Ledger) Begin(ctx context.Context, b history.Begin) ([]byte, error) {
+	part := l.part(b.Program)
+	for adopted := false; ; adopted = true {
+		outcome, body, err := l.begin(ctx, part, b)
+		if err != nil {
+			return nil, err
+		}
+		switch outcome {
+		case history.Granted:
+			return body, nil
+		case history.OverBudget:
+			return nil, ErrOverBudget
+		case history.Waits:
+			return nil, fmt.Errorf("%w: the budget is taken up by running turns", ErrUnavailable)
+		}
+		if adopted {
+			return nil, fmt.Errorf("%w: the turn vanished", ErrUnavailable)
+		}
+		if err := l.adopt(ctx, part, b.Previous); err != nil {
+			return nil, err
+		}
+	}
+}
+
+func (l *Ledger) begin(ctx context.Context, part int, b history.Begin) (outcome history.Outcome, body []byte, err error) {
+	err = l.ask(ctx, part, func(ctx context.Context, k *keeper) (err error) {
+		outcome, body, err = k.begin(ctx, b)
+		return err
+	}, wire.TurnBegin{Part: part, Begin: b}, func(m wire.Message) error {
+		begun, ok := m.(wire.TurnBegun)
+		if !ok {
+			return fmt.Errorf("%w: %s", errWrongReply, m.Kind())
+		}
+		outcome, body = begun.Outcome, begun.Body
+		return nil
+	})
+	return outcome, body, err
+}
+
+// Confirm waits until the reservation of an attempt is in the store. Where the holder has changed since,
+// it is made anew.
+func (l *Ledger) Confirm(ctx context.Context, b history.Begin) error {
+	if !b.Limited {
+		return nil
+	}
+	part := l.part(b.Program)
+	for ctx.Err() == nil {
+		err := l.askOnce(ctx, part, func(ctx context.Context, k *keeper) error {
+			return k.confirm(ctx, b.Turn)
+		}, wire.TurnConfirm{Part: part, Turn: b.Turn}, takeAck)
+		if err == nil {
+			return nil
+		}
+		b.Known = true
+		if _, err := l.Begin(ctx, b); err != nil {
+			return err
+		}
+	}
+	return fmt.Errorf("%w: %w", ErrUnavailable, ctx.Err())
+}
+
+// End tells how an attempt ended. For a whole turn it returns once that is in the store.
+func (l *Ledger) End(ctx context.Context, e history.End) error {
+	part := l.part(e.Program)
+	return l.ask(ctx, part, func(ctx context.Context, k *keeper) error {
+		return k.end(ctx, e)
+	}, wire.TurnEnd{Part: part, End: e}, takeAck)
+}
+
+// adopt finds a turn in another partition and takes its chain into the given one.
+func (l *Ledger) adopt(ctx context.Context, part int, turn string) error {
+	body, err := l.find(ctx, turn)
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	keep := l.keep
+	l.mu.Unlock()
+	return l.ask(ctx, part, func(ctx context.Context, k *keeper) error {
+		return k.adopt(ctx, turn, body, keep)
+	}, wire.TurnAdopt{Part: part, Turn: turn, Body: body, Keep: keep}, takeAck)
+}
+
+// find looks for a turn in all partitions. It says that there is none only when all were searched.
+func (l *Ledger) find(ctx context.Context, turn string) ([]byte, error) {
+	for {
+		found, searched := l.findOnce(ctx, turn)
+		if found.Found {
+			return found.Body, nil
+		}
+		if searched >= l.cfg.Parts {
+			return nil, ErrUnknownTurn
+		}
+		l.poke(l.refresh)
+		select {
+		case <-ctx.Done():
+			return nil, fmt.Errorf("%w: %d of %d partitions searched", ErrUnavailable, searched, l.cfg.Parts)
+		case <-time.After(2 * retryPause):
+		}
+	}
+}
+
+func (l *Ledger) findOnce(ctx context.Context, turn string) (wire.TurnFound, int) {
+	actx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	l.mu.Lock()
+	remotes := make(map[id.Session]bool)
+	for part, member := range l.owners {
+		p, _ := splitMember(member)
+		if session, ok := l.sessions[p.Instance]; ok && l.keepers[part] == nil {
+			remotes[session] = true
+		}
+	}
+	l.mu.Unlock()
+	answers := make(chan wire.TurnFound, len(remotes)+1)
+	for session := range remotes {
+		go func() {
+			reply, err := l.cfg.Node.Ask(actx, session, wire.TurnFind{Turn: turn})
+			if err != nil {
+				l.cfg.Log.WithFields(logrus.Fields{"peer": string(session), "reason": err.Error()}).Debug("search failed")
+			}
+			found, _ := reply.(wire.TurnFound)
+			answers <- found
+		}()
+	}
+	answers <- l.search(actx, turn)
+	searched := make(map[int]bool)
+	for range len(remotes) + 1 {
+		found := <-answers
+		if found.Found {
+			return found, 0
+		}
+		for _, p := range found.Parts {
+			searched[p] = true
+		}
+	}
+	return wire.TurnFound{}, len(searched)
+}
+
+// search looks for a turn in the partitions held here.
+func (l *Ledger) search(ctx context.Context, turn string) wire.TurnFound {
+	l.mu.Lock()
+	held := make(map[int]*keeper, len(l.keepers))
+	for part, k := range l.keepers {
+		held[part] = k
+	}
+	l.mu.Unlock()
+	var found wire.TurnFound
+	for part, k := range held {
+		body, ok, err := k.find(ctx, turn)
+		if err != nil {
+			continue // the partition doesn't count as searched
+		}
+		if ok {
+			return wire.TurnFound{Found: true, Body: body}
+		}
+		found.Parts = append(found.Parts, part)
+	}
+	return found
+}
+
+// Answer serves a question of a peer. It returns false for messages of other kinds.
+func (l *Ledger) Answer(ctx context.Context, m wire.Message, r *peer.Replier) (bool, error) {
+	switch m := m.(type) {
+	case wire.TurnBegin:
+		return true, l.serve(m.Part, func(k *keeper) error {
+			outcome, body, err := k.begin(ctx, m.Begin)
+			if err != nil {
+				return err
+			}
+			return r.SendLast(ctx, wire.TurnBegun{Outcome: outcome, Body: body})
+		})
+	case wire.TurnConfirm:
+		return true, l.serveAck(ctx, r, m.Part, func(k *keeper) error { return k.confirm(ctx, m.Turn) })
+	case wire.TurnEnd:
+		return true, l.serveAck(ctx, r, m.Part, func(k *keeper) error { return k.end(ctx, m.End) })
+	case wire.TurnAdopt:
+		return true, l.serveAck(ctx, r, m.Part, func(k *keeper) error { return k.adopt(ctx, m.Turn, m.Body, m.Keep) })
+	case wire.TurnFind:
+		return true, r.SendLast(ctx, l.search(ctx, m.Turn))
+	default:
+		return false, nil
+	}
+}
+
+func (l *Ledger) serve(part int, f func(*keeper) error) error {
+	l.mu.Lock()
+	k := l.keepers[part]
+	l.mu.Unlock()
+	if k == nil {
+		return wire.Error{Code: wire.CodeNotHolder}
+	}
+	err := f(k)
+	if errors.Is(err, errNotHolder) {
+		return wire.Error{Code: wire.CodeNotHolder}
+	}
+	return err
+}
+
+func (l *Ledger) serveAck(ctx context.Context, r *peer.Replier, part int, f func(*keeper) error) error {
+	return l.serve(part, func(k *keeper) error {
+		if err := f(k); err != nil {
+			return err
+		}
+		return r.SendLast(ctx, wire.Ack{})
+	})
+}
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -35,6 +35,14 @@
 	KindExplained
 	KindStatusGet
 	KindStatus
+	KindTurnBegin
+	KindTurnBegun
+	KindTurnConfirm
+	KindTurnEnd
+	KindTurnFind
+	KindTurnFound
+	KindTurnAdopt
+	KindLoadReport
 	kindEnd // one above the last kind
 )
 
@@ -69,6 +77,14 @@
 	KindExplained:     "explained",
 	KindStatusGet:     "status_get",
 	KindStatus:        "status",
+	KindTurnBegin:     "turn_begin",
+	KindTurnBegun:     "turn_begun",
+	KindTurnConfirm:   "turn_confirm",
+	KindTurnEnd:       "turn_end",
+	KindTurnFind:      "turn_find",
+	KindTurnFound:     "turn_found",
+	KindTurnAdopt:     "turn_adopt",
+	KindLoadReport:    "load_report",
 }
 
 // Known tells whether this binary knows the kind.
@@ -87,7 +103,7 @@
 func (k Kind) Payload() bool {
 	switch k {
 	case KindForward, KindChunk, KindCopyPut, KindCopyGet, KindCopies, KindManifestGet, KindManifest,
-		KindExplain, KindExplained:
+		KindExplain, KindExplained, KindTurnBegun, KindTurnEnd, KindTurnFound, KindTurnAdopt:
 		return true
 	default:
 		return false
--- a/internal/wire/registry.go
+++ b/internal/wire/registry.go
@@ -90,6 +90,30 @@
 // Kind implements Message.
 func (Status) Kind() Kind { return KindStatus }
 
+// Kind implements Message.
+func (TurnBegin) Kind() Kind { return KindTurnBegin }
+
+// Kind implements Message.
+func (TurnBegun) Kind() Kind { return KindTurnBegun }
+
+// Kind implements Message.
+func (TurnConfirm) Kind() Kind { return KindTurnConfirm }
+
+// Kind implements Message.
+func (TurnEnd) Kind() Kind { return KindTurnEnd }
+
+// Kind implements Message.
+func (TurnFind) Kind() Kind { return KindTurnFind }
+
+// Kind implements Message.
+func (TurnFound) Kind() Kind { return KindTurnFound }
+
+// Kind implements Message.
+func (TurnAdopt) Kind() Kind { return KindTurnAdopt }
+
+// Kind implements Message.
+func (LoadReport) Kind() Kind { return KindLoadReport }
+
 // decoders holds the decoder of each kind.
 var decoders = [kindEnd]func([]byte) (Message, error){
 	KindHello:         decodeAs[Hello],
@@ -122,4 +146,12 @@
 	KindExplained:     decodeAs[Explained],
 	KindStatusGet:     decodeAs[StatusGet],
 	KindStatus:        decodeAs[Status],
+	KindTurnBegin:     decodeAs[TurnBegin],
+	KindTurnBegun:     decodeAs[TurnBegun],
+	KindTurnConfirm:   decodeAs[TurnConfirm],
+	KindTurnEnd:       decodeAs[TurnEnd],
+	KindTurnFind:      decodeAs[TurnFind],
+	KindTurnFound:     decodeAs[TurnFound],
+	KindTurnAdopt:     decodeAs[TurnAdopt],
+	KindLoadReport:    decodeAs[LoadReport],
 }
