ledger: claim anew within a generation, verify unknown turns, look sessions up at the node

Change: an epoch for each claim, a write before a turn is denied, sessions come from the peer node. Ruled out: loss in the store (records were read back whole at each claim). Tests: TestRestartWithinAGeneration and TestReplacedHolderDoesNotDenyTurns fail without the change.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -255,10 +255,10 @@
 type peerHandler Gateway
 
 // Connected implements peer.Handler.
-func (h *peerHandler) Connected(r peer.Remote) { h.ledger.Connected(r) }
+func (h *peerHandler) Connected(peer.Remote) {}
 
 // Disconnected implements peer.Handler.
-func (h *peerHandler) Disconnected(r peer.Remote, _ error) { h.ledger.Disconnected(r) }
+func (h *peerHandler) Disconnected(peer.Remote, error) {}
 
 // Receive implements peer.Handler.
 func (h *peerHandler) Receive(r peer.Remote, m wire.Message) {
--- a/internal/ledger/keeper.go
+++ b/internal/ledger/keeper.go
@@ -56,13 +56,14 @@
 
 // keeper holds one partition: it alone writes it under its epoch, and answers from memory.
 type keeper struct {
-	part  store.Partition
-	epoch int64
-	limit int // bytes of an append
-	name  string
-	log   store.Log
-	lines logrus.FieldLogger
-	watch func(err error) // told of each append's outcome
+	part       store.Partition
+	generation int64 // of the group, when the partition was dealt out
+	epoch      int64 // of the claim
+	limit      int   // bytes of an append
+	name       string
+	log        store.Log
+	lines      logrus.FieldLogger
+	watch      func(err error) // told of each append's outcome
 
 	ready  chan struct{} // closed once the partition is claimed and read
 	closed chan struct{} // closed when the keeper holds the partition no more
@@ -87,10 +88,10 @@
 	at     time.Time
 }
 
-func newKeeper(part store.Partition, epoch int64, name string, limit int, log store.Log, lines logrus.FieldLogger, watch func(error)) *keeper {
+func newKeeper(part store.Partition, generation int64, name string, limit int, log store.Log, lines logrus.FieldLogger, watch func(error)) *keeper {
 	return &keeper{
-		part: part, epoch: epoch, limit: limit, name: name, log: log, watch: watch,
-		lines:   lines.WithFields(logrus.Fields{"slot": part.Part, "epoch": epoch}),
+		part: part, generation: generation, limit: limit, name: name, log: log, watch: watch,
+		lines:   lines.WithFields(logrus.Fields{"slot": part.Part}),
 		ready:   make(chan struct{}),
 		closed:  make(chan struct{}),
 		state:   history.NewState(),
@@ -137,8 +138,8 @@
 			continue
 		}
 		from = end
-		if k.state.Epoch() > k.epoch {
-			return fmt.Errorf("claimed under epoch %d: %w", k.state.Epoch(), errNotHolder)
+		if k.epoch, err = nextEpoch(k.generation, k.state.Epoch()); err != nil {
+			return err
 		}
 		if err = k.appendClaim(ctx, from); err == nil {
 			break
@@ -155,11 +156,24 @@
 		}
 	}
 	k.lines.WithFields(logrus.Fields{
-		"count": records, "offset": from, "took": time.Since(start).Milliseconds(), "bytes": k.state.Turns(),
+		"epoch": k.epoch, "count": records, "offset": from, "took": time.Since(start).Milliseconds(), "bytes": k.state.Turns(),
 	}).Info("partition claimed")
 	return nil
 }
 
+// claimsPerGeneration is the number of epochs of a generation: an instance that restarts under the
+// generation that it had claims again.
+const claimsPerGeneration = 1 << 16
+
+// nextEpoch returns the epoch of a claim after the newest one seen. It fails when that belongs to a later
+// generation, whose holder is another instance.
+func nextEpoch(generation, newest int64) (int64, error) {
+	if newest/claimsPerGeneration > generation {
+		return 0, fmt.Errorf("claimed under epoch %d: %w", newest, errNotHolder)
+	}
+	return max(generation*claimsPerGeneration, newest+1), nil
+}
+
 // load reads from an offset to the end.
 func (k *keeper) load(ctx context.Context, from int64) (end int64, count int, err error) {
 	for {
@@ -382,8 +396,16 @@
 	if err := k.serving(ctx); err != nil {
 		return 0, nil, err
 	}
-	for {
+	for verified := false; ; {
 		outcome, body, changed, err := k.tryBegin(b)
+		if err == nil && outcome == history.UnknownTurn && !verified {
+			// A holder that has been replaced doesn't know the newest turns.
+			if err := k.barrier(ctx); err != nil {
+				return 0, nil, err
+			}
+			verified = true
+			continue
+		}
 		if err != nil || outcome != history.Waits {
 			return outcome, body, err
 		}
@@ -484,6 +506,10 @@
 // barrier waits until all that is pending now is in the store.
 func (k *keeper) barrier(ctx context.Context) error {
 	k.mu.Lock()
+	if k.isClosed() {
+		k.mu.Unlock()
+		return errNotHolder
+	}
 	record := history.Record{Kind: history.RecordClaim, At: time.Now().UnixMilli(), Epoch: k.epoch, Holder: k.name}
 	e, err := k.add(record, true)
 	k.mu.Unlock()
@@ -493,18 +519,19 @@
 	return k.wait(ctx, e)
 }
 
-// find returns the text up to and with a turn.
+// find returns the text up to and with a turn. That there is none is said only after a write has shown
+// that the partition is still held.
 func (k *keeper) find(ctx context.Context, turn string) ([]byte, bool, error) {
 	if err := k.serving(ctx); err != nil {
 		return nil, false, err
 	}
 	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.isClosed() {
-		return nil, false, errNotHolder
-	}
 	body, ok := k.state.Body(turn)
-	return body, ok, nil
+	k.mu.Unlock()
+	if ok {
+		return body, true, nil
+	}
+	return nil, false, k.barrier(ctx)
 }
 
 // adopt takes the chain of a turn of another partition.
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -88,7 +88,6 @@
 	mu         sync.Mutex
 	keepers    map[int]*keeper
 	owners     map[int]string // member by partition
-	sessions   map[string]id.Session
 	generation int64
 	keep       time.Duration
 	leaving    bool
@@ -102,7 +101,7 @@
 func New(cfg Config) *Ledger {
 	return &Ledger{
 		cfg: cfg, ttl: time.Duration(ttlFactor * float64(cfg.MinTTL)),
-		keepers: make(map[int]*keeper), owners: make(map[int]string), sessions: make(map[string]id.Session),
+		keepers: make(map[int]*keeper), owners: make(map[int]string),
 		refresh: make(chan struct{}, 1), rejoin: make(chan struct{}, 1),
 	}
 }
@@ -114,22 +113,6 @@
 	l.keep = keep
 }
 
-// Connected and Disconnected follow the connections with peers.
-func (l *Ledger) Connected(r peer.Remote) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.sessions[r.Session.Instance()] = r.Session
-}
-
-// Disconnected follows the end of a connection.
-func (l *Ledger) Disconnected(r peer.Remote) {
-	l.mu.Lock()
-	if l.sessions[r.Session.Instance()] == r.Session {
-		delete(l.sessions, r.Session.Instance())
-	}
-	l.mu.Unlock()
-}
-
 // member returns the name under which the instance is in the group. Others find its address in it.
 func (l *Ledger) member() string { return l.cfg.Instance + "@" + l.cfg.PeerAddr }
 
@@ -246,8 +229,8 @@
 }
 
 // start takes a partition up. The caller holds the lock.
-func (l *Ledger) start(ctx context.Context, part int, epoch int64) *keeper {
-	k := newKeeper(store.Partition{Topic: topic, Part: part}, epoch, l.cfg.Instance, l.cfg.CallBytes,
+func (l *Ledger) start(ctx context.Context, part int, generation int64) *keeper {
+	k := newKeeper(store.Partition{Topic: topic, Part: part}, generation, l.cfg.Instance, l.cfg.CallBytes,
 		l.cfg.Store, l.cfg.Log, l.cfg.Reached)
 	kctx, cancel := context.WithCancel(ctx)
 	k.cancel = cancel
@@ -335,7 +318,7 @@
 	if !ok {
 		return nil, "", fmt.Errorf("partition %d has no holder: %w", part, ErrUnavailable)
 	}
-	session, ok := l.sessions[p.Instance]
+	session, ok := l.cfg.Node.Session(p.Instance)
 	if !ok {
 		return nil, "", fmt.Errorf("holder %s of partition %d is out of reach: %w", p.Instance, part, ErrUnavailable)
 	}
@@ -502,7 +485,7 @@
 	remotes := make(map[id.Session]bool)
 	for part, member := range l.owners {
 		p, _ := splitMember(member)
-		if session, ok := l.sessions[p.Instance]; ok && l.keepers[part] == nil {
+		if session, ok := l.cfg.Node.Session(p.Instance); ok && l.keepers[part] == nil {
 			remotes[session] = true
 		}
 	}
@@ -543,12 +526,13 @@
 	var found wire.TurnFound
 	for part, k := range held {
 		body, ok, err := k.find(ctx, turn)
-		if err != nil {
-			continue // the partition doesn't count as searched
-		}
 		if ok {
 			return wire.TurnFound{Found: true, Body: body}
 		}
+		if err != nil {
+			l.cfg.Log.WithFields(logrus.Fields{"slot": part, "reason": err.Error()}).Info("partition not searched")
+			continue
+		}
 		found.Parts = append(found.Parts, part)
 	}
 	return found
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,254 @@
+package ledger
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
+
+	"ragwortstile/internal/history"
+	"ragwortstile/internal/id"
+	"ragwortstile/internal/peer"
+	"ragwortstile/internal/standin/storestand"
+	"ragwortstile/internal/store"
+	"ragwortstile/internal/wire"
+)
+
+func quietLog() logrus.FieldLogger {
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	return l
+}
+
+const testKeep = time.Minute
+
+type handler struct{ ledger *Ledger }
+
+func (h *handler) Connected(peer.Remote)             {}
+func (h *handler) Disconnected(peer.Remote, error)   {}
+func (h *handler) Receive(peer.Remote, wire.Message) {}
+func (h *handler) Serve(ctx context.Context, _ peer.Remote, m wire.Message, r *peer.Replier) error {
+	_, err := h.ledger.Answer(ctx, m, r)
+	return err
+}
+
+// instance is a ledger with its peer connections.
+type instance struct {
+	*Ledger
+	kill context.CancelFunc
+	done chan struct{}
+}
+
+func start(t *testing.T, name string, parts int, s Store) *instance {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	keys, err := peer.NewKeyring([]byte("a key of the instances of a test"))
+	must.NoError(t, err)
+	h := &handler{}
+	node, err := peer.New(peer.Config{
+		Session: id.Session(name + "." + rand.Text()), Zone: "z", Handler: h, Log: quietLog(), Keys: keys,
+		IdleTimeout: time.Second, MaxBackoff: 100 * time.Millisecond,
+	})
+	must.NoError(t, err)
+	h.ledger = New(Config{
+		Instance: name, PeerAddr: l.Addr().String(), Parts: parts, CallBytes: 1 << 20, MinTTL: 200 * time.Millisecond,
+		Store: s, Node: node, Log: quietLog(), Reached: func(error) {},
+	})
+	h.ledger.SetKeep(testKeep)
+	ctx, cancel := context.WithCancel(context.Background())
+	i := &instance{Ledger: h.ledger, kill: cancel, done: make(chan struct{})}
+	go func() { _ = node.Serve(ctx, l) }()
+	go func() {
+		defer close(i.done)
+		_ = h.ledger.Serve(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-i.done
+	})
+	return i
+}
+
+func within(t *testing.T, d time.Duration) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// runTurn runs a whole turn through an instance and returns the text before it.
+func runTurn(t *testing.T, i *instance, program, turn, previous string) string {
+	t.Helper()
+	ctx := within(t, 5*time.Second)
+	b := history.Begin{
+		Program: program, Turn: turn, Previous: previous, MaxTokens: 10, Budget: 1000, Limited: true, Longest: time.Minute,
+	}
+	body, err := i.Begin(ctx, b)
+	must.NoError(t, err)
+	must.NoError(t, i.Confirm(ctx, b))
+	must.NoError(t, i.End(ctx, history.End{
+		Program: program, Turn: turn, Previous: previous, Whole: true,
+		Input: []byte("in-" + turn + ";"), Output: []byte("out-" + turn + ";"), Tokens: 5, Keep: testKeep,
+	}))
+	return string(body)
+}
+
+func TestTurnsAreFoundThroughEveryInstance(t *testing.T) {
+	s := storestand.New(4)
+	a, b := start(t, "a", 4, s), start(t, "b", 4, s)
+	must.Eq(t, "", runTurn(t, a, "p", "t1", ""))
+	must.Eq(t, "in-t1;out-t1;", runTurn(t, b, "p", "t2", "t1"))
+	must.Eq(t, "in-t1;out-t1;in-t2;out-t2;", runTurn(t, a, "p", "t3", "t2"))
+	must.Eq(t, "in-t1;out-t1;", runTurn(t, a, "p", "t4", "t1"))
+}
+
+func TestAnotherProgramContinuesATurn(t *testing.T) {
+	s := storestand.New(4)
+	a := start(t, "a", 4, s)
+	runTurn(t, a, "p", "t1", "")
+	for _, program := range []string{"q", "r", "s", "u", "v"} {
+		must.Eq(t, "in-t1;out-t1;", runTurn(t, a, program, "t-"+program, "t1"))
+	}
+	_, err := a.Begin(within(t, 5*time.Second), history.Begin{Program: "p", Turn: "x", Previous: "never"})
+	must.ErrorIs(t, err, ErrUnknownTurn)
+}
+
+// All instances are killed at once and start again under their names, so that the group deals nothing
+// anew. The partitions must be claimed under a new epoch all the same.
+func TestRestartWithinAGeneration(t *testing.T) {
+	s := storestand.New(3)
+	a := start(t, "a", 3, s)
+	runTurn(t, a, "p", "t1", "")
+	// A kill: the membership stays.
+	s.SetFault(func(call string, _ store.Partition) storestand.Fault {
+		if call == "leave" {
+			return storestand.Refuse
+		}
+		return storestand.None
+	})
+	addr := a.cfg.PeerAddr
+	a.kill()
+	<-a.done
+	b := start(t, "a", 3, renamed{s, "a@" + addr})
+	must.Eq(t, "in-t1;out-t1;", runTurn(t, b, "p", "t2", "t1"))
+}
+
+// renamed joins under the name of an earlier run.
+type renamed struct {
+	*storestand.Store
+	member string
+}
+
+func (r renamed) Join(ctx context.Context, group, _ string, topics []string, ttl time.Duration, generation int64) (store.Membership, error) {
+	return r.Store.Join(ctx, group, r.member, topics, ttl, generation)
+}
+
+// A holder that has been replaced without knowing it must not say that a newer turn doesn't exist.
+func TestReplacedHolderDoesNotDenyTurns(t *testing.T) {
+	s := storestand.New(1)
+	cut := atomic.Bool{}
+	a := start(t, "a", 1, cutOff{s, &cut})
+	runTurn(t, a, "p", "t1", "")
+	// a loses the store; b takes over and gets a turn.
+	cut.Store(true)
+	b := start(t, "b", 1, s)
+	must.Eq(t, "in-t1;out-t1;", runTurn(t, b, "p", "t2", "t1"))
+	_, err := a.Begin(within(t, 400*time.Millisecond), history.Begin{Program: "p", Turn: "t3", Previous: "t2"})
+	must.Error(t, err)
+	must.False(t, errors.Is(err, ErrUnknownTurn))
+	cut.Store(false)
+	must.Eq(t, "in-t1;out-t1;in-t2;out-t2;", runTurn(t, a, "p", "t4", "t2"))
+}
+
+// cutOff is a store that an instance can lose.
+type cutOff struct {
+	*storestand.Store
+	cut *atomic.Bool
+}
+
+func (c cutOff) Append(ctx context.Context, a store.Append) (int64, error) {
+	if c.cut.Load() {
+		return 0, store.ErrUnavailable
+	}
+	return c.Store.Append(ctx, a)
+}
+
+func (c cutOff) Join(ctx context.Context, group, member string, topics []string, ttl time.Duration, generation int64) (store.Membership, error) {
+	if c.cut.Load() {
+		return store.Membership{}, store.ErrUnavailable
+	}
+	return c.Store.Join(ctx, group, member, topics, ttl, generation)
+}
+
+// Answers of the store are lost: every turn is kept once, and confirmed.
+func TestLostAnswers(t *testing.T) {
+	s := storestand.New(2)
+	a := start(t, "a", 2, s)
+	runTurn(t, a, "p", "t0", "")
+	n := 0
+	s.SetFault(func(call string, _ store.Partition) storestand.Fault {
+		if n++; call == "append" && n%2 == 0 {
+			return storestand.Lose
+		}
+		return storestand.None
+	})
+	want, previous := "in-t0;out-t0;", "t0"
+	for i := range 10 {
+		turn := "t" + string(rune('a'+i))
+		must.Eq(t, want, runTurn(t, a, "p", turn, previous))
+		want += "in-" + turn + ";out-" + turn + ";"
+		previous = turn
+	}
+}
+
+// Partitions are dealt anew in the middle of the work.
+func TestRedeal(t *testing.T) {
+	s := storestand.New(4)
+	a, b := start(t, "a", 4, s), start(t, "b", 4, s)
+	want, previous := "", ""
+	for i := range 12 {
+		turn := "t" + string(rune('a'+i))
+		must.Eq(t, want, runTurn(t, []*instance{a, b}[i%2], "p", turn, previous))
+		want += "in-" + turn + ";out-" + turn + ";"
+		previous = turn
+		if i%4 == 1 {
+			s.Redeal(group)
+		}
+	}
+}
+
+// The budget holds for all instances together, and over a restart of all.
+func TestBudgetOverInstances(t *testing.T) {
+	s := storestand.New(2)
+	a, b := start(t, "a", 2, s), start(t, "b", 2, s)
+	begin := func(i *instance, turn string) error {
+		ctx := within(t, 2*time.Second)
+		x := history.Begin{Program: "p", Turn: turn, MaxTokens: 40, Budget: 100, Limited: true, Longest: time.Minute}
+		if _, err := i.Begin(ctx, x); err != nil {
+			return err
+		}
+		return i.Confirm(ctx, x)
+	}
+	must.NoError(t, begin(a, "t1"))
+	must.NoError(t, begin(b, "t2"))
+	err := begin(a, "t3") // waits for the others, which don't end
+	must.ErrorIs(t, err, ErrUnavailable)
+	must.NoError(t, a.End(within(t, time.Second), history.End{Program: "p", Turn: "t1", Tokens: 40}))
+	must.NoError(t, b.End(within(t, time.Second), history.End{Program: "p", Turn: "t2", Tokens: 40}))
+	must.ErrorIs(t, begin(b, "t4"), ErrOverBudget)
+	time.Sleep(50 * time.Millisecond) // the ends are written without a wait
+	a.kill()
+	b.kill()
+	<-a.done
+	<-b.done
+	c := start(t, "c", 2, s)
+	must.ErrorIs(t, begin(c, "t5"), ErrOverBudget)
+}
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -145,6 +145,17 @@
 	return remotes
 }
 
+// Session returns the run of an instance that is connected now.
+func (n *Node) Session(instance string) (id.Session, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c := n.conns[instance]
+	if c == nil {
+		return "", false
+	}
+	return c.remote.Session, true
+}
+
 // Send sends a one-way message to a session without waiting. It fails with ErrNotConnected,
 // ErrWrongSession, ErrQueueFull or an error that wraps ErrClosed.
 func (n *Node) Send(to id.Session, m wire.Message) error {
