ledger: the restart test appends more than the store remembers

Cause: the stand-in, like the store, repeats the answers of the last five appends, so the test passed without the change it is for. It now fails without an epoch for each claim (5 s, deadline exceeded).

--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"sync/atomic"
@@ -127,6 +128,9 @@
 	s := storestand.New(3)
 	a := start(t, "a", 3, s)
 	runTurn(t, a, "p", "t1", "")
+	for i := range 6 { // more than the store repeats the answers of
+		runTurn(t, a, "p", fmt.Sprint("u", i), "t1")
+	}
 	// A kill: the membership stays.
 	s.SetFault(func(call string, _ store.Partition) storestand.Fault {
 		if call == "leave" {
