gateway: the read of the configuration ends within the time for a change

The poll now waits for less than half of the time for a change, and 0.6 s more for its answer. Ruled out: the store, which had answered other calls since 25.0 s.

--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -17,10 +17,12 @@
 
 // Times of reading the lists.
 const (
-	// configWait is the longest that a read waits for a change; the store answers at once when one comes.
-	configWait = 10 * time.Second
+	// configShare is the part of the time in which a change must be in force that a read waits for one. The
+	// store answers at once when one comes, but a connection may go silent unnoticed: the read that waits
+	// on it, and the next one, must end in time.
+	configShare = 0.45
 	// silentRead is how much later than asked for an answer counts as lost.
-	silentRead = 700 * time.Millisecond
+	silentRead = 600 * time.Millisecond
 	// endpointFraction is the part of the time in which leaving endpoints must be known that passes
 	// between two reads of the list.
 	endpointFraction = 5
@@ -140,7 +142,7 @@
 }
 
 // followConfig keeps the configuration.
-func (b *beliefs) followConfig(ctx context.Context) error {
+func (b *beliefs) followConfig(ctx context.Context, within time.Duration) error {
 	take := func(items []store.Item) {
 		b.readAt.Store(int64(time.Since(epoch)))
 		for _, i := range items {
@@ -149,7 +151,7 @@
 			}
 		}
 	}
-	return b.follow(ctx, b.lists.ConfigTopic, configWait, 0, take, take)
+	return b.follow(ctx, b.lists.ConfigTopic, time.Duration(configShare*float64(within)), 0, take, take)
 }
 
 func (b *beliefs) takeConfig(i store.Item) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -111,7 +111,7 @@
 	work, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
 	tree := suture.New("instance", suture.Spec{EventHook: g.supervised, Timeout: time.Second})
-	g.add(tree, "configuration", g.beliefs.followConfig)
+	g.add(tree, "configuration", func(ctx context.Context) error { return g.beliefs.followConfig(ctx, g.settings.ConfigWithin) })
 	g.add(tree, "endpoints", func(ctx context.Context) error { return g.beliefs.followEndpoints(ctx, g.settings.LeaveWithin) })
 	g.add(tree, "ledger", g.ledger.Serve)
 	g.add(tree, "housekeeping", g.housekeeping)
@@ -262,6 +262,10 @@
 
 // Receive implements peer.Handler.
 func (h *peerHandler) Receive(r peer.Remote, m wire.Message) {
+	if _, ok := m.(wire.GroupChanged); ok {
+		h.ledger.GroupChanged()
+		return
+	}
 	report, ok := m.(wire.LoadReport)
 	if !ok {
 		return
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -99,7 +99,7 @@
 	q.route = table.Match(q.r.Host, q.r.URL.EscapedPath())
 	if q.route == nil {
 		// A newer configuration that this instance hasn't read may have the route.
-		if q.g.beliefs.configAge() > configWait+2*q.g.settings.ConfigWithin {
+		if q.g.beliefs.configAge() > 2*q.g.settings.ConfigWithin {
 			q.refuse(http.StatusServiceUnavailable, reasonStaleConfig)
 			return false
 		}
--- a/internal/history/state.go
+++ b/internal/history/state.go
@@ -237,6 +237,19 @@
 	return reversed, true
 }
 
+// Known tells whether what a record says is part of the state already.
+func (s *State) Known(r Record) bool {
+	if r.Kind == RecordTurn {
+		return s.turns[r.Turn] != nil
+	}
+	a := s.accounts[r.Program]
+	if a == nil {
+		return r.Program == "" || r.Kind == RecordClaim
+	}
+	_, reserved := a.reserved[r.Turn]
+	return a.ended[r.Turn] || (r.Kind == RecordReserve && reserved)
+}
+
 // Body returns the text of a turn's chain in one piece, to which the next input is added.
 func (s *State) Body(id string) ([]byte, bool) {
 	texts, ok := s.Chain(id)
--- /dev/null
+++ b/internal/ledger/copies.go
@@ -0,0 +1,289 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"ragwortstile/internal/history"
+	"ragwortstile/internal/id"
+	"ragwortstile/internal/wire"
+)
+
+// While a partition takes no records, those count as kept once some peers have a copy in memory. The next
+// holder of the partition collects the copies when it claims, and its claim keeps the peers from taking more
+// of the holder before.
+const (
+	// copyPeers is the number of peers that get a copy, and copiesWanted how many must have it.
+	copyPeers    = 6
+	copiesWanted = 2
+	copyTimeout  = 300 * time.Millisecond
+	// spillTries is the number of other partitions that are tried for a turn.
+	spillTries = 3
+	// copyAge bounds how long copies are held; it is above the longest outage that a caller would wait out.
+	copyAge = 90 * time.Second
+	// copyBytes bounds the copies of all partitions.
+	copyBytes = 16 << 20
+	// storeFresh is the age up to which an answer of the store shows that it is in reach.
+	storeFresh = 600 * time.Millisecond
+	// collectWait is how long a claim waits for connections with the other members.
+	collectWait = 300 * time.Millisecond
+)
+
+type copied struct {
+	epoch int64
+	data  []byte
+	at    time.Time
+}
+
+// copies holds records of other holders that are not in the store yet, as far as is known.
+type copies struct {
+	mu     sync.Mutex
+	byPart map[int][]copied
+	fence  map[int]int64 // least epoch that may still add copies
+	bytes  int
+}
+
+func newCopies() *copies { return &copies{byPart: make(map[int][]copied), fence: make(map[int]int64)} }
+
+// put takes copies. It returns false for those of a holder that has been replaced, and when there is no
+// room.
+func (c *copies) put(part int, epoch int64, records [][]byte, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if epoch < c.fence[part] {
+		return false
+	}
+	for _, data := range records {
+		if c.bytes+len(data) > copyBytes {
+			return false
+		}
+		c.byPart[part] = append(c.byPart[part], copied{epoch: epoch, data: data, at: now})
+		c.bytes += len(data)
+	}
+	return true
+}
+
+// collect returns the copies of a partition, and takes none of earlier epochs any more.
+func (c *copies) collect(part int, epoch int64) [][]byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fence[part] = max(c.fence[part], epoch)
+	out := make([][]byte, 0, len(c.byPart[part]))
+	for _, r := range c.byPart[part] {
+		out = append(out, r.data)
+	}
+	return out
+}
+
+func (c *copies) expire(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for part, list := range c.byPart {
+		kept := list[:0]
+		for _, r := range list {
+			if now.Sub(r.at) < copyAge {
+				kept = append(kept, r)
+			} else {
+				c.bytes -= len(r.data)
+			}
+		}
+		if c.byPart[part] = kept; len(kept) == 0 {
+			delete(c.byPart, part)
+		}
+	}
+}
+
+// storeWatch remembers when the store last answered.
+type storeWatch struct {
+	mu sync.Mutex
+	at time.Time
+}
+
+func (w *storeWatch) result(err error) {
+	if err != nil {
+		return
+	}
+	w.mu.Lock()
+	w.at = time.Now()
+	w.mu.Unlock()
+}
+
+func (w *storeWatch) reached() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Since(w.at) < storeFresh
+}
+
+// protect makes records last that cannot be appended, and returns those that do. Peers take copies. Where
+// some instance reaches the store, that is not enough for a whole turn: it goes to another partition, where
+// a search finds it.
+func (l *Ledger) protect(ctx context.Context, k *keeper, entries []*entry) []*entry {
+	held, reaching := l.copyOut(ctx, k, entries)
+	if l.watch.reached() {
+		reaching[l.cfg.Instance] = true
+	}
+	var kept []*entry
+	for _, e := range entries {
+		switch {
+		case e.record.Kind == history.RecordTurn && len(reaching) > 0:
+			if err := l.spill(ctx, k, e.record, reaching); err != nil {
+				k.lines.WithFields(logrus.Fields{"call": e.record.Turn, "reason": err.Error()}).Info("turn waits for the store")
+				continue
+			}
+		case held < copiesWanted:
+			continue
+		}
+		kept = append(kept, e)
+	}
+	return kept
+}
+
+// spill puts a whole turn with its chain into another partition, at an instance that reaches the store.
+func (l *Ledger) spill(ctx context.Context, k *keeper, r history.Record, reaching map[string]bool) error {
+	k.mu.Lock()
+	body, ok := k.state.Body(r.Turn)
+	k.mu.Unlock()
+	if !ok {
+		return fmt.Errorf("turn %s is not held: %w", r.Turn, errNotHolder)
+	}
+	err := fmt.Errorf("no other partition: %w", ErrUnavailable)
+	for _, part := range l.partsAt(reaching, k.part.Part) {
+		actx, cancel := context.WithTimeout(ctx, copyTimeout)
+		err = l.adoptAt(actx, part, r.Turn, body)
+		cancel()
+		if err == nil {
+			k.lines.WithFields(logrus.Fields{"call": r.Turn, "count": part}).Info("turn kept in another partition")
+			return nil
+		}
+	}
+	return err
+}
+
+// partsAt returns some partitions that the instances hold and whose records don't stall here.
+func (l *Ledger) partsAt(instances map[string]bool, except int) []int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var parts []int
+	for part, member := range l.owners {
+		p, _ := splitMember(member)
+		if part == except || !instances[p.Instance] || len(parts) >= spillTries {
+			continue
+		}
+		if k := l.keepers[part]; k != nil && k.isStalled() {
+			continue
+		}
+		parts = append(parts, part)
+	}
+	return parts
+}
+
+// copyOut has peers hold copies. It returns how many do, and which peers reach the store.
+func (l *Ledger) copyOut(ctx context.Context, k *keeper, entries []*entry) (held int, reaching map[string]bool) {
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	m := wire.HistoryHold{Part: k.part.Part, Epoch: k.epoch, Records: make([][]byte, len(entries))}
+	for i, e := range entries {
+		m.Records[i] = e.data
+	}
+	remotes := l.cfg.Node.Connected()
+	remotes = remotes[:min(len(remotes), copyPeers)]
+	type answer struct {
+		from id.Session
+		wire.HistoryHeld
+	}
+	answers := make(chan answer, len(remotes))
+	for _, r := range remotes {
+		go func() {
+			reply, err := l.cfg.Node.Ask(ctx, r.Session, m)
+			if err != nil {
+				k.lines.WithFields(logrus.Fields{"peer": string(r.Session), "reason": err.Error()}).Debug("copy not held")
+			}
+			a, _ := reply.(wire.HistoryHeld)
+			answers <- answer{r.Session, a}
+		}()
+	}
+	reaching = make(map[string]bool)
+	for range remotes {
+		a := <-answers
+		if a.Held {
+			held++
+		}
+		if a.StoreReached {
+			reaching[a.from.Instance()] = true
+		}
+	}
+	return held, reaching
+}
+
+// serveHold takes copies for the holder of a partition.
+func (l *Ledger) serveHold(m wire.HistoryHold) wire.HistoryHeld {
+	return wire.HistoryHeld{
+		Held:         l.copies.put(m.Part, m.Epoch, m.Records, time.Now()),
+		StoreReached: l.watch.reached(),
+	}
+}
+
+// serveCollect gives the copies of a partition to its new holder. A keeper of an earlier epoch ends first,
+// so that it adds no more.
+func (l *Ledger) serveCollect(m wire.HistoryCollect) wire.HistoryCollected {
+	l.mu.Lock()
+	k := l.keepers[m.Part]
+	l.mu.Unlock()
+	if k != nil && k.olderThan(m.Epoch) {
+		k.cancel()
+		<-k.closed
+	}
+	return wire.HistoryCollected{Records: l.copies.collect(m.Part, m.Epoch)}
+}
+
+// collect gets the copies of a partition from all peers in reach.
+func (l *Ledger) collect(ctx context.Context, part int, epoch int64) [][]byte {
+	l.awaitPeers(ctx)
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	remotes := l.cfg.Node.Connected()
+	answers := make(chan [][]byte, len(remotes)+1)
+	for _, r := range remotes {
+		go func() {
+			reply, err := l.cfg.Node.Ask(ctx, r.Session, wire.HistoryCollect{Part: part, Epoch: epoch})
+			if err != nil {
+				l.cfg.Log.WithFields(logrus.Fields{"peer": string(r.Session), "reason": err.Error(), "slot": part}).Info("copies not collected")
+			}
+			collected, _ := reply.(wire.HistoryCollected)
+			answers <- collected.Records
+		}()
+	}
+	answers <- l.copies.collect(part, epoch)
+	var all [][]byte
+	for range len(remotes) + 1 {
+		all = append(all, <-answers...)
+	}
+	return all
+}
+
+// awaitPeers waits a short time for connections with the members of the group.
+func (l *Ledger) awaitPeers(ctx context.Context) {
+	ends := time.Now().Add(collectWait)
+	for ctx.Err() == nil && time.Now().Before(ends) && !l.allConnected() {
+		time.Sleep(retryPause)
+	}
+}
+
+func (l *Ledger) allConnected() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, member := range l.owners {
+		p, ok := splitMember(member)
+		if !ok || p.Instance == l.cfg.Instance {
+			continue
+		}
+		if _, connected := l.cfg.Node.Session(p.Instance); !connected {
+			return false
+		}
+	}
+	return len(l.owners) > 0
+}
--- a/internal/ledger/keeper.go
+++ b/internal/ledger/keeper.go
@@ -25,6 +25,11 @@
 	appendSlack = 3
 	// refusedPause keeps the rate of appends low while the store refuses them.
 	refusedPause = 40 * time.Millisecond
+	// stallAge is how long an append may fail before records are made to last otherwise. Slow stores answer
+	// within it.
+	stallAge     = 250 * time.Millisecond
+	protectPause = 10 * time.Millisecond
+	protectRetry = 100 * time.Millisecond
 	// readBytes is the most that one read of a claim returns.
 	readBytes = 1 << 20
 	// smoothing is the weight of the newest figure in a moving average.
@@ -47,11 +52,14 @@
 
 // entry is a record on its way into the store.
 type entry struct {
+	record history.Record
 	data   []byte
 	urgent bool
 	since  time.Time
 	done   chan struct{} // closed once err is set
 	err    error
+	ended  bool // done is closed
+	copied bool // it counts as kept though it isn't in the store
 }
 
 // keeper holds one partition: it alone writes it under its epoch, and answers from memory.
@@ -64,6 +72,12 @@
 	log        store.Log
 	lines      logrus.FieldLogger
 	watch      func(err error) // told of each append's outcome
+	// protect makes records last otherwise while the store doesn't take them, and returns those that do.
+	protect func(ctx context.Context, k *keeper, entries []*entry) (kept []*entry)
+	// collect returns the copies that peers hold, once the partition is claimed.
+	collect func(ctx context.Context, part int, epoch int64) [][]byte
+	// leave takes the copied records of a keeper that ends.
+	leave func(part int, epoch int64, records [][]byte)
 
 	ready  chan struct{} // closed once the partition is claimed and read
 	closed chan struct{} // closed when the keeper holds the partition no more
@@ -72,10 +86,12 @@
 	mu       sync.Mutex
 	state    *history.State
 	pending  []*entry
+	sending  []*entry  // the append on its way
+	stalled  time.Time // start of an append that has failed since; zero otherwise
+	stall    chan struct{}
 	writing  map[string]*entry // reservations on their way, by attempt
 	changed  chan struct{}     // closed and replaced when an attempt ends
 	wake     chan struct{}
-	cause    error
 	sequence int64
 	usual    time.Duration // moving average of an append's time
 	marks    []mark
@@ -98,6 +114,7 @@
 		writing: make(map[string]*entry),
 		changed: make(chan struct{}),
 		wake:    make(chan struct{}, 1),
+		stall:   make(chan struct{}, 1),
 	}
 }
 
@@ -105,21 +122,138 @@
 func (k *keeper) run(ctx context.Context) {
 	err := k.claim(ctx)
 	if err == nil {
+		k.recover(k.collect(ctx, k.part.Part, k.epoch))
 		close(k.ready)
+		go k.protectStalled(ctx)
 		err = k.write(ctx)
 	}
 	k.stop(err)
 }
 
+// recover takes the copies that peers held for an earlier holder.
+func (k *keeper) recover(records [][]byte) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now, taken := time.Now(), 0
+	for _, data := range records {
+		r, err := history.Decode(data)
+		if err != nil {
+			k.lines.WithField("reason", err.Error()).Warn("copy skipped")
+			continue
+		}
+		if k.state.Known(r) {
+			continue
+		}
+		k.state.Load(r, now, now)
+		e, err := k.add(r, true)
+		if err != nil {
+			k.lines.WithField("reason", err.Error()).Warn("copy skipped")
+			continue
+		}
+		e.copied = true
+		taken++
+	}
+	if len(records) > 0 {
+		k.lines.WithFields(logrus.Fields{"count": taken, "offset": len(records)}).Info("copies of an earlier holder taken over")
+	}
+}
+
+// protectStalled makes records last otherwise while an append stalls.
+func (k *keeper) protectStalled(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-k.stall:
+		}
+		for ctx.Err() == nil {
+			entries, stalled := k.unprotected(time.Now())
+			if !stalled {
+				break
+			}
+			pause := protectPause
+			if !k.protectEntries(ctx, entries) {
+				pause = protectRetry
+			}
+			select {
+			case <-ctx.Done():
+			case <-time.After(pause):
+			}
+		}
+	}
+}
+
+// unprotected returns the records that are neither in the store nor kept otherwise, once the append has
+// stalled for long enough.
+func (k *keeper) unprotected(now time.Time) ([]*entry, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.stalled.IsZero() || k.isClosed() {
+		return nil, false
+	}
+	if now.Sub(k.stalled) < stallAge {
+		return nil, true
+	}
+	var out []*entry
+	for _, list := range [][]*entry{k.sending, k.pending} {
+		for _, e := range list {
+			if !e.copied && !e.ended && e.record.Kind != history.RecordClaim {
+				out = append(out, e)
+			}
+		}
+	}
+	return out, true
+}
+
+// protectEntries tells whether all of the records are kept.
+func (k *keeper) protectEntries(ctx context.Context, entries []*entry) bool {
+	if len(entries) == 0 {
+		return true
+	}
+	kept := k.protect(ctx, k, entries)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.isClosed() {
+		return false
+	}
+	for _, e := range kept {
+		e.copied = true
+		e.finish(nil)
+	}
+	return len(kept) == len(entries)
+}
+
+func (k *keeper) isStalled() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return !k.stalled.IsZero()
+}
+
+// olderThan tells whether the keeper's claim is of an earlier epoch.
+func (k *keeper) olderThan(epoch int64) bool {
+	select {
+	case <-k.ready:
+		return k.epoch < epoch
+	default:
+		return k.generation < epoch/claimsPerGeneration
+	}
+}
+
 func (k *keeper) stop(cause error) {
 	k.mu.Lock()
-	k.cause = cause
-	for _, e := range k.pending {
-		e.finish(errNotHolder)
+	var kept [][]byte
+	for _, list := range [][]*entry{k.sending, k.pending} {
+		for _, e := range list {
+			if e.copied {
+				kept = append(kept, e.data)
+			}
+			e.finish(errNotHolder)
+		}
 	}
-	k.pending = nil
-	k.mu.Unlock()
+	k.sending, k.pending = nil, nil
+	k.leave(k.part.Part, k.epoch, kept)
 	close(k.closed)
+	k.mu.Unlock()
 	k.lines.WithField("reason", fmt.Sprint(cause)).Info("partition released")
 }
 
@@ -245,9 +379,6 @@
 			return err
 		}
 		if err := k.append(ctx, batch); err != nil {
-			for _, e := range batch {
-				e.finish(errNotHolder)
-			}
 			return err
 		}
 		k.sequence++
@@ -255,6 +386,7 @@
 		for _, e := range batch {
 			e.finish(nil)
 		}
+		k.sending, k.stalled = nil, time.Time{}
 		k.mu.Unlock()
 	}
 }
@@ -300,6 +432,7 @@
 	}
 	batch := k.pending[:n:n]
 	k.pending = k.pending[n:]
+	k.sending = batch
 	return batch, 0
 }
 
@@ -313,6 +446,7 @@
 	for i, e := range batch {
 		records[i] = e.data
 	}
+	first := time.Now()
 	for try := 0; ; try++ {
 		timeout := min(max(appendSlack*k.usual, minAppendTimeout)<<min(try, 4), maxAppendTimeout)
 		actx, cancel := context.WithTimeout(ctx, timeout)
@@ -339,6 +473,7 @@
 		}
 		k.lines.WithFields(logrus.Fields{"reason": err.Error(), "count": try, "took": time.Since(start).Milliseconds()}).
 			Debug("append failed")
+		k.noteStall(first)
 		if errors.Is(err, store.ErrUnavailable) || time.Since(start) < timeout {
 			select {
 			case <-ctx.Done():
@@ -349,6 +484,17 @@
 	}
 }
 
+// noteStall notes that the append on its way has failed.
+func (k *keeper) noteStall(since time.Time) {
+	k.mu.Lock()
+	k.stalled = since
+	k.mu.Unlock()
+	select {
+	case k.stall <- struct{}{}:
+	default:
+	}
+}
+
 func (k *keeper) measured(took time.Duration, end int64) {
 	k.usual += time.Duration(smoothing * float64(took-k.usual))
 	now := time.Now()
@@ -359,8 +505,12 @@
 	}
 }
 
+// finish tells who waits for the record what became of it, once. The caller holds the keeper's lock.
 func (e *entry) finish(err error) {
-	e.err = err
+	if e.ended {
+		return
+	}
+	e.ended, e.err = true, err
 	close(e.done)
 }
 
@@ -370,7 +520,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &entry{data: data, urgent: urgent, since: time.Now(), done: make(chan struct{})}
+	e := &entry{record: r, data: data, urgent: urgent, since: time.Now(), done: make(chan struct{})}
 	k.pending = append(k.pending, e)
 	select {
 	case k.wake <- struct{}{}:
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -33,10 +33,9 @@
 
 // Times of membership.
 const (
-	// ttlFactor times the least lifetime that the store allows is the lifetime of a membership. It
-	// bounds how long the partitions of an instance that died stay without a holder.
-	ttlFactor = 1.2
-	// joinFraction is the part of that lifetime after which membership is renewed.
+	// joinFraction is the part of a membership's lifetime after which it is renewed. The lifetime is the
+	// least that the store allows, since it bounds how long the partitions of an instance that died stay
+	// without a holder.
 	joinFraction = 3
 	// ownersEvery is the time between reads of all assignments while nothing points at a change.
 	ownersEvery = 2 * time.Second
@@ -82,8 +81,10 @@
 
 // Ledger is one instance's part in the history.
 type Ledger struct {
-	cfg Config
-	ttl time.Duration
+	cfg    Config
+	ttl    time.Duration
+	copies *copies
+	watch  storeWatch
 
 	mu         sync.Mutex
 	keepers    map[int]*keeper
@@ -99,11 +100,16 @@
 
 // New returns a Ledger.
 func New(cfg Config) *Ledger {
-	return &Ledger{
-		cfg: cfg, ttl: time.Duration(ttlFactor * float64(cfg.MinTTL)),
+	l := &Ledger{
+		cfg: cfg, ttl: cfg.MinTTL, copies: newCopies(),
 		keepers: make(map[int]*keeper), owners: make(map[int]string),
 		refresh: make(chan struct{}, 1), rejoin: make(chan struct{}, 1),
 	}
+	l.cfg.Reached = func(err error) {
+		l.watch.result(err)
+		cfg.Reached(err)
+	}
+	return l
 }
 
 // SetKeep takes the longest time for which turns are kept.
@@ -147,6 +153,7 @@
 		case <-expire.C:
 			l.readOwners(ctx, ownersEvery)
 			l.expire(ctx)
+			l.copies.expire(time.Now())
 		}
 	}
 }
@@ -161,9 +168,21 @@
 	defer cancel()
 	if err := l.cfg.Store.Leave(ctx, group, l.member()); err != nil {
 		l.cfg.Log.WithField("reason", err.Error()).Warn("leaving the group failed, the membership lapses")
+		return
+	}
+	l.announce()
+}
+
+// announce tells peers to look at the group now.
+func (l *Ledger) announce() {
+	if _, err := l.cfg.Node.Broadcast(wire.GroupChanged{}); err != nil {
+		l.cfg.Log.WithField("reason", err.Error()).Warn("change of the group not announced")
 	}
 }
 
+// GroupChanged takes the news that a peer has joined or left.
+func (l *Ledger) GroupChanged() { l.poke(l.rejoin) }
+
 func (l *Ledger) release() {
 	l.mu.Lock()
 	held := l.keepers
@@ -225,6 +244,7 @@
 	}
 	if len(dropped) > 0 {
 		l.poke(l.rejoin) // tells the store that the partitions are free
+		l.announce()
 	}
 }
 
@@ -232,6 +252,8 @@
 func (l *Ledger) start(ctx context.Context, part int, generation int64) *keeper {
 	k := newKeeper(store.Partition{Topic: topic, Part: part}, generation, l.cfg.Instance, l.cfg.CallBytes,
 		l.cfg.Store, l.cfg.Log, l.cfg.Reached)
+	k.protect, k.collect = l.protect, l.collect
+	k.leave = func(part int, epoch int64, records [][]byte) { l.copies.put(part, epoch, records, time.Now()) }
 	kctx, cancel := context.WithCancel(ctx)
 	k.cancel = cancel
 	go k.run(kctx)
@@ -451,6 +473,11 @@
 	if err != nil {
 		return err
 	}
+	return l.adoptAt(ctx, part, turn, body)
+}
+
+// adoptAt takes the chain of a turn into a partition.
+func (l *Ledger) adoptAt(ctx context.Context, part int, turn string, body []byte) error {
 	l.mu.Lock()
 	keep := l.keep
 	l.mu.Unlock()
@@ -555,6 +582,10 @@
 		return true, l.serveAck(ctx, r, m.Part, func(k *keeper) error { return k.end(ctx, m.End) })
 	case wire.TurnAdopt:
 		return true, l.serveAck(ctx, r, m.Part, func(k *keeper) error { return k.adopt(ctx, m.Turn, m.Body, m.Keep) })
+	case wire.HistoryHold:
+		return true, r.SendLast(ctx, l.serveHold(m))
+	case wire.HistoryCollect:
+		return true, r.SendLast(ctx, l.serveCollect(m))
 	case wire.TurnFind:
 		return true, r.SendLast(ctx, l.search(ctx, m.Turn))
 	default:
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -43,48 +43,58 @@
 	KindTurnFound
 	KindTurnAdopt
 	KindLoadReport
+	KindHistoryHold
+	KindHistoryHeld
+	KindHistoryCollect
+	KindHistoryCollected
+	KindGroupChanged
 	kindEnd // one above the last kind
 )
 
 var kindNames = [kindEnd]string{
-	KindHello:         "hello",
-	KindProof:         "proof",
-	KindReady:         "ready",
-	KindError:         "error",
-	KindCancel:        "cancel",
-	KindCredit:        "credit",
-	KindPing:          "ping",
-	KindAck:           "ack",
-	KindHeartbeat:     "heartbeat",
-	KindHeartbeatAck:  "heartbeat_ack",
-	KindForward:       "forward",
-	KindChunk:         "chunk",
-	KindSubmit:        "submit",
-	KindWithdraw:      "withdraw",
-	KindDone:          "done",
-	KindGrant:         "grant",
-	KindRefuse:        "refuse",
-	KindRunning:       "running",
-	KindProgramPaused: "program_paused",
-	KindProgramEnded:  "program_ended",
-	KindCopyPut:       "copy_put",
-	KindCopyGet:       "copy_get",
-	KindCopies:        "copies",
-	KindCopyDrop:      "copy_drop",
-	KindManifestGet:   "manifest_get",
-	KindManifest:      "manifest",
-	KindExplain:       "explain",
-	KindExplained:     "explained",
-	KindStatusGet:     "status_get",
-	KindStatus:        "status",
-	KindTurnBegin:     "turn_begin",
-	KindTurnBegun:     "turn_begun",
-	KindTurnConfirm:   "turn_confirm",
-	KindTurnEnd:       "turn_end",
-	KindTurnFind:      "turn_find",
-	KindTurnFound:     "turn_found",
-	KindTurnAdopt:     "turn_adopt",
-	KindLoadReport:    "load_report",
+	KindHello:            "hello",
+	KindProof:            "proof",
+	KindReady:            "ready",
+	KindError:            "error",
+	KindCancel:           "cancel",
+	KindCredit:           "credit",
+	KindPing:             "ping",
+	KindAck:              "ack",
+	KindHeartbeat:        "heartbeat",
+	KindHeartbeatAck:     "heartbeat_ack",
+	KindForward:          "forward",
+	KindChunk:            "chunk",
+	KindSubmit:           "submit",
+	KindWithdraw:         "withdraw",
+	KindDone:             "done",
+	KindGrant:            "grant",
+	KindRefuse:           "refuse",
+	KindRunning:          "running",
+	KindProgramPaused:    "program_paused",
+	KindProgramEnded:     "program_ended",
+	KindCopyPut:          "copy_put",
+	KindCopyGet:          "copy_get",
+	KindCopies:           "copies",
+	KindCopyDrop:         "copy_drop",
+	KindManifestGet:      "manifest_get",
+	KindManifest:         "manifest",
+	KindExplain:          "explain",
+	KindExplained:        "explained",
+	KindStatusGet:        "status_get",
+	KindStatus:           "status",
+	KindTurnBegin:        "turn_begin",
+	KindTurnBegun:        "turn_begun",
+	KindTurnConfirm:      "turn_confirm",
+	KindTurnEnd:          "turn_end",
+	KindTurnFind:         "turn_find",
+	KindTurnFound:        "turn_found",
+	KindTurnAdopt:        "turn_adopt",
+	KindLoadReport:       "load_report",
+	KindHistoryHold:      "history_hold",
+	KindHistoryHeld:      "history_held",
+	KindHistoryCollect:   "history_collect",
+	KindHistoryCollected: "history_collected",
+	KindGroupChanged:     "group_changed",
 }
 
 // Known tells whether this binary knows the kind.
@@ -103,7 +113,8 @@
 func (k Kind) Payload() bool {
 	switch k {
 	case KindForward, KindChunk, KindCopyPut, KindCopyGet, KindCopies, KindManifestGet, KindManifest,
-		KindExplain, KindExplained, KindTurnBegun, KindTurnEnd, KindTurnFound, KindTurnAdopt:
+		KindExplain, KindExplained, KindTurnBegun, KindTurnEnd, KindTurnFound, KindTurnAdopt,
+		KindHistoryHold, KindHistoryCollected:
 		return true
 	default:
 		return false
--- a/internal/wire/registry.go
+++ b/internal/wire/registry.go
@@ -114,44 +114,64 @@
 // Kind implements Message.
 func (LoadReport) Kind() Kind { return KindLoadReport }
 
+// Kind implements Message.
+func (HistoryHold) Kind() Kind { return KindHistoryHold }
+
+// Kind implements Message.
+func (HistoryHeld) Kind() Kind { return KindHistoryHeld }
+
+// Kind implements Message.
+func (HistoryCollect) Kind() Kind { return KindHistoryCollect }
+
+// Kind implements Message.
+func (HistoryCollected) Kind() Kind { return KindHistoryCollected }
+
+// Kind implements Message.
+func (GroupChanged) Kind() Kind { return KindGroupChanged }
+
 // decoders holds the decoder of each kind.
 var decoders = [kindEnd]func([]byte) (Message, error){
-	KindHello:         decodeAs[Hello],
-	KindProof:         decodeAs[Proof],
-	KindReady:         decodeAs[Ready],
-	KindError:         decodeAs[Error],
-	KindCancel:        decodeAs[Cancel],
-	KindCredit:        decodeAs[Credit],
-	KindPing:          decodeAs[Ping],
-	KindAck:           decodeAs[Ack],
-	KindHeartbeat:     decodeAs[Heartbeat],
-	KindHeartbeatAck:  decodeAs[HeartbeatAck],
-	KindForward:       decodeAs[Forward],
-	KindChunk:         decodeAs[Chunk],
-	KindSubmit:        decodeAs[Submit],
-	KindWithdraw:      decodeAs[Withdraw],
-	KindDone:          decodeAs[Done],
-	KindGrant:         decodeAs[Grant],
-	KindRefuse:        decodeAs[Refuse],
-	KindRunning:       decodeAs[Running],
-	KindProgramPaused: decodeAs[ProgramPaused],
-	KindProgramEnded:  decodeAs[ProgramEnded],
-	KindCopyPut:       decodeAs[CopyPut],
-	KindCopyGet:       decodeAs[CopyGet],
-	KindCopies:        decodeAs[Copies],
-	KindCopyDrop:      decodeAs[CopyDrop],
-	KindManifestGet:   decodeAs[ManifestGet],
-	KindManifest:      decodeAs[Manifest],
-	KindExplain:       decodeAs[Explain],
-	KindExplained:     decodeAs[Explained],
-	KindStatusGet:     decodeAs[StatusGet],
-	KindStatus:        decodeAs[Status],
-	KindTurnBegin:     decodeAs[TurnBegin],
-	KindTurnBegun:     decodeAs[TurnBegun],
-	KindTurnConfirm:   decodeAs[TurnConfirm],
-	KindTurnEnd:       decodeAs[TurnEnd],
-	KindTurnFind:      decodeAs[TurnFind],
-	KindTurnFound:     decodeAs[TurnFound],
-	KindTurnAdopt:     decodeAs[TurnAdopt],
-	KindLoadReport:    decodeAs[LoadReport],
+	KindHello:            decodeAs[Hello],
+	KindProof:            decodeAs[Proof],
+	KindReady:            decodeAs[Ready],
+	KindError:            decodeAs[Error],
+	KindCancel:           decodeAs[Cancel],
+	KindCredit:           decodeAs[Credit],
+	KindPing:             decodeAs[Ping],
+	KindAck:              decodeAs[Ack],
+	KindHeartbeat:        decodeAs[Heartbeat],
+	KindHeartbeatAck:     decodeAs[HeartbeatAck],
+	KindForward:          decodeAs[Forward],
+	KindChunk:            decodeAs[Chunk],
+	KindSubmit:           decodeAs[Submit],
+	KindWithdraw:         decodeAs[Withdraw],
+	KindDone:             decodeAs[Done],
+	KindGrant:            decodeAs[Grant],
+	KindRefuse:           decodeAs[Refuse],
+	KindRunning:          decodeAs[Running],
+	KindProgramPaused:    decodeAs[ProgramPaused],
+	KindProgramEnded:     decodeAs[ProgramEnded],
+	KindCopyPut:          decodeAs[CopyPut],
+	KindCopyGet:          decodeAs[CopyGet],
+	KindCopies:           decodeAs[Copies],
+	KindCopyDrop:         decodeAs[CopyDrop],
+	KindManifestGet:      decodeAs[ManifestGet],
+	KindManifest:         decodeAs[Manifest],
+	KindExplain:          decodeAs[Explain],
+	KindExplained:        decodeAs[Explained],
+	KindStatusGet:        decodeAs[StatusGet],
+	KindStatus:           decodeAs[Status],
+	KindTurnBegin:        decodeAs[TurnBegin],
+	KindTurnBegun:        decodeAs[TurnBegun],
+	KindTurnConfirm:      decodeAs[TurnConfirm],
+	KindTurnEnd:          decodeAs[TurnEnd],
+	KindTurnFind:         decodeAs[TurnFind],
+	KindTurnFound:        decodeAs[TurnFound],
+	KindTurnAdopt:        decodeAs[TurnAdopt],
+	KindLoadReport:       decodeAs[LoadReport],
+	KindHistoryHold:      decodeAs[HistoryHold],
+	KindHistoryHeld:      decodeAs[HistoryHeld],
+	KindHistoryCollect:   decodeAs[HistoryCollect],
+	KindHistoryCollected: decodeAs[HistoryCollected],
+	KindGroupChanged:     decodeAs[GroupChanged],
 }
--- a/internal/wire/turn.go
+++ b/internal/wire/turn.go
@@ -61,3 +61,31 @@
 	ID      string `msgpack:"id"`
 	Running int    `msgpack:"r"`
 }
+
+// HistoryHold asks a peer to hold copies of records that the store doesn't take. The reply is HistoryHeld.
+type HistoryHold struct {
+	Part    int      `msgpack:"pt"`
+	Epoch   int64    `msgpack:"e"`
+	Records [][]byte `msgpack:"r"`
+}
+
+// HistoryHeld answers HistoryHold.
+type HistoryHeld struct {
+	Held         bool `msgpack:"h"`
+	StoreReached bool `msgpack:"s"` // the store answers the peer
+}
+
+// HistoryCollect asks for the copies of a partition that its new holder has claimed under an epoch. No
+// copies of earlier epochs are taken afterwards. The reply is HistoryCollected.
+type HistoryCollect struct {
+	Part  int   `msgpack:"pt"`
+	Epoch int64 `msgpack:"e"`
+}
+
+// HistoryCollected answers HistoryCollect.
+type HistoryCollected struct {
+	Records [][]byte `msgpack:"r"`
+}
+
+// GroupChanged tells that the sender has joined or left the group that holds the history. It is one-way.
+type GroupChanged struct{}
