ledger, gateway: keep serving while the store is away

Change: peers hold copies of records that a partition doesn't take, and a claim collects them; where some instance reaches the store, whole turns go to another partition; copies are handed over at a planned stop and dropped once flushed; a turn is not denied (404) for the retention after copies were in use; holders announce claims; a starting instance borrows configuration and endpoints from peers; the poll of the configuration ends within the time for a change. Ruled out: confirming turns by copies while a peer reaches the store (lost with all instances). Tests: TestTurnsOfAnOutage, TestTurnsOfAPartitionThatIsAway.

--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -13,6 +13,7 @@
 	"ragwortstile/internal/discovery"
 	"ragwortstile/internal/routing"
 	"ragwortstile/internal/store"
+	"ragwortstile/internal/wire"
 )
 
 // Times of reading the lists.
@@ -46,15 +47,17 @@
 	onConfig    func(*routing.Table)
 	onEndpoints func(listed map[string]bool, addrs map[string]bool)
 
-	mu   sync.Mutex
-	list *discovery.List
+	mu     sync.Mutex
+	list   *discovery.List
+	config []byte            // as it lies in the store
+	raw    map[string][]byte // entries of endpoints as they lie in the store
 }
 
 // epoch is the origin of times that are kept as numbers.
 var epoch = time.Now()
 
 func newBeliefs(lists Lists, keyed store.Keyed, log logrus.FieldLogger, dep *dependency) *beliefs {
-	return &beliefs{lists: lists, store: keyed, log: log, dep: dep, list: discovery.NewList(lapseGrace)}
+	return &beliefs{lists: lists, store: keyed, log: log, dep: dep, list: discovery.NewList(lapseGrace), raw: make(map[string][]byte)}
 }
 
 // known tells whether requests can be served.
@@ -164,6 +167,7 @@
 	if old != nil && c.Version <= old.Version {
 		return
 	}
+	b.config = i.Value
 	t := routing.NewTable(c)
 	b.table.Store(t)
 	b.log.WithFields(logrus.Fields{"version": c.Version, "count": len(c.Routes), "offset": i.Offset}).Info("configuration in force")
@@ -178,9 +182,12 @@
 			ids[i.Key] = true
 		}
 		now := time.Now()
-		changed := len(b.list.Keep(ids, now)) > 0
+		for _, id := range b.list.Keep(ids, now) {
+			delete(b.raw, id)
+			b.log.WithField("endpoint", id).Info("endpoint is not in the list any more")
+		}
 		for _, i := range items {
-			changed = b.takeEndpoint(i, now) || changed
+			b.takeEndpoint(i, now)
 		}
 		b.publish(now, true)
 	}
@@ -201,6 +208,7 @@
 		return false
 	}
 	if len(i.Value) == 0 {
+		delete(b.raw, i.Key)
 		changed := b.list.Remove(i.Key, now)
 		if changed {
 			b.log.WithFields(logrus.Fields{"endpoint": i.Key, "offset": i.Offset}).Info("endpoint removed from the list")
@@ -212,6 +220,7 @@
 		b.log.WithFields(logrus.Fields{"offset": i.Offset, "reason": err.Error()}).Debug("entry skipped")
 		return false
 	}
+	b.raw[i.Key] = i.Value
 	changed := b.list.Put(e)
 	if changed {
 		b.log.WithFields(logrus.Fields{
@@ -228,6 +237,35 @@
 	return "ready"
 }
 
+// snapshot returns the beliefs for a peer that cannot read the store.
+func (b *beliefs) snapshot() wire.Beliefs {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	m := wire.Beliefs{Config: b.config, Age: b.configAge()}
+	for key, value := range b.raw {
+		m.Endpoints = append(m.Endpoints, wire.KeyedRecord{Key: key, Value: value})
+	}
+	return m
+}
+
+// borrow takes the beliefs of a peer. It returns false when the peer has none.
+func (b *beliefs) borrow(m wire.Beliefs, from string) bool {
+	if len(m.Config) == 0 || len(m.Endpoints) == 0 {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.log.WithFields(logrus.Fields{"peer": from, "age": m.Age.Milliseconds(), "count": len(m.Endpoints)}).Info("beliefs borrowed, the store is out of reach")
+	b.takeConfig(store.Item{Key: b.lists.ConfigKey, Value: m.Config})
+	now := time.Now()
+	for _, r := range m.Endpoints {
+		b.takeEndpoint(store.Item{Key: r.Key, Value: r.Value}, now)
+	}
+	b.list.Lost()
+	b.publish(now, true)
+	return b.known()
+}
+
 // publish makes the list available to requests.
 func (b *beliefs) publish(now time.Time, changed bool) {
 	for _, id := range b.list.Expire(now) {
@@ -291,9 +329,9 @@
 		errors.As(err, &moved) || errors.As(err, &sequence) || errors.As(err, &trimmed)
 }
 
-// lost tells whether the dependency is out of reach.
-func (d *dependency) lost() bool {
+// failing tells whether the newest call failed.
+func (d *dependency) failing() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return !d.lostAt.IsZero()
+	return d.failures > 0
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,7 +38,10 @@
 	// stopMargin is left of the grace period when the last connections are closed.
 	stopMargin = 700 * time.Millisecond
 	// peerIdle closes connections of peers that went silent.
-	peerIdle = 1500 * time.Millisecond
+	peerIdle = time.Second
+	// borrowEvery is the time between questions to peers while an instance that has just started cannot
+	// read the store.
+	borrowEvery = 150 * time.Millisecond
 	// reportEvery is the time between reports of load to peers.
 	reportEvery = 100 * time.Millisecond
 	pruneEvery  = time.Second
@@ -114,6 +117,7 @@
 	g.add(tree, "configuration", func(ctx context.Context) error { return g.beliefs.followConfig(ctx, g.settings.ConfigWithin) })
 	g.add(tree, "endpoints", func(ctx context.Context) error { return g.beliefs.followEndpoints(ctx, g.settings.LeaveWithin) })
 	g.add(tree, "ledger", g.ledger.Serve)
+	g.add(tree, "borrowed beliefs", g.borrow)
 	g.add(tree, "housekeeping", g.housekeeping)
 	g.add(tree, "load reports", g.reportLoad)
 	stopped := tree.ServeBackground(work)
@@ -208,6 +212,30 @@
 	g.log.WithField("reason", e.String()).Error("supervised service ended")
 }
 
+// borrow gets the configuration and the endpoints from peers while the store doesn't give them. Once both are
+// known it ends.
+func (g *Gateway) borrow(ctx context.Context) error {
+	for !g.beliefs.known() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(borrowEvery):
+		}
+		if !g.storeDep.failing() {
+			continue
+		}
+		for _, r := range g.node.Connected() {
+			actx, cancel := context.WithTimeout(ctx, borrowEvery)
+			reply, err := g.node.Ask(actx, r.Session, wire.BeliefsGet{})
+			cancel()
+			if b, ok := reply.(wire.Beliefs); ok && err == nil && g.beliefs.borrow(b, string(r.Session)) {
+				break
+			}
+		}
+	}
+	return suture.ErrDoNotRestart
+}
+
 func (g *Gateway) housekeeping(ctx context.Context) error {
 	tick := time.NewTicker(pruneEvery)
 	defer tick.Stop()
@@ -255,32 +283,38 @@
 type peerHandler Gateway
 
 // Connected implements peer.Handler.
-func (h *peerHandler) Connected(peer.Remote) {}
+func (h *peerHandler) Connected(r peer.Remote) { h.ledger.Connected(r) }
 
 // Disconnected implements peer.Handler.
 func (h *peerHandler) Disconnected(peer.Remote, error) {}
 
 // Receive implements peer.Handler.
 func (h *peerHandler) Receive(r peer.Remote, m wire.Message) {
-	if _, ok := m.(wire.GroupChanged); ok {
+	switch m := m.(type) {
+	case wire.GroupChanged:
 		h.ledger.GroupChanged()
-		return
-	}
-	report, ok := m.(wire.LoadReport)
-	if !ok {
-		return
-	}
-	running := make(map[string]int, len(report.Endpoints))
-	for _, e := range report.Endpoints {
-		running[e.ID] = e.Running
+	case wire.Holding:
+		h.ledger.Holding(m)
+	case wire.HistoryKept:
+		h.ledger.Kept(m)
+	case wire.LoadReport:
+		running := make(map[string]int, len(m.Endpoints))
+		for _, e := range m.Endpoints {
+			running[e.ID] = e.Running
+		}
+		h.mu.Lock()
+		h.balancer.Peer(r.Session.Instance(), running, time.Now())
+		h.mu.Unlock()
+	default:
+		h.log.WithFields(logrus.Fields{"peer": string(r.Session), "name": m.Kind().String()}).Debug("message passed over")
 	}
-	h.mu.Lock()
-	h.balancer.Peer(r.Session.Instance(), running, time.Now())
-	h.mu.Unlock()
 }
 
 // Serve implements peer.Handler.
 func (h *peerHandler) Serve(ctx context.Context, _ peer.Remote, m wire.Message, r *peer.Replier) error {
+	if _, ok := m.(wire.BeliefsGet); ok {
+		return r.SendLast(ctx, h.beliefs.snapshot())
+	}
 	known, err := h.ledger.Answer(ctx, m, r)
 	if !known {
 		return wire.Error{Code: wire.CodeUnsupported, Detail: m.Kind().String()}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -53,7 +53,6 @@
 	r       *http.Request
 	meta    Meta
 	route   *routing.Route
-	service routing.Service
 	version int64
 	body    []byte
 	start   time.Time
--- a/internal/ledger/copies.go
+++ b/internal/ledger/copies.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"ragwortstile/internal/history"
@@ -21,6 +22,8 @@
 	copyPeers    = 6
 	copiesWanted = 2
 	copyTimeout  = 300 * time.Millisecond
+	// copyLinger is how long more peers are waited for once enough have a copy.
+	copyLinger = 20 * time.Millisecond
 	// spillTries is the number of other partitions that are tried for a turn.
 	spillTries = 3
 	// copyAge bounds how long copies are held; it is above the longest outage that a caller would wait out.
@@ -34,6 +37,7 @@
 )
 
 type copied struct {
+	sum   uint64 // of data, so that a record is held once
 	epoch int64
 	data  []byte
 	at    time.Time
@@ -43,11 +47,15 @@
 type copies struct {
 	mu     sync.Mutex
 	byPart map[int][]copied
+	sums   map[uint64]bool
 	fence  map[int]int64 // least epoch that may still add copies
 	bytes  int
+	newest time.Time // when the newest came
 }
 
-func newCopies() *copies { return &copies{byPart: make(map[int][]copied), fence: make(map[int]int64)} }
+func newCopies() *copies {
+	return &copies{byPart: make(map[int][]copied), sums: make(map[uint64]bool), fence: make(map[int]int64)}
+}
 
 // put takes copies. It returns false for those of a holder that has been replaced, and when there is no
 // room.
@@ -58,15 +66,50 @@
 		return false
 	}
 	for _, data := range records {
+		sum := xxhash.Sum64(data)
+		if c.sums[sum] {
+			continue
+		}
 		if c.bytes+len(data) > copyBytes {
 			return false
 		}
-		c.byPart[part] = append(c.byPart[part], copied{epoch: epoch, data: data, at: now})
+		c.byPart[part] = append(c.byPart[part], copied{sum: sum, epoch: epoch, data: data, at: now})
+		c.sums[sum] = true
 		c.bytes += len(data)
+		c.newest = now
 	}
 	return true
 }
 
+// since returns when the newest copy came; zero if there never was one.
+func (c *copies) since() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.newest
+}
+
+// all returns the copies of every partition, in messages by partition and epoch.
+func (c *copies) all() []wire.HistoryHold {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []wire.HistoryHold
+	for part, list := range c.byPart {
+		byEpoch := make(map[int64]*wire.HistoryHold)
+		for _, r := range list {
+			m := byEpoch[r.epoch]
+			if m == nil {
+				m = &wire.HistoryHold{Part: part, Epoch: r.epoch}
+				byEpoch[r.epoch] = m
+			}
+			m.Records = append(m.Records, r.data)
+		}
+		for _, m := range byEpoch {
+			out = append(out, *m)
+		}
+	}
+	return out
+}
+
 // collect returns the copies of a partition, and takes none of earlier epochs any more.
 func (c *copies) collect(part int, epoch int64) [][]byte {
 	c.mu.Lock()
@@ -82,18 +125,31 @@
 func (c *copies) expire(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for part, list := range c.byPart {
-		kept := list[:0]
-		for _, r := range list {
-			if now.Sub(r.at) < copyAge {
-				kept = append(kept, r)
-			} else {
-				c.bytes -= len(r.data)
-			}
-		}
-		if c.byPart[part] = kept; len(kept) == 0 {
-			delete(c.byPart, part)
+	for part := range c.byPart {
+		c.drop(part, func(r copied) bool { return now.Sub(r.at) >= copyAge })
+	}
+}
+
+// kept drops the copies of a partition up to an epoch, which are in the store now.
+func (c *copies) kept(part int, epoch int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.drop(part, func(r copied) bool { return r.epoch <= epoch })
+}
+
+func (c *copies) drop(part int, needless func(copied) bool) {
+	list := c.byPart[part]
+	left := list[:0]
+	for _, r := range list {
+		if !needless(r) {
+			left = append(left, r)
+			continue
 		}
+		c.bytes -= len(r.data)
+		delete(c.sums, r.sum)
+	}
+	if c.byPart[part] = left; len(left) == 0 {
+		delete(c.byPart, part)
 	}
 }
 
@@ -207,9 +263,18 @@
 		}()
 	}
 	reaching = make(map[string]bool)
+	var enough <-chan time.Time
 	for range remotes {
-		a := <-answers
+		var a answer
+		select {
+		case a = <-answers:
+		case <-enough:
+			return held, reaching
+		}
 		if a.Held {
+			if held == copiesWanted-1 {
+				enough = time.After(copyLinger)
+			}
 			held++
 		}
 		if a.StoreReached {
@@ -219,6 +284,45 @@
 	return held, reaching
 }
 
+// Kept takes the news that copies are not needed any more.
+func (l *Ledger) Kept(m wire.HistoryKept) { l.copies.kept(m.Part, m.Epoch) }
+
+// flushed tells all peers that they need no copies of a partition any more.
+func (l *Ledger) flushed(part int, epoch int64) {
+	m := wire.HistoryKept{Part: part, Epoch: epoch}
+	l.Kept(m)
+	if _, err := l.cfg.Node.Broadcast(m); err != nil {
+		l.cfg.Log.WithField("reason", err.Error()).Warn("end of copies not announced")
+	}
+}
+
+// handOver gives the copies held here to all peers, before this instance ends.
+func (l *Ledger) handOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, m := range l.copies.all() {
+		for _, r := range l.cfg.Node.Connected() {
+			wg.Go(func() {
+				if _, err := l.cfg.Node.Ask(ctx, r.Session, m); err != nil {
+					l.cfg.Log.WithFields(logrus.Fields{"peer": string(r.Session), "slot": m.Part, "reason": err.Error()}).Warn("copies not handed over")
+				}
+			})
+		}
+	}
+	wg.Wait()
+}
+
+// doubtful tells whether records may exist that only memory held for a while, so that a turn which isn't
+// found can't be said not to exist.
+func (l *Ledger) doubtful() bool {
+	l.mu.Lock()
+	keep := l.keep
+	l.mu.Unlock()
+	newest := l.copies.since()
+	return !newest.IsZero() && time.Since(newest) < keep
+}
+
 // serveHold takes copies for the holder of a partition.
 func (l *Ledger) serveHold(m wire.HistoryHold) wire.HistoryHeld {
 	return wire.HistoryHeld{
--- a/internal/ledger/keeper.go
+++ b/internal/ledger/keeper.go
@@ -76,6 +76,10 @@
 	protect func(ctx context.Context, k *keeper, entries []*entry) (kept []*entry)
 	// collect returns the copies that peers hold, once the partition is claimed.
 	collect func(ctx context.Context, part int, epoch int64) [][]byte
+	// claimed is told of the claim, once the partition is served.
+	claimed func(part int, epoch int64)
+	// flushed is told when all records that peers have copies of are in the store.
+	flushed func(part int, epoch int64)
 	// leave takes the copied records of a keeper that ends.
 	leave func(part int, epoch int64, records [][]byte)
 
@@ -124,6 +128,7 @@
 	if err == nil {
 		k.recover(k.collect(ctx, k.part.Part, k.epoch))
 		close(k.ready)
+		k.claimed(k.part.Part, k.epoch)
 		go k.protectStalled(ctx)
 		err = k.write(ctx)
 	}
@@ -244,7 +249,7 @@
 	var kept [][]byte
 	for _, list := range [][]*entry{k.sending, k.pending} {
 		for _, e := range list {
-			if e.copied {
+			if e.record.Kind != history.RecordClaim && (e.copied || !k.stalled.IsZero()) {
 				kept = append(kept, e.data)
 			}
 			e.finish(errNotHolder)
@@ -387,8 +392,21 @@
 			e.finish(nil)
 		}
 		k.sending, k.stalled = nil, time.Time{}
+		flushed := hasCopied(batch) && !hasCopied(k.pending)
 		k.mu.Unlock()
+		if flushed {
+			k.flushed(k.part.Part, k.epoch)
+		}
+	}
+}
+
+func hasCopied(list []*entry) bool {
+	for _, e := range list {
+		if e.copied {
+			return true
+		}
 	}
+	return false
 }
 
 // take waits for records and returns those of the next append.
@@ -598,6 +616,15 @@
 	return outcome, body, nil, nil
 }
 
+func (k *keeper) isServing() bool {
+	select {
+	case <-k.ready:
+		return !k.isClosed()
+	default:
+		return false
+	}
+}
+
 func (k *keeper) isClosed() bool {
 	select {
 	case <-k.closed:
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -89,20 +89,20 @@
 	mu         sync.Mutex
 	keepers    map[int]*keeper
 	owners     map[int]string // member by partition
+	claims     map[int]int64  // newest known epoch by partition
 	generation int64
 	keep       time.Duration
 	leaving    bool
 	lastOwners time.Time
 	refresh    chan struct{}
 	rejoin     chan struct{}
-	wg         sync.WaitGroup
 }
 
 // New returns a Ledger.
 func New(cfg Config) *Ledger {
 	l := &Ledger{
 		cfg: cfg, ttl: cfg.MinTTL, copies: newCopies(),
-		keepers: make(map[int]*keeper), owners: make(map[int]string),
+		keepers: make(map[int]*keeper), owners: make(map[int]string), claims: make(map[int]int64),
 		refresh: make(chan struct{}, 1), rejoin: make(chan struct{}, 1),
 	}
 	l.cfg.Reached = func(err error) {
@@ -164,6 +164,7 @@
 	l.leaving = true
 	l.mu.Unlock()
 	l.release()
+	l.handOver(ctx)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if err := l.cfg.Store.Leave(ctx, group, l.member()); err != nil {
@@ -180,6 +181,45 @@
 	}
 }
 
+// Holding takes the news of what a peer holds.
+func (l *Ledger) Holding(m wire.Holding) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range m.Claims {
+		if c.Epoch > l.claims[c.Part] {
+			l.claims[c.Part] = c.Epoch
+			l.owners[c.Part] = m.Member
+		}
+	}
+}
+
+// Connected tells a peer what this instance holds.
+func (l *Ledger) Connected(r peer.Remote) {
+	m := wire.Holding{Member: l.member()}
+	l.mu.Lock()
+	for part, k := range l.keepers {
+		if k.isServing() {
+			m.Claims = append(m.Claims, wire.Claim{Part: part, Epoch: k.epoch})
+		}
+	}
+	l.mu.Unlock()
+	if len(m.Claims) == 0 {
+		return
+	}
+	if err := l.cfg.Node.Send(r.Session, m); err != nil {
+		l.cfg.Log.WithFields(logrus.Fields{"peer": string(r.Session), "reason": err.Error()}).Debug("holding not told")
+	}
+}
+
+// claimed tells all peers of a claim.
+func (l *Ledger) claimed(part int, epoch int64) {
+	m := wire.Holding{Member: l.member(), Claims: []wire.Claim{{Part: part, Epoch: epoch}}}
+	l.Holding(m)
+	if _, err := l.cfg.Node.Broadcast(m); err != nil {
+		l.cfg.Log.WithField("reason", err.Error()).Warn("claim not announced")
+	}
+}
+
 // GroupChanged takes the news that a peer has joined or left.
 func (l *Ledger) GroupChanged() { l.poke(l.rejoin) }
 
@@ -252,7 +292,7 @@
 func (l *Ledger) start(ctx context.Context, part int, generation int64) *keeper {
 	k := newKeeper(store.Partition{Topic: topic, Part: part}, generation, l.cfg.Instance, l.cfg.CallBytes,
 		l.cfg.Store, l.cfg.Log, l.cfg.Reached)
-	k.protect, k.collect = l.protect, l.collect
+	k.protect, k.collect, k.claimed, k.flushed = l.protect, l.collect, l.claimed, l.flushed
 	k.leave = func(part int, epoch int64, records [][]byte) { l.copies.put(part, epoch, records, time.Now()) }
 	kctx, cancel := context.WithCancel(ctx)
 	k.cancel = cancel
@@ -493,6 +533,9 @@
 		if found.Found {
 			return found.Body, nil
 		}
+		if searched >= l.cfg.Parts && found.Doubtful {
+			return nil, fmt.Errorf("%w: records may have been lost with the memory of instances", ErrUnavailable)
+		}
 		if searched >= l.cfg.Parts {
 			return nil, ErrUnknownTurn
 		}
@@ -529,17 +572,18 @@
 		}()
 	}
 	answers <- l.search(actx, turn)
-	searched := make(map[int]bool)
+	searched, doubtful := make(map[int]bool), false
 	for range len(remotes) + 1 {
 		found := <-answers
 		if found.Found {
 			return found, 0
 		}
+		doubtful = doubtful || found.Doubtful
 		for _, p := range found.Parts {
 			searched[p] = true
 		}
 	}
-	return wire.TurnFound{}, len(searched)
+	return wire.TurnFound{Doubtful: doubtful}, len(searched)
 }
 
 // search looks for a turn in the partitions held here.
@@ -550,7 +594,7 @@
 		held[part] = k
 	}
 	l.mu.Unlock()
-	var found wire.TurnFound
+	found := wire.TurnFound{Doubtful: l.doubtful()}
 	for part, k := range held {
 		body, ok, err := k.find(ctx, turn)
 		if ok {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -32,9 +32,18 @@
 
 type handler struct{ ledger *Ledger }
 
-func (h *handler) Connected(peer.Remote)             {}
-func (h *handler) Disconnected(peer.Remote, error)   {}
-func (h *handler) Receive(peer.Remote, wire.Message) {}
+func (h *handler) Connected(r peer.Remote)         { h.ledger.Connected(r) }
+func (h *handler) Disconnected(peer.Remote, error) {}
+func (h *handler) Receive(_ peer.Remote, m wire.Message) {
+	switch m := m.(type) {
+	case wire.Holding:
+		h.ledger.Holding(m)
+	case wire.HistoryKept:
+		h.ledger.Kept(m)
+	case wire.GroupChanged:
+		h.ledger.GroupChanged()
+	}
+}
 func (h *handler) Serve(ctx context.Context, _ peer.Remote, m wire.Message, r *peer.Replier) error {
 	_, err := h.ledger.Answer(ctx, m, r)
 	return err
@@ -256,3 +265,55 @@
 	c := start(t, "c", 2, s)
 	must.ErrorIs(t, begin(c, "t5"), ErrOverBudget)
 }
+
+// away makes appends fail, and all other calls of an application.
+func away(call string, _ store.Partition) storestand.Fault { return storestand.Refuse }
+
+// While the store is away turns are kept by copies at peers; afterwards every instance finds them, also
+// when the holder stopped in between.
+func TestTurnsOfAnOutage(t *testing.T) {
+	s := storestand.New(3)
+	all := []*instance{start(t, "a", 3, s), start(t, "b", 3, s), start(t, "c", 3, s), start(t, "d", 3, s)}
+	for i, x := range all {
+		runTurn(t, x, fmt.Sprint("p", i), fmt.Sprint("t", i), "")
+	}
+	time.Sleep(300 * time.Millisecond) // connections of all pairs
+	s.SetFault(away)
+	time.Sleep(storeFresh)
+	for i, x := range all {
+		must.Eq(t, fmt.Sprintf("in-t%d;out-t%d;", i, i), runTurn(t, x, fmt.Sprint("p", i), fmt.Sprint("u", i), fmt.Sprint("t", i)))
+	}
+	// A planned stop in the outage hands the records over.
+	all[0].Leave(context.Background())
+	all[0].kill()
+	<-all[0].done
+	s.SetFault(nil)
+	for i := range all {
+		got := runTurn(t, all[1], fmt.Sprint("p", i), fmt.Sprint("v", i), fmt.Sprint("u", i))
+		must.Eq(t, fmt.Sprintf("in-t%d;out-t%d;in-u%d;out-u%d;", i, i, i, i), got)
+	}
+}
+
+// A partition takes no records while the store serves the others: whole turns go to another partition, so
+// that they outlive all instances.
+func TestTurnsOfAPartitionThatIsAway(t *testing.T) {
+	s := storestand.New(4)
+	a, b, c := start(t, "a", 4, s), start(t, "b", 4, s), start(t, "c", 4, s)
+	runTurn(t, a, "p", "t1", "")
+	time.Sleep(300 * time.Millisecond)
+	stuck := a.part("p")
+	s.SetFault(func(call string, p store.Partition) storestand.Fault {
+		if call == "append" && p.Part == stuck {
+			return storestand.Refuse
+		}
+		return storestand.None
+	})
+	must.Eq(t, "in-t1;out-t1;", runTurn(t, a, "p", "t2", "t1"))
+	for _, x := range []*instance{a, b, c} {
+		x.kill()
+		<-x.done
+	}
+	s.SetFault(nil)
+	d := start(t, "d", 4, s)
+	must.Eq(t, "in-t1;out-t1;in-t2;out-t2;", runTurn(t, d, "p", "t3", "t2"))
+}
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -48,6 +48,10 @@
 	KindHistoryCollect
 	KindHistoryCollected
 	KindGroupChanged
+	KindHolding
+	KindBeliefsGet
+	KindBeliefs
+	KindHistoryKept
 	kindEnd // one above the last kind
 )
 
@@ -95,6 +99,10 @@
 	KindHistoryCollect:   "history_collect",
 	KindHistoryCollected: "history_collected",
 	KindGroupChanged:     "group_changed",
+	KindHolding:          "holding",
+	KindBeliefsGet:       "beliefs_get",
+	KindBeliefs:          "beliefs",
+	KindHistoryKept:      "history_kept",
 }
 
 // Known tells whether this binary knows the kind.
@@ -114,7 +122,7 @@
 	switch k {
 	case KindForward, KindChunk, KindCopyPut, KindCopyGet, KindCopies, KindManifestGet, KindManifest,
 		KindExplain, KindExplained, KindTurnBegun, KindTurnEnd, KindTurnFound, KindTurnAdopt,
-		KindHistoryHold, KindHistoryCollected:
+		KindHistoryHold, KindHistoryCollected, KindBeliefs:
 		return true
 	default:
 		return false
--- a/internal/wire/registry.go
+++ b/internal/wire/registry.go
@@ -129,6 +129,18 @@
 // Kind implements Message.
 func (GroupChanged) Kind() Kind { return KindGroupChanged }
 
+// Kind implements Message.
+func (Holding) Kind() Kind { return KindHolding }
+
+// Kind implements Message.
+func (BeliefsGet) Kind() Kind { return KindBeliefsGet }
+
+// Kind implements Message.
+func (Beliefs) Kind() Kind { return KindBeliefs }
+
+// Kind implements Message.
+func (HistoryKept) Kind() Kind { return KindHistoryKept }
+
 // decoders holds the decoder of each kind.
 var decoders = [kindEnd]func([]byte) (Message, error){
 	KindHello:            decodeAs[Hello],
@@ -174,4 +186,8 @@
 	KindHistoryCollect:   decodeAs[HistoryCollect],
 	KindHistoryCollected: decodeAs[HistoryCollected],
 	KindGroupChanged:     decodeAs[GroupChanged],
+	KindHolding:          decodeAs[Holding],
+	KindBeliefsGet:       decodeAs[BeliefsGet],
+	KindBeliefs:          decodeAs[Beliefs],
+	KindHistoryKept:      decodeAs[HistoryKept],
 }
--- a/internal/wire/turn.go
+++ b/internal/wire/turn.go
@@ -40,6 +40,9 @@
 	Found bool   `msgpack:"f"`
 	Body  []byte `msgpack:"bd"` // text of the chain with the turn
 	Parts []int  `msgpack:"pt"` // partitions that were searched
+	// Doubtful means that records were held in memory only a short time ago, so that what isn't found may
+	// still exist.
+	Doubtful bool `msgpack:"d"`
 }
 
 // TurnAdopt asks the holder of a partition to keep the chain of a turn of another partition. The reply
@@ -87,5 +90,41 @@
 	Records [][]byte `msgpack:"r"`
 }
 
+// HistoryKept tells that all records of a partition up to an epoch are in the store, so that copies are not
+// needed any more. It is one-way.
+type HistoryKept struct {
+	Part  int   `msgpack:"pt"`
+	Epoch int64 `msgpack:"e"`
+}
+
 // GroupChanged tells that the sender has joined or left the group that holds the history. It is one-way.
 type GroupChanged struct{}
+
+// Holding tells which partitions of the history the sender holds. It is one-way, sent after each claim and
+// on each new connection.
+type Holding struct {
+	Member string  `msgpack:"m"` // name in the group
+	Claims []Claim `msgpack:"c"`
+}
+
+// Claim is a partition that an instance has claimed.
+type Claim struct {
+	Part  int   `msgpack:"pt"`
+	Epoch int64 `msgpack:"e"`
+}
+
+// BeliefsGet asks a peer for the configuration and the endpoints that it acts on. The reply is Beliefs.
+type BeliefsGet struct{}
+
+// Beliefs answers BeliefsGet, with records as they lie in the store.
+type Beliefs struct {
+	Config    []byte        `msgpack:"c"` // empty when the peer has none
+	Age       time.Duration `msgpack:"a"` // since the configuration was known to be the newest
+	Endpoints []KeyedRecord `msgpack:"e"`
+}
+
+// KeyedRecord is a record with its key.
+type KeyedRecord struct {
+	Key   string `msgpack:"k"`
+	Value []byte `msgpack:"v"`
+}
