platform, gateway: tests of the adapter and of the whole path, stand-ins of the store and the endpoints

Cause: the new packages had no tests that run without the bench. Stand-ins speak the platform's protocol.

--- /dev/null
+++ b/internal/gateway/whole_test.go
@@ -0,0 +1,333 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
+
+	"ragwortstile/internal/gateway"
+	"ragwortstile/internal/standin/storestand"
+	"ragwortstile/internal/store"
+	"ragwortstile/platform"
+	"ragwortstile/platform/platformtest"
+)
+
+const testParts = 4
+
+func config(version int, extra ...map[string]any) map[string]any {
+	route := func(name, prefix, kind string, attempts int) map[string]any {
+		return map[string]any{
+			"name": name, "hostname": "h.example", "path_prefix": prefix, "kind": kind, "timeout_ms": 2000, "target_latency_ms": 200,
+			"service": "svc", "max_attempts": attempts,
+		}
+	}
+	turns := route("turns", "/turns/", "streaming", 2)
+	turns["retain_history"], turns["retention_s"] = true, 60.0
+	routes := []map[string]any{
+		turns, route("calls", "/calls/", "non_idempotent", 2), route("looks", "/looks/", "idempotent", 2),
+	}
+	return map[string]any{
+		"version": version, "routes": append(routes, extra...),
+		"services": []map[string]any{{"name": "svc", "health_path": "/healthz", "max_connections": 100, "engine": map[string]any{"slots": 4, "tokens_per_event": 10}}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 100000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	}
+}
+
+// site is a store, endpoints and instances.
+type site struct {
+	t     *testing.T
+	store *platformtest.Store
+}
+
+type instance struct {
+	addr, ready string
+	stop        context.CancelFunc
+	done        chan error
+}
+
+func newSite(t *testing.T) *site {
+	s := &site{t: t, store: platformtest.NewStore(t, testParts)}
+	s.store.PutConfig(config(1))
+	return s
+}
+
+func (s *site) endpoint(id string, behave func(platformtest.Run) platformtest.Behaviour) *platformtest.Endpoint {
+	e := platformtest.NewEndpoint(s.t, id, behave)
+	s.store.PutEndpoint(id, e.Entry("svc", "z", "ready"))
+	return e
+}
+
+func freeAddr(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (s *site) instance(name string) *instance {
+	s.t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	settings := gateway.Settings{
+		Instance: name, Zone: "z", FrontAddr: freeAddr(s.t), ReadyAddr: freeAddr(s.t), PeerAddr: freeAddr(s.t), MetricsAddr: freeAddr(s.t),
+		PeerKey: []byte("a key of the instances of a test"), MemoryBytes: 1 << 27, StopGrace: 4 * time.Second,
+		LeaveWithin: 500 * time.Millisecond, ConfigWithin: time.Second, StoreAddr: s.store.Addr, StoreParts: testParts,
+		StoreRecordBytes: 1 << 18, StoreCallBytes: 1 << 20, StoreMinTTL: 300 * time.Millisecond,
+	}
+	g, err := gateway.New(settings, platform.Protocol{}, platform.Lists(), platform.NewStore(s.store.Addr), log, fmt.Sprint("n", time.Now().UnixNano()))
+	must.NoError(s.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	i := &instance{addr: settings.FrontAddr, ready: settings.ReadyAddr, stop: cancel, done: make(chan error, 1)}
+	go func() { i.done <- g.Run(ctx) }()
+	s.t.Cleanup(func() {
+		cancel()
+		select {
+		case <-i.done:
+		case <-time.After(10 * time.Second):
+		}
+	})
+	s.eventually(func() bool {
+		resp, err := http.Get("http://" + i.ready + "/readyz")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+	return i
+}
+
+func (s *site) eventually(f func() bool) {
+	s.t.Helper()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	s.t.Fatal("timeout")
+}
+
+type answer struct {
+	status int
+	body   string
+	header http.Header
+	closes bool // the connection ends with the answer
+	err    error
+}
+
+var lastID atomic.Int64
+
+// do sends a request with a new id.
+func (s *site) do(i *instance, method, path, body string, headers ...string) (string, answer) {
+	id := fmt.Sprint("r", lastID.Add(1))
+	req, err := http.NewRequest(method, "http://"+i.addr+path, strings.NewReader(body))
+	must.NoError(s.t, err)
+	req.Host = "h.example"
+	req.Header.Set("X-Ragwortstile-Request-Id", id)
+	req.Header.Set("X-Ragwortstile-Deadline-Ms", "2000")
+	for n := 0; n < len(headers); n += 2 {
+		req.Header.Set(headers[n], headers[n+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return id, answer{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return id, answer{status: resp.StatusCode, body: string(data), header: resp.Header, closes: resp.Close, err: err}
+}
+
+func (s *site) turn(i *instance, program, previous, input string) (string, answer) {
+	headers := []string{"X-Ragwortstile-Program-Id", program, "X-Ragwortstile-Token-Count", "10,50", "X-Ragwortstile-Token-Budget", "1000"}
+	if previous != "" {
+		headers = append(headers, "X-Ragwortstile-Previous-Turn", previous)
+	}
+	return s.do(i, "POST", "/turns/x", input, headers...)
+}
+
+func serveAll(r platformtest.Run) platformtest.Behaviour {
+	if strings.HasPrefix(r.Path, "/turns/") {
+		return platformtest.Behaviour{Events: 2}
+	}
+	return platformtest.Behaviour{}
+}
+
+func TestWholePath(t *testing.T) {
+	s := newSite(t)
+	e := s.endpoint("i-1", serveAll)
+	a, b := s.instance("a"), s.instance("b")
+	id, got := s.do(a, "GET", "/looks/1?q=2", "")
+	must.Eq(t, "answer to "+id+" by i-1", got.body)
+	must.Eq(t, "stamp-"+id, got.header.Get("X-Ragwortstile-Server-Stamp"))
+
+	first, got := s.turn(a, "p", "", "hello;")
+	must.NoError(t, got.err)
+	must.Eq(t, fmt.Sprintf("id: 1\ndata: %s-1\n\nid: 2\ndata: %s-2\n\n", first, first), got.body)
+	_, got = s.turn(b, "p", first, "again;") // through another instance
+	must.Eq(t, http.StatusOK, got.status)
+	runs := e.Runs()
+	must.Eq(t, fmt.Sprintf("hello;%s-1\n%s-2\nagain;", first, first), runs[len(runs)-1].Body)
+
+	_, got = s.turn(a, "p", "never", "x")
+	must.Eq(t, http.StatusNotFound, got.status)
+	_, got = s.do(a, "GET", "/none/", "")
+	must.Eq(t, http.StatusNotFound, got.status)
+	_, got = s.do(a, "POST", "/looks/", strings.Repeat("x", 100001))
+	must.Eq(t, http.StatusRequestEntityTooLarge, got.status)
+	_, got = s.do(a, "GET", "/looks/", "", "X-Ragwortstile-Request-Id", "")
+	must.Eq(t, http.StatusBadRequest, got.status)
+}
+
+// A call that cannot be repeated goes to a second endpoint only after the first has said that it did not
+// run it; after anything else the caller is told that the outcome is not known.
+func TestCallsRunOnce(t *testing.T) {
+	s := newSite(t)
+	var mode atomic.Value
+	mode.Store("refuse")
+	behave := func(platformtest.Run) platformtest.Behaviour {
+		return platformtest.Behaviour{Refuse: mode.Load() == "refuse", Break: mode.Load() == "break"}
+	}
+	e1, e2 := s.endpoint("i-1", behave), s.endpoint("i-2", behave)
+	a := s.instance("a")
+	_, got := s.do(a, "POST", "/calls/1", "pay")
+	must.Eq(t, http.StatusServiceUnavailable, got.status) // not run
+	must.NotEq(t, "", got.header.Get("Retry-After"))
+	must.Eq(t, 0, len(e1.Runs())+len(e2.Runs()))
+	mode.Store("break")
+	_, got = s.do(a, "POST", "/calls/1", "pay")
+	must.Eq(t, http.StatusBadGateway, got.status)
+	must.Eq(t, 1, len(e1.Runs())+len(e2.Runs()))
+	_, got = s.do(a, "GET", "/looks/1", "")
+	must.Eq(t, http.StatusBadGateway, got.status)
+	must.Eq(t, 3, len(e1.Runs())+len(e2.Runs())) // may be repeated
+}
+
+func TestStreamThatBreaksOffDoesNotLookWhole(t *testing.T) {
+	s := newSite(t)
+	cut := atomic.Bool{}
+	cut.Store(true)
+	s.endpoint("i-1", func(platformtest.Run) platformtest.Behaviour {
+		b := platformtest.Behaviour{Events: 3}
+		if cut.Load() {
+			b.CutAfter = 1
+		}
+		return b
+	})
+	a := s.instance("a")
+	broken, got := s.turn(a, "p", "", "x;")
+	must.Error(t, got.err)
+	_, got = s.turn(a, "p", broken, "y;")
+	must.Eq(t, http.StatusNotFound, got.status)
+	cut.Store(false)
+	_, got = s.turn(a, "p", "", "x;")
+	must.NoError(t, got.err)
+}
+
+// Tokens of broken streams count, through all instances.
+func TestBudget(t *testing.T) {
+	s := newSite(t)
+	s.endpoint("i-1", func(platformtest.Run) platformtest.Behaviour { return platformtest.Behaviour{Events: 3, CutAfter: 2} })
+	all := []*instance{s.instance("a"), s.instance("b")}
+	headers := []string{"X-Ragwortstile-Program-Id", "p", "X-Ragwortstile-Token-Count", "10,50", "X-Ragwortstile-Token-Budget", "100"}
+	handed := 0
+	for n := range 10 {
+		_, got := s.do(all[n%2], "POST", "/turns/x", "x;", headers...)
+		if got.status == http.StatusPaymentRequired {
+			must.GreaterEq(t, 60, handed) // the budget doesn't hold another turn of 50
+			return
+		}
+		handed += strings.Count(got.body, "data:") * 10
+		must.LessEq(t, 100, handed)
+		time.Sleep(50 * time.Millisecond)
+	}
+	t.Fatal("the budget never ended")
+}
+
+func TestEndpointsThatLeaveGetNothing(t *testing.T) {
+	s := newSite(t)
+	e1, e2 := s.endpoint("i-1", serveAll), s.endpoint("i-2", serveAll)
+	a := s.instance("a")
+	s.eventually(func() bool {
+		s.do(a, "GET", "/looks/1", "")
+		return len(e1.Runs()) > 0 && len(e2.Runs()) > 0
+	})
+	s.store.PutEndpoint("i-1", e1.Entry("svc", "z", "draining"))
+	time.Sleep(500 * time.Millisecond) // the time allowed
+	before := len(e1.Runs())
+	for range 20 {
+		s.do(a, "GET", "/looks/1", "")
+	}
+	must.Eq(t, before, len(e1.Runs()))
+}
+
+func TestConfigurationIsInForceInTimeAndNeverGoesBack(t *testing.T) {
+	s := newSite(t)
+	s.endpoint("i-1", serveAll)
+	a := s.instance("a")
+	added := map[string]any{"name": "new", "hostname": "h.example", "path_prefix": "/new/", "kind": "idempotent", "timeout_ms": 1000, "service": "svc", "max_attempts": 1}
+	s.store.PutConfig(config(5, added))
+	time.Sleep(time.Second)
+	_, got := s.do(a, "GET", "/new/1", "")
+	must.Eq(t, http.StatusOK, got.status)
+	s.store.PutConfig(config(3))
+	time.Sleep(300 * time.Millisecond)
+	_, got = s.do(a, "GET", "/new/1", "")
+	must.Eq(t, http.StatusOK, got.status)
+}
+
+// A stopped instance answers what it has, tells the balancer, and closes nothing that is under way.
+func TestStopCutsNothing(t *testing.T) {
+	s := newSite(t)
+	s.endpoint("i-1", func(platformtest.Run) platformtest.Behaviour { return platformtest.Behaviour{Wait: 700 * time.Millisecond} })
+	a := s.instance("a")
+	results := make(chan answer, 1)
+	go func() {
+		_, got := s.do(a, "POST", "/calls/1", "x")
+		results <- got
+	}()
+	time.Sleep(100 * time.Millisecond)
+	a.stop()
+	time.Sleep(50 * time.Millisecond)
+	resp, err := http.Get("http://" + a.ready + "/readyz")
+	must.NoError(t, err)
+	resp.Body.Close()
+	must.Eq(t, http.StatusServiceUnavailable, resp.StatusCode)
+	_, late := s.do(a, "POST", "/calls/2", "x") // the balancer hasn't noticed yet
+	must.Eq(t, http.StatusOK, late.status)
+	must.True(t, late.closes)
+	must.Eq(t, http.StatusOK, (<-results).status)
+	must.NoError(t, <-a.done)
+}
+
+// Programs go on while the store is away, also through an instance that starts meanwhile.
+func TestOutageOfTheStore(t *testing.T) {
+	s := newSite(t)
+	s.endpoint("i-1", serveAll)
+	a, b, c := s.instance("a"), s.instance("b"), s.instance("c")
+	first, got := s.turn(a, "p", "", "one;")
+	must.NoError(t, got.err)
+	time.Sleep(500 * time.Millisecond)
+	s.store.SetFault(func(string, store.Partition) storestand.Fault { return storestand.Refuse })
+	time.Sleep(700 * time.Millisecond)
+	second, got := s.turn(b, "p", first, "two;")
+	must.NoError(t, got.err)
+	must.Eq(t, http.StatusOK, got.status)
+	_, got = s.turn(c, "p", second, "three;")
+	must.Eq(t, http.StatusOK, got.status)
+	_, got = s.turn(c, "p", "never", "x;")
+	must.Eq(t, http.StatusServiceUnavailable, got.status) // not certain
+	s.store.SetFault(nil)
+	s.eventually(func() bool {
+		_, got = s.turn(a, "p", second, "four;")
+		return got.status == http.StatusOK
+	})
+}
