--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -224,11 +224,13 @@
 		if !g.storeDep.failing() {
 			continue
 		}
+		g.dialSeeds(ctx)
 		for _, r := range g.node.Connected() {
 			actx, cancel := context.WithTimeout(ctx, borrowEvery)
 			reply, err := g.node.Ask(actx, r.Session, wire.BeliefsGet{})
 			cancel()
 			if b, ok := reply.(wire.Beliefs); ok && err == nil && g.beliefs.borrow(b, string(r.Session)) {
+				g.ledger.Borrow(b.Holding)
 				break
 			}
 		}
@@ -236,6 +238,21 @@
 	return suture.ErrDoNotRestart
 }
 
+// dialSeeds connects with the seeds while no peer is connected.
+func (g *Gateway) dialSeeds(ctx context.Context) {
+	if len(g.node.Connected()) > 0 {
+		return
+	}
+	for _, addr := range g.settings.Seeds {
+		if addr == g.settings.PeerAddr {
+			continue
+		}
+		if err := g.node.DialSeed(ctx, addr); err != nil {
+			g.log.WithFields(logrus.Fields{"remote": addr, "reason": err.Error()}).Info("seed out of reach")
+		}
+	}
+}
+
 func (g *Gateway) housekeeping(ctx context.Context) error {
 	tick := time.NewTicker(pruneEvery)
 	defer tick.Stop()
@@ -313,7 +330,9 @@
 // Serve implements peer.Handler.
 func (h *peerHandler) Serve(ctx context.Context, _ peer.Remote, m wire.Message, r *peer.Replier) error {
 	if _, ok := m.(wire.BeliefsGet); ok {
-		return r.SendLast(ctx, h.beliefs.snapshot())
+		b := h.beliefs.snapshot()
+		b.Holding = h.ledger.Holders()
+		return r.SendLast(ctx, b)
 	}
 	known, err := h.ledger.Answer(ctx, m, r)
 	if !known {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -10,7 +10,8 @@
 	ReadyAddr   string // the balancer's question whether the instance takes callers
 	PeerAddr    string
 	MetricsAddr string
-	PeerKey     []byte // pre-shared key of the instances
+	Seeds       []string // addresses of some peers, which may be out of date
+	PeerKey     []byte   // pre-shared key of the instances
 
 	MemoryBytes int64
 	CoreShare   float64
--- a/internal/gateway/whole_test.go
+++ b/internal/gateway/whole_test.go
@@ -287,7 +287,9 @@
 // A stopped instance answers what it has, tells the balancer, and closes nothing that is under way.
 func TestStopCutsNothing(t *testing.T) {
 	s := newSite(t)
-	s.endpoint("i-1", func(platformtest.Run) platformtest.Behaviour { return platformtest.Behaviour{Wait: 700 * time.Millisecond} })
+	s.endpoint("i-1", func(platformtest.Run) platformtest.Behaviour {
+		return platformtest.Behaviour{Wait: 700 * time.Millisecond}
+	})
 	a := s.instance("a")
 	results := make(chan answer, 1)
 	go func() {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -193,6 +193,44 @@
 	}
 }
 
+// Holders returns who holds which partition, as far as is known here.
+func (l *Ledger) Holders() []wire.Holding {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	byMember := make(map[string]*wire.Holding)
+	for part, member := range l.owners {
+		h := byMember[member]
+		if h == nil {
+			h = &wire.Holding{Member: member}
+			byMember[member] = h
+		}
+		h.Claims = append(h.Claims, wire.Claim{Part: part, Epoch: l.claims[part]})
+	}
+	out := make([]wire.Holding, 0, len(byMember))
+	for _, h := range byMember {
+		out = append(out, *h)
+	}
+	return out
+}
+
+// Borrow takes what a peer knows of the holders, while the store doesn't tell.
+func (l *Ledger) Borrow(holders []wire.Holding) {
+	var peers []peer.Peer
+	l.mu.Lock()
+	for _, h := range holders {
+		for _, c := range h.Claims {
+			if l.owners[c.Part] == "" || c.Epoch > l.claims[c.Part] {
+				l.owners[c.Part], l.claims[c.Part] = h.Member, c.Epoch
+			}
+		}
+		if p, ok := splitMember(h.Member); ok && p.Instance != l.cfg.Instance {
+			peers = append(peers, p)
+		}
+	}
+	l.mu.Unlock()
+	l.cfg.Node.SetPeers(peers)
+}
+
 // Connected tells a peer what this instance holds.
 func (l *Ledger) Connected(r peer.Remote) {
 	m := wire.Holding{Member: l.member()}
--- a/internal/peer/pair.go
+++ b/internal/peer/pair.go
@@ -8,6 +8,8 @@
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/sirupsen/logrus"
+
+	"ragwortstile/internal/wire"
 )
 
 // register makes c the connection of its pair, unless the present one is kept. The connection that
@@ -136,24 +138,46 @@
 
 // dial connects and serves the connection until it ends. It returns nil if there was a connection.
 func (n *Node) dial(ctx context.Context, p Peer) error {
+	nc, hello, err := n.connect(ctx, p.Addr)
+	if err != nil {
+		return err
+	}
+	if hello.Session.Instance() != p.Instance {
+		_ = nc.Close()
+		return fmt.Errorf("%s at %s: %w", hello.Session, p.Addr, ErrWrongSession)
+	}
+	n.serveConn(nc, hello, true)
+	return nil
+}
+
+// connect opens a connection and authenticates both sides.
+func (n *Node) connect(ctx context.Context, addr string) (net.Conn, wire.Hello, error) {
 	dctx, cancel := context.WithTimeout(ctx, n.cfg.HandshakeTimeout)
 	defer cancel()
 	var d net.Dialer
-	raw, err := d.DialContext(dctx, "tcp", p.Addr)
+	raw, err := d.DialContext(dctx, "tcp", addr)
 	if err != nil {
-		return err
+		return nil, wire.Hello{}, err
 	}
 	nc, hello, err := n.dialHandshake(dctx, raw)
 	if err != nil {
 		_ = raw.Close()
-		n.cfg.Log.WithFields(logrus.Fields{"peer": p.Instance, "reason": err.Error()}).Warn("peer handshake failed")
+		n.cfg.Log.WithFields(logrus.Fields{"remote": addr, "reason": err.Error()}).Warn("peer handshake failed")
+		return nil, wire.Hello{}, err
+	}
+	return nc, hello, nil
+}
+
+// DialSeed connects with whatever instance listens at an address, and serves the connection until it ends.
+// It is for instances that don't know their peers yet.
+func (n *Node) DialSeed(ctx context.Context, addr string) error {
+	nc, hello, err := n.connect(ctx, addr)
+	if err != nil {
 		return err
 	}
-	if hello.Session.Instance() != p.Instance {
+	if !n.start(func() { n.serveConn(nc, hello, true) }) {
 		_ = nc.Close()
-		return fmt.Errorf("%s at %s: %w", hello.Session, p.Addr, ErrWrongSession)
 	}
-	n.serveConn(nc, hello, true)
 	return nil
 }
 
--- a/internal/wire/turn.go
+++ b/internal/wire/turn.go
@@ -121,6 +121,7 @@
 	Config    []byte        `msgpack:"c"` // empty when the peer has none
 	Age       time.Duration `msgpack:"a"` // since the configuration was known to be the newest
 	Endpoints []KeyedRecord `msgpack:"e"`
+	Holding   []Holding     `msgpack:"h"` // who holds the history
 }
 
 // KeyedRecord is a record with its key.
