--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -25,14 +25,22 @@
 	refusalRest = 25 * time.Millisecond
 	// explore is the part of the expected time by which estimates are varied, so that instances with the
 	// same knowledge don't all choose the same endpoint.
-	explore = 0.1
-	// fullPenalty is how many times a request's own time each request above the number served at once
-	// costs, as a share of that number.
-	fullPenalty = 1.0
-	// zonePenalty is what another availability zone costs: time on the way, and bytes that are paid for.
-	zonePenalty = 0.02
+	explore = 0.08
+	// sharedSlow is how much longer a request takes at an endpoint with all places taken than at an empty
+	// one, as a share of its time: requests of a batch slow each other down a little.
+	sharedSlow = 0.2
+	// waitSlack raises the expected wait at full endpoints, since the counts of peers lag.
+	waitSlack = 1.5
+	// zonePenalty is what another availability zone costs, as a share of the usual time: time on the way,
+	// and bytes that are paid for.
+	zonePenalty = 0.05
+	// dialPenalty is what a new connection costs, as a share of the usual time: it holds a place for a
+	// moment, endpoints accept a bounded number, and it is paid for.
+	dialPenalty = 0.1
 	// coldFactor is how much longer an endpoint takes shortly after its start.
 	coldFactor = 1.5
+	// unknownTime stands for the time of a request, in seconds, until one has been seen.
+	unknownTime = 0.1
 )
 
 // Endpoint is a candidate.
@@ -59,6 +67,7 @@
 
 // Balancer holds what an instance knows of the load of endpoints. It is not safe for concurrent use.
 type Balancer struct {
+	events float64 // moving average of the events of a stream
 	zone   string
 	states map[string]*state
 	peers  map[string]report
@@ -87,6 +96,8 @@
 	Candidates []Endpoint
 	Tried      map[string]bool    // endpoints that the request was sent to
 	Saves      map[string]float64 // part of its time that a request saves at an endpoint, 0 to 1
+	// Connected tells whether a request can go to an address without a new connection. nil means always.
+	Connected func(addr string) bool
 }
 
 // Pick returns the endpoint that is expected to finish first, and the number of requests that are
@@ -100,6 +111,9 @@
 		}
 		load := b.load(e.ID, now)
 		cost := b.cost(e, load, usual, q.Saves[e.ID], now)
+		if q.Connected != nil && !q.Connected(e.Addr) {
+			cost += usual * dialPenalty
+		}
 		if best < 0 || cost < bestCost {
 			best, bestCost, bestLoad = i, cost, load
 		}
@@ -121,10 +135,9 @@
 	if e.Cold > 0 {
 		cost *= coldFactor
 	}
-	if over := load + 1 - e.Slots; over > 0 {
-		cost += took * fullPenalty * float64(over) / float64(e.Slots) * float64(max(e.Slots/2, 1))
-	} else {
-		cost += took * 0.2 * float64(load) / float64(e.Slots)
+	cost += took * sharedSlow * float64(min(load, e.Slots)) / float64(e.Slots)
+	if waiting := load + 1 - e.Slots; waiting > 0 {
+		cost += took * waitSlack * float64(waiting) / float64(e.Slots)
 	}
 	if e.Zone != b.zone {
 		cost += usual * zonePenalty
@@ -150,9 +163,6 @@
 	return sum / float64(n)
 }
 
-// unknownTime stands for the time of a request, in seconds, until one has been seen.
-const unknownTime = 0.1
-
 // load is the number of requests at an endpoint, as far as is known.
 func (b *Balancer) load(id string, now time.Time) int {
 	load := 0
@@ -212,6 +222,21 @@
 	}
 }
 
+// StreamTime returns the time that a stream of the usual length takes at an endpoint's pace. Lengths differ
+// by far more than endpoints do, so that the time of a single stream would say little. It returns 0 for
+// streams of one event, which show no pace.
+func (b *Balancer) StreamTime(first, last time.Duration, events int64) time.Duration {
+	if b.events == 0 {
+		b.events = float64(events)
+	}
+	b.events += smoothing * (float64(events) - b.events)
+	if events < 2 {
+		return 0
+	}
+	pace := float64(last-first) / float64(events-1)
+	return first + time.Duration(pace*max(b.events-1, 0))
+}
+
 // Own returns the instance's own requests by endpoint.
 func (b *Balancer) Own() map[string]int {
 	own := make(map[string]int)
--- /dev/null
+++ b/internal/balance/balance_test.go
@@ -0,0 +1,139 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+var now = time.Unix(1_700_000_000, 0)
+
+func endpoints(ids ...string) []Endpoint {
+	out := make([]Endpoint, 0, len(ids))
+	for _, id := range ids {
+		out = append(out, Endpoint{ID: id, Addr: id, Zone: "z", Slots: 4})
+	}
+	return out
+}
+
+func learn(b *Balancer, id string, took time.Duration) {
+	for range 30 {
+		b.Sent(id)
+		b.Ended(id, Served, took, now)
+	}
+}
+
+func counts(b *Balancer, q Query, n int) map[string]int {
+	out := make(map[string]int)
+	for range n {
+		e, _, ok := b.Pick(q, now)
+		if ok {
+			out[e.ID]++
+		}
+	}
+	return out
+}
+
+// Endpoints differ in speed: the fast ones are filled first, and the slow ones get work when a wait at the
+// fast ones would cost more.
+func TestFastEndpointsFirst(t *testing.T) {
+	b := New("z", 1)
+	q := Query{Candidates: endpoints("fast", "slow")}
+	learn(b, "fast", 100*time.Millisecond)
+	learn(b, "slow", 180*time.Millisecond)
+	must.Eq(t, map[string]int{"fast": 100}, counts(b, q, 100))
+	for range 4 {
+		b.Sent("fast")
+	}
+	must.Eq(t, map[string]int{"fast": 100}, counts(b, q, 100))
+	for range 3 {
+		b.Sent("fast")
+	}
+	must.Eq(t, map[string]int{"slow": 100}, counts(b, q, 100))
+}
+
+// Many instances share endpoints: what peers report counts for a while.
+func TestLoadOfPeers(t *testing.T) {
+	b := New("z", 1)
+	q := Query{Candidates: endpoints("1", "2")}
+	b.Peer("p", map[string]int{"1": 9}, now)
+	must.Eq(t, map[string]int{"2": 50}, counts(b, q, 50))
+	e, load, ok := b.Pick(Query{Candidates: endpoints("1")}, now)
+	must.True(t, ok)
+	must.Eq(t, "1", e.ID)
+	must.Eq(t, 9, load)
+	running, slots := b.Places(q.Candidates, now)
+	must.Eq(t, 9, running)
+	must.Eq(t, 8, slots)
+	_, load, _ = b.Pick(Query{Candidates: endpoints("1")}, now.Add(peerLoadAge))
+	must.Eq(t, 0, load)
+}
+
+func TestFailuresAndRefusalsRest(t *testing.T) {
+	for _, result := range []Result{Failed, Refused} {
+		b := New("z", 1)
+		q := Query{Candidates: endpoints("1", "2")}
+		b.Sent("1")
+		b.Ended("1", result, 0, now)
+		must.Eq(t, map[string]int{"2": 50}, counts(b, q, 50))
+		got := make(map[string]int)
+		for range 50 {
+			e, _, _ := b.Pick(q, now.Add(maxRest))
+			got[e.ID]++
+		}
+		must.MapLen(t, 2, got)
+	}
+}
+
+func TestTriedEndpointsAreLeftOut(t *testing.T) {
+	b := New("z", 1)
+	q := Query{Candidates: endpoints("1", "2"), Tried: map[string]bool{"1": true}}
+	must.Eq(t, map[string]int{"2": 20}, counts(b, q, 20))
+	q.Tried["2"] = true
+	_, _, ok := b.Pick(q, now)
+	must.False(t, ok)
+}
+
+// The endpoint that has a program's text in memory, one in the own zone, and one with an open connection are
+// preferred among equals.
+func TestPreferencesAmongEquals(t *testing.T) {
+	b := New("z", 1)
+	q := Query{Candidates: endpoints("1", "2")}
+	q.Saves = map[string]float64{"2": 0.25}
+	must.Eq(t, map[string]int{"2": 50}, counts(b, q, 50))
+	q.Saves = nil
+	q.Connected = func(addr string) bool { return addr == "1" }
+	must.Eq(t, map[string]int{"1": 50}, counts(b, q, 50))
+	q.Connected = nil
+	q.Candidates[1].Zone = "far"
+	must.Greater(t, 35, counts(b, q, 50)["1"])
+}
+
+// Streams of an endpoint have very different lengths. The time that is learnt follows its pace.
+func TestStreamTimeFollowsThePace(t *testing.T) {
+	b := New("z", 1)
+	r := rand.New(rand.NewPCG(1, 2))
+	for range 200 {
+		events := 2 + r.Int64N(10)
+		first := 20 * time.Millisecond
+		took := b.StreamTime(first, first+time.Duration(events-1)*30*time.Millisecond, events)
+		b.Sent("1")
+		b.Ended("1", Served, took, now)
+	}
+	want := (20 + 30*(b.events-1)) / 1000
+	must.InDelta(t, want, b.states["1"].took, 0.05)
+	must.Eq(t, time.Duration(0), b.StreamTime(1, 2, 1))
+}
+
+func TestForgottenEndpoints(t *testing.T) {
+	b := New("z", 1)
+	learn(b, "1", time.Second)
+	b.Sent("2")
+	b.Peer("p", nil, now)
+	b.Keep(map[string]bool{}, now.Add(time.Second))
+	must.MapLen(t, 1, b.states) // a request is still there
+	must.MapLen(t, 0, b.peers)
+	must.Eq(t, map[string]int{"2": 1}, b.Own())
+}
--- /dev/null
+++ b/internal/discovery/discovery_test.go
@@ -0,0 +1,60 @@
+package discovery
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+var now = time.Unix(1_700_000_000, 0)
+
+const grace = 2 * time.Second
+
+func usable(l *List) int { return len(l.Usable()["s"]) }
+
+func TestLeavingAndRemovedEndpointsAreNotUsed(t *testing.T) {
+	l := NewList(grace)
+	must.True(t, l.Put(Endpoint{ID: "1", Service: "s"}))
+	must.False(t, l.Put(Endpoint{ID: "1", Service: "s", Cold: time.Second}))
+	must.Eq(t, 1, usable(l))
+	must.True(t, l.Put(Endpoint{ID: "1", Service: "s", Leaving: true}))
+	must.Eq(t, 0, usable(l))
+	l.Put(Endpoint{ID: "2", Service: "s"})
+	must.True(t, l.Remove("2", now))
+	must.False(t, l.Remove("2", now))
+	must.Eq(t, 0, usable(l))
+}
+
+// Entries lapse while the store is away. They are back about two seconds after its return, or gone.
+func TestEntriesThatLapsedInAnOutage(t *testing.T) {
+	l := NewList(grace)
+	for _, id := range []string{"back", "gone", "leaving"} {
+		l.Put(Endpoint{ID: id, Service: "s", Leaving: id == "leaving"})
+	}
+	l.Lost()
+	l.Reached(now)
+	for _, id := range []string{"back", "gone", "leaving"} {
+		l.Remove(id, now.Add(100*time.Millisecond))
+	}
+	must.Eq(t, 2, usable(l))
+	must.Eq(t, 2, l.Len())
+	l.Put(Endpoint{ID: "back", Service: "s"})
+	must.SliceEmpty(t, l.Expire(now.Add(grace-time.Millisecond)))
+	must.Eq(t, []string{"gone"}, l.Expire(now.Add(grace)))
+	must.Eq(t, 1, usable(l))
+	// Afterwards a removal counts at once.
+	l.Remove("back", now.Add(grace+time.Second))
+	must.Eq(t, 0, usable(l))
+}
+
+func TestNothingIsDroppedWhileTheListIsAway(t *testing.T) {
+	l := NewList(grace)
+	l.Put(Endpoint{ID: "1", Service: "s"})
+	l.Lost()
+	l.Reached(now)
+	l.Remove("1", now)
+	l.Lost()
+	must.SliceEmpty(t, l.Expire(now.Add(time.Minute)))
+	must.Eq(t, 1, usable(l))
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -179,7 +179,7 @@
 func (q *request) pick(service string, saves map[string]float64) (balance.Endpoint, bool) {
 	candidates := q.g.beliefs.candidates(service)
 	q.g.mu.Lock()
-	e, load, ok := q.g.balancer.Pick(balance.Query{Candidates: candidates, Tried: q.tried, Saves: saves}, time.Now())
+	e, load, ok := q.g.balancer.Pick(balance.Query{Candidates: candidates, Tried: q.tried, Saves: saves, Connected: q.g.pool.Has}, time.Now())
 	if ok {
 		q.g.balancer.Sent(e.ID)
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -220,7 +220,7 @@
 	}
 	q.w.WriteHeader(resp.Status)
 	q.written = true
-	firstAt := time.Since(q.start)
+	firstAt, firstTook := time.Since(q.start), time.Since(begun)
 	err := t.copyEvents(reader, first)
 	if err != nil {
 		resp.Discard()
@@ -228,8 +228,10 @@
 		t.settle()
 		t.broken(err)
 	}
-	took := time.Since(begun)
 	resp.Reuse()
+	q.g.mu.Lock()
+	took := q.g.balancer.StreamTime(firstTook, time.Since(begun), t.events)
+	q.g.mu.Unlock()
 	q.done(e, balance.Served, took)
 	ended := time.Now()
 	if q.route.History() {
--- /dev/null
+++ b/internal/history/history_test.go
@@ -0,0 +1,156 @@
+package history
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func reserve(s *State, program, turn string, most, budget int64, now time.Time) Outcome {
+	outcome, _ := s.Begin(Begin{Program: program, Turn: turn, MaxTokens: most, Budget: budget, Limited: true, Longest: 3 * time.Second}, now)
+	return outcome
+}
+
+func whole(s *State, turn, previous string, now time.Time) Record {
+	r, _ := s.End(End{
+		Program: "p", Turn: turn, Previous: previous, Whole: true, Input: []byte("in-" + turn), Output: []byte("out-" + turn), Keep: time.Minute,
+	}, now)
+	return r
+}
+
+func TestChainIsKeptAsLongAsItsNewestTurn(t *testing.T) {
+	s := NewState()
+	whole(s, "a", "", start)
+	whole(s, "b", "a", start.Add(50*time.Second))
+	s.Expire(start.Add(100 * time.Second))
+	body, ok := s.Body("b")
+	must.True(t, ok)
+	must.Eq(t, "in-aout-ain-bout-b", string(body))
+	s.Expire(start.Add(130 * time.Second))
+	must.Eq(t, 0, s.Turns())
+}
+
+// A turn that may not be held by the budget of the program waits for running ones, and is refused only
+// when the tokens that are spent leave no room.
+func TestBudgetWaitsForRunningTurns(t *testing.T) {
+	s := NewState()
+	must.Eq(t, Granted, reserve(s, "p", "1", 60, 100, start))
+	must.Eq(t, Waits, reserve(s, "p", "2", 60, 100, start))
+	s.End(End{Program: "p", Turn: "1", Tokens: 10}, start)
+	must.Eq(t, Granted, reserve(s, "p", "2", 60, 100, start))
+	s.End(End{Program: "p", Turn: "2", Tokens: 60}, start)
+	must.Eq(t, OverBudget, reserve(s, "p", "3", 60, 100, start))
+}
+
+// The end of an attempt may never be told; then all that it might have handed out counts.
+func TestAttemptWithoutAnEndCountsWhole(t *testing.T) {
+	s := NewState()
+	reserve(s, "p", "1", 60, 100, start)
+	must.Eq(t, OverBudget, reserve(s, "p", "2", 60, 100, start.Add(4*time.Second)))
+}
+
+func TestBeginIsRepeatable(t *testing.T) {
+	s := NewState()
+	must.Eq(t, Granted, reserve(s, "p", "1", 60, 100, start))
+	must.Eq(t, Granted, reserve(s, "p", "1", 60, 100, start))
+	must.Eq(t, int64(60), s.accounts["p"].held())
+}
+
+func TestRecordsOfOtherVersionsAreRefused(t *testing.T) {
+	for _, data := range [][]byte{nil, {0xc1}, {0x80}, []byte("x")} {
+		_, err := Decode(data)
+		must.ErrorIs(t, err, ErrMalformed)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	good, err := Record{Kind: RecordTurn, Turn: "t", Input: []byte("x")}.Encode()
+	must.NoError(f, err)
+	f.Add(good)
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		r, err := Decode(data)
+		if err == nil {
+			NewState().Load(r, start, start)
+		}
+	})
+}
+
+// naive keeps every attempt and answers from all of them.
+type naive struct {
+	budget  int64
+	handed  map[string]int64
+	most    map[string]int64
+	running map[string]bool
+}
+
+// A holder that loses its memory at any moment and reads its records again never hands out more than the
+// budget, and knows every turn that it told of.
+func TestStateOverLossesOfMemory(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s, now := NewState(), start
+		n := naive{budget: 500, handed: map[string]int64{}, most: map[string]int64{}, running: map[string]bool{}}
+		var log [][]byte
+		keep := func(r Record) {
+			data, err := r.Encode()
+			must.NoError(rt, err)
+			log = append(log, data)
+		}
+		turns, count := []string{""}, 0
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(rt, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 3).Draw(rt, "step") {
+			case 0:
+				count++
+				id := fmt.Sprint("t", count)
+				most := int64(rapid.IntRange(1, 90).Draw(rt, "most"))
+				previous := rapid.SampledFrom(turns).Draw(rt, "previous")
+				outcome, r := s.Begin(Begin{Program: "p", Turn: id, Previous: previous, MaxTokens: most, Budget: n.budget, Limited: true, Longest: 3 * time.Second}, now)
+				must.NotEq(rt, UnknownTurn, outcome)
+				if outcome == Granted {
+					keep(r)
+					n.most[id], n.running[id] = most, true
+				}
+			case 1, 2:
+				for id := range n.running {
+					delete(n.running, id)
+					n.handed[id] = min(n.most[id], int64(rapid.IntRange(0, 90).Draw(rt, "handed")))
+					e := End{Program: "p", Turn: id, Tokens: n.handed[id]}
+					if e.Whole = rapid.Bool().Draw(rt, "whole"); e.Whole {
+						e.Input, e.Output, e.Keep = []byte(id), []byte(id), time.Hour
+					}
+					if r, isNew := s.End(e, now); isNew {
+						keep(r)
+						if e.Whole {
+							turns = append(turns, id)
+						}
+					}
+					break
+				}
+			case 3: // the memory is lost; attempts under way may have handed out anything up to their most
+				for id := range n.running {
+					n.handed[id] = n.most[id]
+					delete(n.running, id)
+				}
+				s = NewState()
+				for _, data := range log {
+					r, err := Decode(data)
+					must.NoError(rt, err)
+					s.Load(r, now, now)
+				}
+			}
+			sum := int64(0)
+			for _, tokens := range n.handed {
+				sum += tokens
+			}
+			must.LessEq(rt, n.budget, sum)
+			for _, id := range turns[1:] {
+				must.True(rt, s.Has(id))
+			}
+		}
+	})
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -109,6 +109,13 @@
 	return p.dials
 }
 
+// Has tells whether an idle connection to an address is there.
+func (p *Pool) Has(addr string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle[addr]) > 0
+}
+
 // Forget closes the idle connections to addresses that are not listed.
 func (p *Pool) Forget(listed map[string]bool) {
 	p.mu.Lock()
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,162 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// script serves each request on a connection with the next text; "" closes the connection.
+func script(t *testing.T, texts ...string) (addr string, conns func() int) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	next, count := make(chan string, len(texts)), make(chan int, 1)
+	for _, text := range texts {
+		next <- text
+	}
+	count <- 0
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			count <- <-count + 1
+			go serveScript(c, next)
+		}
+	}()
+	return l.Addr().String(), func() int {
+		n := <-count
+		count <- n
+		return n
+	}
+}
+
+func serveScript(c net.Conn, next chan string) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		text := <-next
+		if text == "" {
+			return
+		}
+		_, _ = io.WriteString(c, text)
+		if strings.HasSuffix(text, "<close>") {
+			return
+		}
+	}
+}
+
+func reply(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func send(t *testing.T, p *Pool, addr, id string) (string, *Response, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	t.Cleanup(cancel)
+	resp, err := p.Do(ctx, addr, Request{
+		Method: "POST", URI: "/x", Host: "h", Header: http.Header{}, Body: []byte("body"),
+		Mine: func(_ int, h http.Header) bool { return h.Get("Id") == id },
+	})
+	if err != nil {
+		return "", nil, err
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		resp.Discard()
+		return "", nil, err
+	}
+	return string(body), resp, nil
+}
+
+func TestConnectionIsUsedAgain(t *testing.T) {
+	addr, conns := script(t, reply("1", "one"), reply("2", "two"))
+	p := NewPool()
+	for _, id := range []string{"1", "2"} {
+		_, resp, err := send(t, p, addr, id)
+		must.NoError(t, err)
+		resp.Reuse()
+	}
+	must.Eq(t, 1, conns())
+	must.Eq(t, int64(1), p.Dials())
+}
+
+// An endpoint sends an answer twice: at once, so that the connection isn't used again, or late, so that it
+// stands where the next answer is due.
+func TestSecondAnswers(t *testing.T) {
+	addr, conns := script(t, reply("1", "one")+reply("1", "one"), reply("2", "two"))
+	p := NewPool()
+	_, resp, err := send(t, p, addr, "1")
+	must.NoError(t, err)
+	resp.Reuse()
+	time.Sleep(20 * time.Millisecond)
+	body, resp, err := send(t, p, addr, "2")
+	must.NoError(t, err)
+	must.Eq(t, "two", body)
+	resp.Reuse()
+	must.Eq(t, 2, conns())
+
+	addr, _ = script(t, reply("1", "late")+reply("3", "mine"))
+	body, _, err = send(t, p, addr, "3")
+	must.NoError(t, err)
+	must.Eq(t, "mine", body)
+}
+
+func TestAnswersThatAreNotWhole(t *testing.T) {
+	for _, text := range []string{"", "nonsense\r\n\r\n", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 90\r\n\r\nfour<close>"} {
+		addr, _ := script(t, text)
+		_, _, err := send(t, NewPool(), addr, "1")
+		must.Error(t, err)
+		must.False(t, strings.Contains(err.Error(), ErrNotSent.Error()))
+	}
+}
+
+func TestNothingSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	addr := l.Addr().String()
+	l.Close()
+	_, _, err = send(t, NewPool(), addr, "1")
+	must.ErrorIs(t, err, ErrNotSent)
+}
+
+// An idle connection that the endpoint has closed is not used, so that no request is lost on it.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	addr, conns := script(t, reply("1", "one"), reply("2", "two"))
+	p := NewPool()
+	_, resp, err := send(t, p, addr, "1")
+	must.NoError(t, err)
+	resp.Reuse()
+	for _, idle := range p.idle {
+		_ = idle[0].Conn.(*net.TCPConn).CloseRead()
+	}
+	_, _, err = send(t, p, addr, "2")
+	must.NoError(t, err)
+	must.Eq(t, 2, conns())
+}
+
+func TestStatedIdleTime(t *testing.T) {
+	for text, want := range map[string]time.Duration{"timeout=5": 5 * time.Second, "max=3, timeout=0": 0} {
+		got, ok := statedIdle(text)
+		must.True(t, ok)
+		must.Eq(t, want, got)
+	}
+	_, ok := statedIdle("timeout=x")
+	must.False(t, ok)
+}
