history: grants reach some turns ahead

Programs spend under a third of their budget and turns are a few times shorter than their greatest length, so a grant of three turns ahead covers most programs with one record. A holder that takes over counts the whole grant until the ends of attempts are told. Ruled out: leaving the grant out of the store (tokens of attempts that a loss of all instances broke off would not count).

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -138,7 +138,7 @@
 	if !t.route.History() {
 		return
 	}
-	end := history.End{Program: t.meta.Program, Turn: t.meta.ID, Tokens: t.events * t.perEvt}
+	end := history.End{Program: t.meta.Program, Turn: t.meta.ID, Tokens: t.events * t.perEvt, Most: t.meta.MaxTokensOut}
 	log := t.log
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
@@ -286,7 +286,7 @@
 	q := t.request
 	err := q.g.ledger.End(ctx, history.End{
 		Program: q.meta.Program, Turn: q.meta.ID, Previous: q.meta.Previous, Whole: true,
-		Input: q.body, Output: t.output, Tokens: t.events * t.perEvt, Keep: q.route.Keep,
+		Input: q.body, Output: t.output, Tokens: t.events * t.perEvt, Most: q.meta.MaxTokensOut, Keep: q.route.Keep,
 	})
 	if err != nil {
 		return err
--- a/internal/history/record.go
+++ b/internal/history/record.go
@@ -15,8 +15,9 @@
 const (
 	// RecordClaim says that an instance writes the partition from here on under Epoch.
 	RecordClaim RecordKind = iota + 1
-	// RecordReserve sets tokens aside for an attempt that is about to run.
-	RecordReserve
+	// RecordGrant raises the ceiling up to which a program's turns may be handed out without another
+	// record.
+	RecordGrant
 	// RecordTurn holds a whole turn, and ends its attempt.
 	RecordTurn
 	// RecordEnd ends an attempt that gave no whole turn.
@@ -34,7 +35,7 @@
 	Previous string     `msgpack:"pr,omitempty"`  // the turn that is continued
 	Input    []byte     `msgpack:"in,omitempty"`  // RecordTurn
 	Output   []byte     `msgpack:"out,omitempty"` // RecordTurn
-	Tokens   int64      `msgpack:"n,omitempty"`   // reserved, or handed out
+	Tokens   int64      `msgpack:"n,omitempty"`   // RecordGrant: the ceiling; else what was handed out
 	Spent    int64      `msgpack:"s,omitempty"`   // tokens that the program has spent, this record included
 	KeepMs   int64      `msgpack:"kp,omitempty"`  // RecordTurn: how long the turn is kept
 }
--- a/internal/ledger/keeper.go
+++ b/internal/ledger/keeper.go
@@ -15,9 +15,9 @@
 
 // Times of a keeper.
 const (
-	// reserveLinger is how long a reservation waits for others to share its append. A caller notices
+	// grantLinger is how long a grant waits for others to share its append. A caller notices
 	// nothing: an engine takes longer to its first event.
-	reserveLinger = 8 * time.Millisecond
+	grantLinger = 8 * time.Millisecond
 	// minAppendTimeout is above ten times the store's usual answer.
 	minAppendTimeout = 60 * time.Millisecond
 	maxAppendTimeout = time.Second
@@ -93,7 +93,7 @@
 	sending  []*entry  // the append on its way
 	stalled  time.Time // start of an append that has failed since; zero otherwise
 	stall    chan struct{}
-	writing  map[string]*entry // reservations on their way, by attempt
+	granting map[string]*entry // newest grant by program, while it may be on its way
 	changed  chan struct{}     // closed and replaced when an attempt ends
 	wake     chan struct{}
 	sequence int64
@@ -111,14 +111,14 @@
 func newKeeper(part store.Partition, generation int64, name string, limit int, log store.Log, lines logrus.FieldLogger, watch func(error)) *keeper {
 	return &keeper{
 		part: part, generation: generation, limit: limit, name: name, log: log, watch: watch,
-		lines:   lines.WithFields(logrus.Fields{"slot": part.Part}),
-		ready:   make(chan struct{}),
-		closed:  make(chan struct{}),
-		state:   history.NewState(),
-		writing: make(map[string]*entry),
-		changed: make(chan struct{}),
-		wake:    make(chan struct{}, 1),
-		stall:   make(chan struct{}, 1),
+		lines:    lines.WithFields(logrus.Fields{"slot": part.Part}),
+		ready:    make(chan struct{}),
+		closed:   make(chan struct{}),
+		state:    history.NewState(),
+		granting: make(map[string]*entry),
+		changed:  make(chan struct{}),
+		wake:     make(chan struct{}, 1),
+		stall:    make(chan struct{}, 1),
 	}
 }
 
@@ -158,6 +158,7 @@
 		e.copied = true
 		taken++
 	}
+	k.state.Recovered()
 	if len(records) > 0 {
 		k.lines.WithFields(logrus.Fields{"count": taken, "offset": len(records)}).Info("copies of an earlier holder taken over")
 	}
@@ -440,7 +441,7 @@
 	for _, e := range k.pending {
 		urgent = urgent || e.urgent
 	}
-	if left := reserveLinger - now.Sub(k.pending[0].since); !urgent && left > 0 {
+	if left := grantLinger - now.Sub(k.pending[0].since); !urgent && left > 0 {
 		return nil, left
 	}
 	size, n := 0, 0
@@ -605,14 +606,14 @@
 		}
 	}
 	outcome, record := k.state.Begin(b, time.Now())
-	if outcome != history.Granted || !b.Limited {
+	if outcome != history.Granted || record == nil {
 		return outcome, body, k.changed, nil
 	}
-	e, err := k.add(record, false)
+	e, err := k.add(*record, false)
 	if err != nil {
 		return 0, nil, nil, err
 	}
-	k.writing[b.Turn] = e
+	k.granting[b.Program] = e
 	return outcome, body, nil, nil
 }
 
@@ -634,14 +635,18 @@
 	}
 }
 
-// confirm waits until the reservation of an attempt is in the store.
-func (k *keeper) confirm(ctx context.Context, attempt string) error {
+// confirm waits until the grant that an attempt runs under is in the store.
+func (k *keeper) confirm(ctx context.Context, program, attempt string) error {
 	k.mu.Lock()
-	e := k.writing[attempt]
+	reserved, e := k.state.Reserved(program, attempt), k.granting[program]
+	closed := k.isClosed()
 	k.mu.Unlock()
-	if e == nil {
+	if closed || !reserved {
 		return errNotHolder
 	}
+	if e == nil {
+		return nil
+	}
 	return k.wait(ctx, e)
 }
 
@@ -665,7 +670,6 @@
 		return errNotHolder
 	}
 	record, isNew := k.state.End(end, time.Now())
-	delete(k.writing, end.Turn)
 	if !isNew {
 		k.mu.Unlock()
 		return k.barrier(ctx)
@@ -738,6 +742,11 @@
 	now := time.Now()
 	k.mu.Lock()
 	k.state.Expire(now)
+	for program, e := range k.granting {
+		if e.ended && e.err == nil {
+			delete(k.granting, program)
+		}
+	}
 	before := int64(0)
 	if now.Sub(k.lastTrim) > trimEvery {
 		k.lastTrim = now
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -515,7 +515,7 @@
 	return outcome, body, err
 }
 
-// Confirm waits until the reservation of an attempt is in the store. Where the holder has changed since,
+// Confirm waits until the grant that an attempt runs under is in the store. Where the holder has changed since,
 // it is made anew.
 func (l *Ledger) Confirm(ctx context.Context, b history.Begin) error {
 	if !b.Limited {
@@ -524,8 +524,8 @@
 	part := l.part(b.Program)
 	for ctx.Err() == nil {
 		err := l.askOnce(ctx, part, func(ctx context.Context, k *keeper) error {
-			return k.confirm(ctx, b.Turn)
-		}, wire.TurnConfirm{Part: part, Turn: b.Turn}, takeAck)
+			return k.confirm(ctx, b.Program, b.Turn)
+		}, wire.TurnConfirm{Part: part, Program: b.Program, Turn: b.Turn}, takeAck)
 		if err == nil {
 			return nil
 		}
@@ -659,7 +659,7 @@
 			return r.SendLast(ctx, wire.TurnBegun{Outcome: outcome, Body: body})
 		})
 	case wire.TurnConfirm:
-		return true, l.serveAck(ctx, r, m.Part, func(k *keeper) error { return k.confirm(ctx, m.Turn) })
+		return true, l.serveAck(ctx, r, m.Part, func(k *keeper) error { return k.confirm(ctx, m.Program, m.Turn) })
 	case wire.TurnEnd:
 		return true, l.serveAck(ctx, r, m.Part, func(k *keeper) error { return k.end(ctx, m.End) })
 	case wire.TurnAdopt:
--- a/internal/wire/turn.go
+++ b/internal/wire/turn.go
@@ -18,10 +18,11 @@
 	Body    []byte          `msgpack:"bd"` // text of the chain, unless the asker has it
 }
 
-// TurnConfirm waits until the reservation of a turn is in the store. The reply is Ack.
+// TurnConfirm waits until the grant that a turn runs under is in the store. The reply is Ack.
 type TurnConfirm struct {
-	Part int    `msgpack:"pt"`
-	Turn string `msgpack:"id"`
+	Part    int    `msgpack:"pt"`
+	Program string `msgpack:"p"`
+	Turn    string `msgpack:"id"`
 }
 
 // TurnEnd tells how a turn ended. The reply is Ack, for a whole turn once it is in the store.
