history: the end of each turn carries the grant of the next

Each end is written anyway, so it sets the ceiling: what is used, and one turn. A takeover now costs a program at most the attempts under way and one turn, until their ends are told.

--- a/internal/history/history_test.go
+++ b/internal/history/history_test.go
@@ -61,28 +61,34 @@
 	must.Eq(t, int64(60), s.accounts["p"].held())
 }
 
-// A usual program needs one grant. A holder that takes over counts what was granted, until the ends of the
-// attempts that ran are told.
-func TestGrantReachesAhead(t *testing.T) {
-	s := NewState()
+// A program whose turns follow each other needs one grant: the end of each turn reaches ahead to the next. A
+// holder that takes over counts what may have been handed out, until the ends of the attempts that ran are
+// told.
+func TestEndsReachAhead(t *testing.T) {
+	s, log := NewState(), []Record{}
 	begin := func(turn string) *Record {
 		outcome, r := s.Begin(Begin{Program: "p", Turn: turn, MaxTokens: 100, Budget: 1000, Limited: true, Longest: time.Second}, start)
 		must.Eq(t, Granted, outcome)
 		return r
 	}
-	first := begin("1")
-	must.Eq(t, int64(300), first.Tokens)
-	must.Nil(t, begin("1")) // again
-	for _, turn := range []string{"1", "2", "3", "4", "5"} {
-		must.Nil(t, begin(turn))
-		s.End(End{Program: "p", Turn: turn, Tokens: 25, Most: 100}, start)
+	first := begin("0")
+	must.Eq(t, int64(100), first.Ceiling)
+	log = append(log, *first)
+	must.Nil(t, begin("0")) // again
+	for i := range 5 {
+		r, _ := s.End(End{Program: "p", Turn: fmt.Sprint(i), Tokens: 25, Most: 100}, start)
+		log = append(log, r)
+		must.Nil(t, begin(fmt.Sprint(i+1)))
 	}
+	must.NotNil(t, begin("beside"))
 	next := NewState()
-	next.Load(*first, start, start)
+	for _, r := range log {
+		next.Load(r, start, start)
+	}
 	next.Recovered()
-	must.Eq(t, int64(300), next.accounts["p"].used())
-	next.End(End{Program: "p", Turn: "5", Tokens: 25, Most: 100}, start)
 	must.Eq(t, int64(225), next.accounts["p"].used())
+	next.End(End{Program: "p", Turn: "5", Tokens: 25, Most: 100}, start)
+	must.Eq(t, int64(150), next.accounts["p"].used())
 }
 
 func TestRecordsOfOtherVersionsAreRefused(t *testing.T) {
--- a/internal/history/record.go
+++ b/internal/history/record.go
@@ -15,8 +15,7 @@
 const (
 	// RecordClaim says that an instance writes the partition from here on under Epoch.
 	RecordClaim RecordKind = iota + 1
-	// RecordGrant raises the ceiling up to which a program's turns may be handed out without another
-	// record.
+	// RecordGrant raises the ceiling of a program.
 	RecordGrant
 	// RecordTurn holds a whole turn, and ends its attempt.
 	RecordTurn
@@ -35,7 +34,8 @@
 	Previous string     `msgpack:"pr,omitempty"`  // the turn that is continued
 	Input    []byte     `msgpack:"in,omitempty"`  // RecordTurn
 	Output   []byte     `msgpack:"out,omitempty"` // RecordTurn
-	Tokens   int64      `msgpack:"n,omitempty"`   // RecordGrant: the ceiling; else what was handed out
+	Tokens   int64      `msgpack:"n,omitempty"`   // handed out by the attempt
+	Ceiling  int64      `msgpack:"c,omitempty"`   // up to which the program's tokens may be handed out from here on
 	Spent    int64      `msgpack:"s,omitempty"`   // tokens that the program has spent, this record included
 	KeepMs   int64      `msgpack:"kp,omitempty"`  // RecordTurn: how long the turn is kept
 }
--- a/internal/history/state.go
+++ b/internal/history/state.go
@@ -7,8 +7,9 @@
 //   - The tokens handed out to a program never exceed its budget. Tokens are set aside for the most
 //     that an attempt may generate before it runs; what it leaves is given back when it ends. An
 //     attempt whose end is not known counts with all of it.
-//   - The tokens handed out never exceed a ceiling that is in the store, some turns ahead of what is
-//     spent. A holder that takes over counts all of it, since it can't know which attempts ran.
+//   - The tokens handed out never exceed a ceiling that is in the store. Each end of a turn sets it far
+//     enough ahead for the next turn, so that most turns need no record before they run. A holder that
+//     takes over counts all up to the ceiling, since it can't know which attempts ran.
 package history
 
 import (
@@ -73,6 +74,7 @@
 // account is what a program has used of its budget.
 type account struct {
 	spent    int64
+	budget   int64                  // as the newest attempt told; 0 while none did
 	ceiling  int64                  // of the newest grant
 	unknown  int64                  // may have been handed out under an earlier holder
 	reserved map[string]reservation // by attempt
@@ -113,11 +115,6 @@
 // Has tells whether a turn is held.
 func (s *State) Has(id string) bool { return s.turns[id] != nil }
 
-// grantAhead is the number of turns of the greatest length that a grant reaches ahead. Turns are a few times
-// shorter than their greatest length, so a program of usual size needs one grant; what is granted and not
-// spent is lost to the program when the holder changes.
-const grantAhead = 3
-
 // Begin decides on an attempt. With Granted it returns the record of a grant, if one is needed.
 func (s *State) Begin(b Begin, now time.Time) (Outcome, *Record) {
 	if b.Previous != "" && s.turns[b.Previous] == nil {
@@ -137,16 +134,15 @@
 	case a.used()+b.MaxTokens > b.Budget:
 		return Waits, nil
 	}
+	a.budget = b.Budget
 	a.reserved[b.Turn] = reservation{tokens: b.MaxTokens, ends: now.Add(b.Longest)}
 	if a.used() <= a.ceiling {
 		return Granted, nil
 	}
-	r := Record{
-		Kind: RecordGrant, At: now.UnixMilli(), Program: b.Program, Spent: a.spent,
-		Tokens: min(b.Budget, a.used()+(grantAhead-1)*b.MaxTokens),
+	a.ceiling = a.used()
+	return Granted, &Record{
+		Kind: RecordGrant, At: now.UnixMilli(), Program: b.Program, Spent: a.spent, Ceiling: a.ceiling,
 	}
-	a.ceiling = r.Tokens
-	return Granted, &r
 }
 
 // Reserved tells whether an attempt runs by leave of this state.
@@ -182,6 +178,10 @@
 		r.Previous, r.Input, r.Output, r.KeepMs = e.Previous, e.Input, e.Output, e.Keep.Milliseconds()
 	}
 	s.apply(r, now, 0)
+	if a.budget > 0 {
+		a.ceiling = max(min(a.used()+e.Most, a.budget), a.used())
+		r.Ceiling = a.ceiling
+	}
 	return r, true
 }
 
@@ -207,7 +207,7 @@
 	case RecordGrant:
 		a := s.account(r.Program, now)
 		a.spent = max(a.spent, r.Spent)
-		a.ceiling = max(a.ceiling, r.Tokens)
+		a.ceiling = r.Ceiling
 	case RecordTurn, RecordEnd:
 		s.settle(r, now)
 	}
@@ -227,6 +227,22 @@
 	delete(a.reserved, r.Turn)
 	a.ended[r.Turn] = true
 	a.spent = max(a.spent, r.Spent)
+	if r.Ceiling > 0 {
+		a.ceiling = r.Ceiling
+	}
+}
+
+// LoadCopy takes a record that only peers held. Copies come in no order, so that a ceiling counts only if it
+// is the highest.
+func (s *State) LoadCopy(r Record, now time.Time) {
+	ceiling := int64(0)
+	if a := s.accounts[r.Program]; a != nil {
+		ceiling = a.ceiling
+	}
+	s.apply(r, now, 0)
+	if a := s.accounts[r.Program]; a != nil {
+		a.ceiling = max(a.ceiling, ceiling)
+	}
 }
 
 // extend keeps a turn and its chain at least until the given time.
@@ -285,7 +301,7 @@
 		return r.Program == "" || r.Kind == RecordClaim
 	}
 	if r.Kind == RecordGrant {
-		return a.ceiling >= r.Tokens
+		return a.ceiling >= r.Ceiling
 	}
 	return a.ended[r.Turn]
 }
--- a/internal/ledger/keeper.go
+++ b/internal/ledger/keeper.go
@@ -149,7 +149,7 @@
 		if k.state.Known(r) {
 			continue
 		}
-		k.state.Load(r, now, now)
+		k.state.LoadCopy(r, now)
 		e, err := k.add(r, true)
 		if err != nil {
 			k.lines.WithField("reason", err.Error()).Warn("copy skipped")
@@ -675,6 +675,9 @@
 		return k.barrier(ctx)
 	}
 	e, err := k.add(record, end.Whole)
+	if record.Ceiling > 0 && err == nil {
+		k.granting[end.Program] = e
+	}
 	close(k.changed)
 	k.changed = make(chan struct{})
 	k.mu.Unlock()
