--- a/internal/command/demo.go
+++ b/internal/command/demo.go
@@ -12,8 +12,8 @@
 
 	"ragwortstile/examples"
 	"ragwortstile/internal/id"
+	"ragwortstile/internal/logservice"
 	"ragwortstile/internal/manifest"
-	"ragwortstile/internal/platform"
 	"ragwortstile/internal/standin/enginestand"
 	"ragwortstile/internal/trial"
 )
@@ -167,7 +167,7 @@
 
 func (x *demo) withdrawEndpoint(ctx context.Context) {
 	pause(ctx, demoWithdrawAfter)
-	x.d.List.SetState(demoWithdrawn, platform.StateLeaving)
+	x.d.List.SetState(demoWithdrawn, logservice.StateLeaving)
 	x.say("%s is leaving; the list shows it after %s", demoWithdrawn, demoListLag)
 	pause(ctx, leavingBound)
 	before := x.d.Engines[demoWithdrawn].Stats().Requests
--- a/internal/command/manifest.go
+++ b/internal/command/manifest.go
@@ -10,8 +10,8 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"ragwortstile/internal/logservice"
 	"ragwortstile/internal/manifest"
-	"ragwortstile/internal/platform"
 	"ragwortstile/internal/publish"
 )
 
@@ -115,7 +115,7 @@
 			}
 			ctx, cancel := context.WithTimeout(ctx, publishTimeout)
 			defer cancel()
-			version, err := publish.Publish(ctx, platform.NewLogClient(*logURL, http.DefaultClient), publish.Request{
+			version, err := publish.Publish(ctx, logservice.NewLogClient(*logURL, http.DefaultClient), publish.Request{
 				Expected: uint64(*expected), Data: m.Canonical(), Digest: m.Digest(), Operator: *operator,
 			})
 			if err != nil {
@@ -140,7 +140,7 @@
 			}
 			ctx, cancel := context.WithTimeout(ctx, publishTimeout)
 			defer cancel()
-			r := publish.NewReader(platform.NewLogClient(*logURL, http.DefaultClient))
+			r := publish.NewReader(logservice.NewLogClient(*logURL, http.DefaultClient))
 			m, err := r.ToTail(ctx)
 			if err != nil {
 				return err
--- a/internal/command/process_test.go
+++ b/internal/command/process_test.go
@@ -18,8 +18,8 @@
 	"github.com/shoenig/test/must"
 
 	"ragwortstile/examples"
+	"ragwortstile/internal/logservice"
 	"ragwortstile/internal/manifest"
-	"ragwortstile/internal/platform"
 	"ragwortstile/internal/trial"
 )
 
@@ -76,7 +76,7 @@
 		"RAGWORTSTILE_PEER_LISTEN="+peerAddr, "RAGWORTSTILE_LOG_URL="+d.LogURL(), "RAGWORTSTILE_LIST_URL="+d.ListURL(),
 		"RAGWORTSTILE_PEER_KEY="+trial.PeerKey, "RAGWORTSTILE_LIST_INTERVAL=200ms", "RAGWORTSTILE_DRAIN_WAIT=200ms")
 	p.cmd.Stderr = p.log
-	d.List.PutInstance(platform.Instance{Name: name, Zone: zone, PeerAddr: peerAddr, HTTPAddr: p.http, State: platform.StateLive})
+	d.List.PutInstance(logservice.Instance{Name: name, Zone: zone, PeerAddr: peerAddr, HTTPAddr: p.http, State: logservice.StateLive})
 	return p
 }
 
--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -8,8 +8,8 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"ragwortstile/examples"
+	"ragwortstile/internal/logservice"
 	"ragwortstile/internal/manifest"
-	"ragwortstile/internal/platform"
 	"ragwortstile/internal/trial"
 )
 
@@ -50,8 +50,8 @@
 		})
 }
 
-func parseInstances(text string) ([]platform.Instance, error) {
-	var out []platform.Instance
+func parseInstances(text string) ([]logservice.Instance, error) {
+	var out []logservice.Instance
 	if text == "" {
 		return nil, nil
 	}
@@ -60,7 +60,7 @@
 		if len(f) != 4 {
 			return nil, usagef("--instances (%s_INSTANCES): entry %d: %q is not name/zone/peer address/http address", envPrefix, n+1, part)
 		}
-		out = append(out, platform.Instance{Name: f[0], Zone: f[1], PeerAddr: f[2], HTTPAddr: f[3], State: platform.StateLive})
+		out = append(out, logservice.Instance{Name: f[0], Zone: f[1], PeerAddr: f[2], HTTPAddr: f[3], State: logservice.StateLive})
 	}
 	return out, nil
 }
--- a/internal/platform/appender_test.go
+++ b/internal/logservice/appender_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package logservice_test
 
 import (
 	"context"
@@ -9,18 +9,18 @@
 	"github.com/shoenig/test/must"
 
 	"ragwortstile/internal/id"
-	"ragwortstile/internal/platform"
+	"ragwortstile/internal/logservice"
 	"ragwortstile/internal/record"
 	"ragwortstile/internal/standin/logstand"
 )
 
 const stream = "programs"
 
-func newAppender(t *testing.T, cfg platform.AppenderConfig) *platform.Appender {
+func newAppender(t *testing.T, cfg logservice.AppenderConfig) *logservice.Appender {
 	t.Helper()
 	cfg.Stream = stream
 	cfg.Session = "i1.a"
-	a, err := platform.NewAppender(cfg)
+	a, err := logservice.NewAppender(cfg)
 	must.NoError(t, err)
 	return a
 }
@@ -46,7 +46,7 @@
 	return all
 }
 
-func addClaims(t *testing.T, a *platform.Appender, from, to int) []int {
+func addClaims(t *testing.T, a *logservice.Appender, from, to int) []int {
 	t.Helper()
 	var all []int
 	for i := from; i < to; i++ {
@@ -56,7 +56,7 @@
 	return all
 }
 
-func flush(t *testing.T, a *platform.Appender) {
+func flush(t *testing.T, a *logservice.Appender) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
@@ -67,7 +67,7 @@
 func TestAppenderGroupCommit(t *testing.T) {
 	checkGoroutines(t)
 	l, c := startLog(t, logstand.Settings{})
-	a := newAppender(t, platform.AppenderConfig{Client: c})
+	a := newAppender(t, logservice.AppenderConfig{Client: c})
 	run(t, a.Serve)
 	start := time.Now()
 	var want []int
@@ -88,7 +88,7 @@
 func TestAppenderCountsOnceUnderFaults(t *testing.T) {
 	checkGoroutines(t)
 	l, c := startLog(t, logstand.Settings{Rate: 40})
-	a := newAppender(t, platform.AppenderConfig{Client: c, MinInterval: 5 * time.Millisecond})
+	a := newAppender(t, logservice.AppenderConfig{Client: c, MinInterval: 5 * time.Millisecond})
 	run(t, a.Serve)
 	var want []int
 	for i := range 40 {
@@ -122,7 +122,7 @@
 	l, c := startLog(t, logstand.Settings{})
 	l.SetAnswerDelay(time.Hour)
 	committed := &list[uint64]{}
-	a := newAppender(t, platform.AppenderConfig{Client: c, AttemptTimeout: time.Hour,
+	a := newAppender(t, logservice.AppenderConfig{Client: c, AttemptTimeout: time.Hour,
 		Committed: func(seq, _ uint64, known bool) {
 			if !known {
 				committed.add(seq)
@@ -149,7 +149,7 @@
 	l, c := startLog(t, logstand.Settings{})
 	l.SetOutage(true)
 	reports := &list[bool]{}
-	a := newAppender(t, platform.AppenderConfig{Client: c, Down: reports.add, ProbeInterval: 50 * time.Millisecond})
+	a := newAppender(t, logservice.AppenderConfig{Client: c, Down: reports.add, ProbeInterval: 50 * time.Millisecond})
 	run(t, a.Serve)
 	start := time.Now()
 	want := addClaims(t, a, 0, 3)
@@ -177,14 +177,14 @@
 	checkGoroutines(t)
 	l, c := startLog(t, logstand.Settings{})
 	l.SetOutage(true)
-	a := newAppender(t, platform.AppenderConfig{Client: c, MaxBuffered: 3 << 20})
+	a := newAppender(t, logservice.AppenderConfig{Client: c, MaxBuffered: 3 << 20})
 	run(t, a.Serve)
 	big := record.Publish{Manifest: make([]byte, 700<<10)}
 	for range 4 {
 		must.NoError(t, a.Add(big))
 	}
-	must.ErrorIs(t, a.Add(big), platform.ErrBufferFull)
-	must.ErrorIs(t, a.Add(record.Publish{Manifest: make([]byte, 1<<20)}), platform.ErrTooLarge)
+	must.ErrorIs(t, a.Add(big), logservice.ErrBufferFull)
+	must.ErrorIs(t, a.Add(record.Publish{Manifest: make([]byte, 1<<20)}), logservice.ErrTooLarge)
 	l.SetOutage(false)
 	flush(t, a)
 	must.Eq(t, 4, len(l.Records(stream))) // two of them fit no batch together
@@ -196,7 +196,7 @@
 func TestAppenderFillsBatches(t *testing.T) {
 	checkGoroutines(t)
 	l, c := startLog(t, logstand.Settings{})
-	a := newAppender(t, platform.AppenderConfig{Client: c})
+	a := newAppender(t, logservice.AppenderConfig{Client: c})
 	const n = 60000
 	many := make([]record.Record, n)
 	for i := range many {
@@ -219,7 +219,7 @@
 	checkGoroutines(t)
 	l, c := startLog(t, logstand.Settings{})
 	l.SetAnswerDelay(time.Hour)
-	a := newAppender(t, platform.AppenderConfig{Client: c})
+	a := newAppender(t, logservice.AppenderConfig{Client: c})
 	stop := run(t, a.Serve)
 	want := addClaims(t, a, 0, 2)
 	eventually(t, "the append", func() bool { return len(l.Records(stream)) == 1 })
@@ -238,9 +238,9 @@
 	checkGoroutines(t)
 	l, c := startLog(t, logstand.Settings{Rate: 300})
 	const instances, records = 13, 90 // 60 records per second for 1.5 s
-	var all []*platform.Appender
+	var all []*logservice.Appender
 	for i := range instances {
-		a, err := platform.NewAppender(platform.AppenderConfig{Client: c, Stream: stream, Session: id.Session(fmt.Sprintf("i%d.a", i))})
+		a, err := logservice.NewAppender(logservice.AppenderConfig{Client: c, Stream: stream, Session: id.Session(fmt.Sprintf("i%d.a", i))})
 		must.NoError(t, err)
 		run(t, a.Serve)
 		all = append(all, a)
--- a/internal/platform/errors.go
+++ b/internal/logservice/errors.go
@@ -1,6 +1,6 @@
-// Package platform holds the clients for the services of the platform: the append-only log, the
+// Package logservice holds the clients for the services of the platform: the append-only log, the
 // list of instances and endpoints, and the weight store.
-package platform
+package logservice
 
 import (
 	"errors"
--- a/internal/platform/helpers_test.go
+++ b/internal/logservice/helpers_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package logservice_test
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"ragwortstile/internal/platform"
+	"ragwortstile/internal/logservice"
 	"ragwortstile/internal/standin/logstand"
 )
 
@@ -33,7 +33,7 @@
 func serve(t *testing.T, h http.Handler) (string, *http.Client) {
 	t.Helper()
 	server := httptest.NewServer(h)
-	client := platform.NewHTTPClient()
+	client := logservice.NewHTTPClient()
 	t.Cleanup(func() {
 		client.CloseIdleConnections()
 		server.CloseClientConnections()
@@ -42,12 +42,12 @@
 	return server.URL, client
 }
 
-func startLog(t *testing.T, s logstand.Settings) (*logstand.Log, *platform.LogClient) {
+func startLog(t *testing.T, s logstand.Settings) (*logstand.Log, *logservice.LogClient) {
 	t.Helper()
 	l := logstand.New(s)
 	t.Cleanup(l.Close)
 	base, client := serve(t, l)
-	return l, platform.NewLogClient(base, client)
+	return l, logservice.NewLogClient(base, client)
 }
 
 // run starts Serve and returns a function that stops it. The test's end stops it too.
--- a/internal/platform/http.go
+++ b/internal/logservice/http.go
@@ -1,4 +1,4 @@
-package platform
+package logservice
 
 import (
 	"context"
--- a/internal/platform/list_test.go
+++ b/internal/logservice/list_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package logservice_test
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"ragwortstile/internal/platform"
+	"ragwortstile/internal/logservice"
 	"ragwortstile/internal/standin/liststand"
 	"ragwortstile/internal/standin/weightstand"
 )
@@ -19,9 +19,9 @@
 	checkGoroutines(t)
 	l := liststand.New(1, 0)
 	base, client := serve(t, l)
-	l.PutInstance(platform.Instance{Name: "i1", Zone: "z1", PeerAddr: "127.0.0.1:1", HTTPAddr: "127.0.0.1:2", State: platform.StateLive})
-	l.PutEndpoint(platform.Endpoint{Name: "e1", Zone: "z2", URL: "http://127.0.0.1:3", State: platform.StateLive})
-	c := platform.NewListClient(platform.ListConfig{Base: base, Client: client, Interval: 10 * time.Millisecond})
+	l.PutInstance(logservice.Instance{Name: "i1", Zone: "z1", PeerAddr: "127.0.0.1:1", HTTPAddr: "127.0.0.1:2", State: logservice.StateLive})
+	l.PutEndpoint(logservice.Endpoint{Name: "e1", Zone: "z2", URL: "http://127.0.0.1:3", State: logservice.StateLive})
+	c := logservice.NewListClient(logservice.ListConfig{Base: base, Client: client, Interval: 10 * time.Millisecond})
 	_, _, ok := c.Latest()
 	must.False(t, ok)
 	run(t, c.Serve)
@@ -32,10 +32,10 @@
 	const lag = 300 * time.Millisecond
 	l.SetLag(lag)
 	start := time.Now()
-	l.SetState("e1", platform.StateLeaving)
+	l.SetState("e1", logservice.StateLeaving)
 	eventually(t, "the change", func() bool {
 		list, _, _ := c.Latest()
-		return list.Endpoints[0].State == platform.StateLeaving
+		return list.Endpoints[0].State == logservice.StateLeaving
 	})
 	must.GreaterEq(t, lag, time.Since(start))
 
@@ -55,8 +55,8 @@
 		`{"endpoints":[{"name":"a","state":"live"}`,
 	} {
 		base, client := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(body)) }))
-		_, err := platform.NewListClient(platform.ListConfig{Base: base, Client: client}).Fetch(context.Background())
-		must.ErrorIs(t, err, platform.ErrMalformed)
+		_, err := logservice.NewListClient(logservice.ListConfig{Base: base, Client: client}).Fetch(context.Background())
+		must.ErrorIs(t, err, logservice.ErrMalformed)
 	}
 }
 
@@ -65,20 +65,20 @@
 	checkGoroutines(t)
 	ctx := context.Background()
 	s := weightstand.New(1, time.Hour, 1)
-	s.Put(platform.Weights{Model: "m", Version: "v2", Bytes: 7})
+	s.Put(logservice.Weights{Model: "m", Version: "v2", Bytes: 7})
 	base, client := serve(t, s)
-	c := platform.NewWeightClient(base, client)
+	c := logservice.NewWeightClient(base, client)
 	w, err := c.Fetch(ctx, "m")
 	must.NoError(t, err)
 	must.Eq(t, "v2", w.Version)
 	_, err = c.Fetch(ctx, "m")
-	var limited *platform.RateLimitedError
-	must.ErrorAs[*platform.RateLimitedError](t, err, &limited)
+	var limited *logservice.RateLimitedError
+	must.ErrorAs[*logservice.RateLimitedError](t, err, &limited)
 	must.Eq(t, time.Minute, limited.RetryAfter) // bounded
 	must.Eq(t, 1, s.Fetches("m"))
 	_, err = c.Fetch(ctx, "other")
-	must.ErrorIs(t, err, platform.ErrNotFound)
+	must.ErrorIs(t, err, logservice.ErrNotFound)
 	s.SetOutage(true)
 	_, err = c.Fetch(ctx, "m")
-	must.ErrorIs(t, err, platform.ErrOutage)
+	must.ErrorIs(t, err, logservice.ErrOutage)
 }
--- a/internal/platform/log_test.go
+++ b/internal/logservice/log_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package logservice_test
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"ragwortstile/internal/platform"
+	"ragwortstile/internal/logservice"
 	"ragwortstile/internal/standin/logstand"
 )
 
@@ -61,24 +61,24 @@
 	_, err := c.Append(ctx, "a", []byte("0"))
 	must.NoError(t, err)
 	_, err = c.Append(ctx, "a", []byte("1"))
-	var limited *platform.RateLimitedError
-	must.ErrorAs[*platform.RateLimitedError](t, err, &limited)
+	var limited *logservice.RateLimitedError
+	must.ErrorAs[*logservice.RateLimitedError](t, err, &limited)
 	must.Greater(t, 0, limited.RetryAfter)
 
 	l.SetOutage(true)
 	_, err = c.Append(ctx, "a", []byte("1"))
-	must.ErrorIs(t, err, platform.ErrOutage)
+	must.ErrorIs(t, err, logservice.ErrOutage)
 	_, err = c.Read(ctx, "a", 0, 0)
-	must.ErrorIs(t, err, platform.ErrOutage)
+	must.ErrorIs(t, err, logservice.ErrOutage)
 	must.Eq(t, 1, len(l.Records("a")))
 
-	_, err = c.Append(ctx, "a", make([]byte, platform.MaxAppendBytes+1))
-	must.ErrorIs(t, err, platform.ErrTooLarge)
+	_, err = c.Append(ctx, "a", make([]byte, logservice.MaxAppendBytes+1))
+	must.ErrorIs(t, err, logservice.ErrTooLarge)
 
-	nobody := platform.NewLogClient("http://127.0.0.1:1", platform.NewHTTPClient())
+	nobody := logservice.NewLogClient("http://127.0.0.1:1", logservice.NewHTTPClient())
 	_, err = nobody.Append(ctx, "a", []byte("1"))
-	must.ErrorIs(t, err, platform.ErrOutage)
-	must.False(t, errors.Is(err, platform.ErrUnknownResult))
+	must.ErrorIs(t, err, logservice.ErrOutage)
+	must.False(t, errors.Is(err, logservice.ErrUnknownResult))
 }
 
 // Guards against an append that took effect and is reported as failed.
@@ -88,8 +88,8 @@
 	l, c := startLog(t, logstand.Settings{})
 	l.LoseAnswers(1)
 	_, err := c.Append(ctx, "a", []byte("x"))
-	must.ErrorIs(t, err, platform.ErrUnknownResult)
-	must.False(t, errors.Is(err, platform.ErrOutage))
+	must.ErrorIs(t, err, logservice.ErrUnknownResult)
+	must.False(t, errors.Is(err, logservice.ErrOutage))
 	must.Eq(t, 1, len(l.Records("a")))
 }
 
@@ -105,7 +105,7 @@
 		l.LoseAnswers(1)
 		before := l.Stats().Appends
 		_, err = c.Append(ctx, "a", []byte("second"))
-		must.ErrorIs(t, err, platform.ErrUnknownResult)
+		must.ErrorIs(t, err, logservice.ErrUnknownResult)
 		must.Eq(t, before+1, l.Stats().Appends)
 	}
 }
@@ -121,9 +121,9 @@
 	}
 	l.Expire("a", 4)
 	_, err := c.Read(ctx, "a", 1, 0)
-	var expired *platform.ExpiredError
-	must.ErrorAs[*platform.ExpiredError](t, err, &expired)
-	must.Eq(t, platform.ExpiredError{Earliest: 4, Next: 6}, *expired)
+	var expired *logservice.ExpiredError
+	must.ErrorAs[*logservice.ExpiredError](t, err, &expired)
+	must.Eq(t, logservice.ExpiredError{Earliest: 4, Next: 6}, *expired)
 	earliest, err := c.Earliest(ctx, "a")
 	must.NoError(t, err)
 	must.Eq(t, 4, earliest)
@@ -133,6 +133,6 @@
 func TestLogServerErrorIsUnknown(t *testing.T) {
 	checkGoroutines(t)
 	base, client := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadGateway) }))
-	_, err := platform.NewLogClient(base, client).Append(context.Background(), "a", []byte("x"))
-	must.ErrorIs(t, err, platform.ErrUnknownResult)
+	_, err := logservice.NewLogClient(base, client).Append(context.Background(), "a", []byte("x"))
+	must.ErrorIs(t, err, logservice.ErrUnknownResult)
 }
--- a/internal/platform/tailer_test.go
+++ b/internal/logservice/tailer_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package logservice_test
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"ragwortstile/internal/platform"
+	"ragwortstile/internal/logservice"
 	"ragwortstile/internal/standin/logstand"
 )
 
@@ -20,17 +20,17 @@
 	failed  list[error]
 }
 
-func newTailer(c *platform.LogClient, got *tailed) *platform.Tailer {
-	return platform.NewTailer(platform.TailerConfig{
+func newTailer(c *logservice.LogClient, got *tailed) *logservice.Tailer {
+	return logservice.NewTailer(logservice.TailerConfig{
 		Client: c, Stream: stream, Wait: 100 * time.Millisecond,
-		Deliver: func(_ context.Context, e platform.Entry) error { got.offsets.add(e.Offset); return nil },
+		Deliver: func(_ context.Context, e logservice.Entry) error { got.offsets.add(e.Offset); return nil },
 		AtTail:  got.tails.add,
 		Expired: func(from, earliest uint64) { got.gaps.add([2]uint64{from, earliest}) },
 		Failed:  got.failed.add,
 	})
 }
 
-func appendN(t *testing.T, c *platform.LogClient, n int) {
+func appendN(t *testing.T, c *logservice.LogClient, n int) {
 	t.Helper()
 	for i := range n {
 		_, err := c.Append(context.Background(), stream, fmt.Appendf(nil, "%d", i))
@@ -59,7 +59,7 @@
 	must.Eq(t, countTo(2, 7), got.offsets.get())
 	l.SetOutage(true)
 	eventually(t, "a failed read", func() bool { return len(got.failed.get()) > 2 })
-	must.ErrorIs(t, got.failed.get()[0], platform.ErrOutage)
+	must.ErrorIs(t, got.failed.get()[0], logservice.ErrOutage)
 	l.SetOutage(false)
 	appendN(t, c, 5)
 	eventually(t, "all entries", func() bool { return len(got.offsets.get()) == 10 })
@@ -94,8 +94,8 @@
 	appendN(t, c, 4)
 	var got []uint64
 	broken := errors.New("consumer stopped")
-	tailer := platform.NewTailer(platform.TailerConfig{Client: c, Stream: stream,
-		Deliver: func(_ context.Context, e platform.Entry) error {
+	tailer := logservice.NewTailer(logservice.TailerConfig{Client: c, Stream: stream,
+		Deliver: func(_ context.Context, e logservice.Entry) error {
 			if e.Offset == 2 && len(got) == 2 {
 				got = append(got, 99)
 				return broken
--- a/internal/publish/publish.go
+++ b/internal/publish/publish.go
@@ -11,7 +11,7 @@
 
 	"ragwortstile/internal/fsm"
 	"ragwortstile/internal/id"
-	"ragwortstile/internal/platform"
+	"ragwortstile/internal/logservice"
 	"ragwortstile/internal/record"
 )
 
@@ -40,12 +40,12 @@
 
 // Reader folds the config stream.
 type Reader struct {
-	client *platform.LogClient
+	client *logservice.LogClient
 	fold   *fsm.Configs
 }
 
 // NewReader returns a reader of the log at a base URL.
-func NewReader(client *platform.LogClient) *Reader { return &Reader{client: client} }
+func NewReader(client *logservice.LogClient) *Reader { return &Reader{client: client} }
 
 // ToTail reads everything that the log holds and returns the manifest in force.
 func (r *Reader) ToTail(ctx context.Context) (fsm.Manifest, error) {
@@ -102,7 +102,7 @@
 // Publish appends a manifest and waits until the log has decided. It returns the new version, or a
 // ConflictError if another publication came first. An append whose answer was lost is repeated with
 // the same bytes and counts once.
-func Publish(ctx context.Context, client *platform.LogClient, req Request) (uint64, error) {
+func Publish(ctx context.Context, client *logservice.LogClient, req Request) (uint64, error) {
 	r := NewReader(client)
 	current, err := r.ToTail(ctx)
 	if err != nil {
@@ -124,13 +124,13 @@
 	return r.await(ctx, session, req.Expected)
 }
 
-func appendUntilTaken(ctx context.Context, client *platform.LogClient, data []byte) error {
+func appendUntilTaken(ctx context.Context, client *logservice.LogClient, data []byte) error {
 	for {
 		_, err := client.Append(ctx, stream, data)
-		if err == nil || errors.Is(err, platform.ErrTooLarge) || ctx.Err() != nil {
+		if err == nil || errors.Is(err, logservice.ErrTooLarge) || ctx.Err() != nil {
 			return err
 		}
-		if !errors.Is(err, platform.ErrUnknownResult) && !limited(err) {
+		if !errors.Is(err, logservice.ErrUnknownResult) && !limited(err) {
 			return err // nothing took effect
 		}
 		timer := time.NewTimer(retryPause)
@@ -144,7 +144,7 @@
 }
 
 func limited(err error) bool {
-	var e *platform.RateLimitedError
+	var e *logservice.RateLimitedError
 	return errors.As(err, &e)
 }
 
--- a/internal/server/config_test.go
+++ b/internal/server/config_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/shoenig/test/must"
 
+	"ragwortstile/internal/logservice"
 	"ragwortstile/internal/manifest"
-	"ragwortstile/internal/platform"
 	"ragwortstile/internal/publish"
 	"ragwortstile/internal/server"
 	"ragwortstile/internal/trial"
@@ -24,7 +24,7 @@
 func publishAs(ctx context.Context, d *trial.Deployment, expected uint64, revision string) (uint64, error) {
 	m := *d.Manifest
 	m.Source = manifest.Source{Revision: revision}
-	return publish.Publish(ctx, platform.NewLogClient(d.LogURL(), http.DefaultClient), publish.Request{
+	return publish.Publish(ctx, logservice.NewLogClient(d.LogURL(), http.DefaultClient), publish.Request{
 		Expected: expected, Data: m.Canonical(), Digest: m.Digest(), Operator: revision,
 	})
 }
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -6,9 +6,9 @@
 
 	"ragwortstile/internal/fsm"
 	"ragwortstile/internal/id"
+	"ragwortstile/internal/logservice"
 	"ragwortstile/internal/manifest"
 	"ragwortstile/internal/order"
-	"ragwortstile/internal/platform"
 	"ragwortstile/internal/program"
 	"ragwortstile/internal/record"
 	"ragwortstile/internal/sched"
@@ -165,7 +165,7 @@
 		}
 		first := c.backlog[0]
 		err := c.inst.programs.Add(first)
-		if err != nil && !errors.Is(err, platform.ErrTooLarge) {
+		if err != nil && !errors.Is(err, logservice.ErrTooLarge) {
 			return
 		}
 		c.backlog = c.backlog[1:]
--- a/internal/server/drain_test.go
+++ b/internal/server/drain_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"ragwortstile/internal/platform"
+	"ragwortstile/internal/logservice"
 	"ragwortstile/internal/trial"
 )
 
@@ -47,7 +47,7 @@
 		}()
 	}
 	time.Sleep(50 * time.Millisecond) // the calls are on their way
-	d.List.SetState("a", platform.StateLeaving)
+	d.List.SetState("a", logservice.StateLeaving)
 	must.NoError(t, draining.Drain(ctx))
 	must.NoError(t, draining.Err())
 	for range 2 * programs {
--- a/internal/server/endpoint_test.go
+++ b/internal/server/endpoint_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"ragwortstile/internal/platform"
+	"ragwortstile/internal/logservice"
 	"ragwortstile/internal/standin/enginestand"
 	"ragwortstile/internal/trial"
 )
@@ -50,12 +50,12 @@
 		return d.Engines["e0"].Stats().Requests > 0 && d.Engines["e1"].Stats().Requests > 0
 	})
 	d.List.SetLag(time.Second)
-	d.List.SetState("e0", platform.StateLeaving)
+	d.List.SetState("e0", logservice.StateLeaving)
 	time.Sleep(leavingBound)
 	before, other := d.Engines["e0"].Stats().Requests, d.Engines["e1"].Stats().Requests
 	await(t, "work at the other engine", func() bool { return d.Engines["e1"].Stats().Requests > other+5 })
 	must.Eq(t, before, d.Engines["e0"].Stats().Requests)
-	d.List.SetState("e0", platform.StateLive)
+	d.List.SetState("e0", logservice.StateLive)
 	await(t, "work at the engine that is back", func() bool { return d.Engines["e0"].Stats().Requests > before })
 	close(stop)
 	wg.Wait()
--- a/internal/server/heartbeat.go
+++ b/internal/server/heartbeat.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"ragwortstile/internal/id"
+	"ragwortstile/internal/logservice"
 	"ragwortstile/internal/membership"
 	"ragwortstile/internal/order"
-	"ragwortstile/internal/platform"
 	"ragwortstile/internal/program"
 	"ragwortstile/internal/sched"
 	"ragwortstile/internal/telemetry"
@@ -88,17 +88,17 @@
 }
 
 // listed takes over the platform's list.
-func (c *core) listed(l platform.List) {
+func (c *core) listed(l logservice.List) {
 	m := c.members
 	m.hasList = true
 	m.listed = map[string]bool{c.inst.cfg.Instance: true}
 	var answer membership.ListAnswer
 	for _, in := range l.Instances {
 		m.listed[in.Name] = true
-		answer.Instances = append(answer.Instances, membership.Instance{Name: in.Name, Leaving: in.State == platform.StateLeaving})
+		answer.Instances = append(answer.Instances, membership.Instance{Name: in.Name, Leaving: in.State == logservice.StateLeaving})
 	}
 	for _, e := range l.Endpoints {
-		answer.Endpoints = append(answer.Endpoints, membership.Endpoint{Name: e.Name, Leaving: e.State == platform.StateLeaving})
+		answer.Endpoints = append(answer.Endpoints, membership.Endpoint{Name: e.Name, Leaving: e.State == logservice.StateLeaving})
 	}
 	m.core.Step(c.inst.now(), answer)
 	c.inst.node.SetPeers(c.inst.peersOf(l))
--- a/internal/server/instance.go
+++ b/internal/server/instance.go
@@ -22,8 +22,8 @@
 
 	"ragwortstile/internal/api"
 	"ragwortstile/internal/id"
+	"ragwortstile/internal/logservice"
 	"ragwortstile/internal/peer"
-	"ragwortstile/internal/platform"
 	"ragwortstile/internal/telemetry"
 )
 
@@ -56,8 +56,8 @@
 
 	node     *peer.Node
 	copies   *copyStore
-	programs *platform.Appender
-	configs  *platform.Appender
+	programs *logservice.Appender
+	configs  *logservice.Appender
 	engines  *endpoints
 	httpCl   *http.Client
 	core     *core
@@ -143,7 +143,7 @@
 		return err
 	}
 	i.httpCl = newHTTPClient()
-	logClient := platform.NewLogClient(i.cfg.LogURL, i.httpCl)
+	logClient := logservice.NewLogClient(i.cfg.LogURL, i.httpCl)
 	i.programs, err = i.newAppender(logClient, streamPrograms)
 	if err != nil {
 		return err
@@ -165,8 +165,8 @@
 	return nil
 }
 
-func (i *Instance) newAppender(client *platform.LogClient, stream string) (*platform.Appender, error) {
-	cfg := platform.AppenderConfig{
+func (i *Instance) newAppender(client *logservice.LogClient, stream string) (*logservice.Appender, error) {
+	cfg := logservice.AppenderConfig{
 		Client:  client,
 		Stream:  stream,
 		Session: i.session,
@@ -179,7 +179,7 @@
 	if stream == streamPrograms {
 		cfg.Down = func(down bool) { i.core.events.post(func() { i.core.logState(down) }) }
 	}
-	return platform.NewAppender(cfg)
+	return logservice.NewAppender(cfg)
 }
 
 // newHTTPClient returns the client for the platform, engines and services. Connections to endpoints
--- a/internal/server/log_test.go
+++ b/internal/server/log_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"ragwortstile/internal/platform"
+	"ragwortstile/internal/logservice"
 	"ragwortstile/internal/standin/enginestand"
 	"ragwortstile/internal/trial"
 )
@@ -197,7 +197,7 @@
 	d.List.SetLag(time.Second)
 	must.NoError(t, d.AddInstances(trial.Place{Name: "d", Zone: "z0"}))
 	await(t, "an even spread over four", func() bool { return evenly(d, 64/4) })
-	d.List.SetState("a", platform.StateLeaving)
+	d.List.SetState("a", logservice.StateLeaving)
 	must.NoError(t, d.Instance("a").Drain(ctx))
 	d.Unlist("a")
 	await(t, "an even spread over three", func() bool {
--- a/internal/server/orders.go
+++ b/internal/server/orders.go
@@ -9,9 +9,9 @@
 	"ragwortstile/internal/engine"
 	"ragwortstile/internal/fsm"
 	"ragwortstile/internal/id"
+	"ragwortstile/internal/logservice"
 	"ragwortstile/internal/manifest"
 	"ragwortstile/internal/order"
-	"ragwortstile/internal/platform"
 	"ragwortstile/internal/record"
 	"ragwortstile/internal/sched"
 	"ragwortstile/internal/telemetry"
@@ -104,12 +104,12 @@
 	}
 	ctx, cancel := context.WithTimeout(i.ctx, controlTimeout)
 	defer cancel()
-	_, err := platform.NewWeightClient(i.cfg.WeightsURL, i.httpCl).Fetch(ctx, a.Model)
-	var limited *platform.RateLimitedError
+	_, err := logservice.NewWeightClient(i.cfg.WeightsURL, i.httpCl).Fetch(ctx, a.Model)
+	var limited *logservice.RateLimitedError
 	switch {
 	case err == nil:
 		return order.OK
-	case errors.As(err, &limited), errors.Is(err, platform.ErrNotFound), errors.Is(err, platform.ErrOutage):
+	case errors.As(err, &limited), errors.Is(err, logservice.ErrNotFound), errors.Is(err, logservice.ErrOutage):
 		return order.Rejected
 	default:
 		return order.Unknown
--- a/internal/server/orders_test.go
+++ b/internal/server/orders_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/shoenig/test/must"
 
+	"ragwortstile/internal/logservice"
 	"ragwortstile/internal/manifest"
-	"ragwortstile/internal/platform"
 	"ragwortstile/internal/trial"
 )
 
@@ -26,7 +26,7 @@
 		}
 		s.Manifest.Orders = manifest.Orders{FetchInterval: time.Second, Timeout: 2 * time.Second}
 	})
-	d.Weights.Put(platform.Weights{Model: "m", Version: "v1", Bytes: 1})
+	d.Weights.Put(logservice.Weights{Model: "m", Version: "v1", Bytes: 1})
 	has := func(engine string, parts ...string) bool {
 		return slices.ContainsFunc(d.Engines[engine].Orders(), func(o string) bool {
 			return !slices.ContainsFunc(parts, func(p string) bool { return !strings.Contains(o, p) })
--- a/internal/server/platform.go
+++ b/internal/server/platform.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"time"
 
+	"ragwortstile/internal/logservice"
 	"ragwortstile/internal/peer"
-	"ragwortstile/internal/platform"
 	"ragwortstile/internal/record"
 	"ragwortstile/internal/telemetry"
 )
@@ -18,7 +18,7 @@
 var errFellBehind error = codedError{code: "fell_behind", text: "the log dropped records before they were read"}
 
 // tailer returns the reader of a stream.
-func (i *Instance) tailer(stream string) *platform.Tailer {
+func (i *Instance) tailer(stream string) *logservice.Tailer {
 	cfg := i.tailerConfig(stream)
 	if stream == streamPrograms {
 		// Dispatches that may not be repeated need a read of the tail that is younger than
@@ -29,14 +29,14 @@
 			i.core.events.post(func() { i.core.tailRead(at) })
 		}
 	}
-	return platform.NewTailer(cfg)
+	return logservice.NewTailer(cfg)
 }
 
-func (i *Instance) tailerConfig(stream string) platform.TailerConfig {
-	return platform.TailerConfig{
-		Client: platform.NewLogClient(i.cfg.LogURL, i.httpCl),
+func (i *Instance) tailerConfig(stream string) logservice.TailerConfig {
+	return logservice.TailerConfig{
+		Client: logservice.NewLogClient(i.cfg.LogURL, i.httpCl),
 		Stream: stream,
-		Deliver: func(ctx context.Context, e platform.Entry) error {
+		Deliver: func(ctx context.Context, e logservice.Entry) error {
 			i.deliver(stream, e)
 			return ctx.Err()
 		},
@@ -52,7 +52,7 @@
 
 // deliver hands one entry to the loop. An entry that this binary can't read changes nothing: all
 // binaries of its version skip it alike.
-func (i *Instance) deliver(stream string, e platform.Entry) {
+func (i *Instance) deliver(stream string, e logservice.Entry) {
 	b, err := record.Decode(e.Data)
 	if err != nil {
 		i.log.Error("log_entry_skipped", telemetry.Stream(stream), telemetry.Offset(e.Offset), telemetry.Err(err))
@@ -70,13 +70,13 @@
 }
 
 // listClient returns the reader of the platform's list.
-func (i *Instance) listClient() *platform.ListClient {
+func (i *Instance) listClient() *logservice.ListClient {
 	i.node.SetPeers(i.cfg.Peers)
-	return platform.NewListClient(platform.ListConfig{
+	return logservice.NewListClient(logservice.ListConfig{
 		Base:     i.cfg.ListURL,
 		Client:   i.httpCl,
 		Interval: i.cfg.ListInterval,
-		Polled: func(l platform.List) {
+		Polled: func(l logservice.List) {
 			i.passGate()
 			i.core.events.post(func() { i.core.listed(l) })
 		},
@@ -86,7 +86,7 @@
 
 // peersOf returns the connections to keep: the instances on the list, and those of the settings
 // while the list lacks them.
-func (i *Instance) peersOf(l platform.List) []peer.Peer {
+func (i *Instance) peersOf(l logservice.List) []peer.Peer {
 	known := map[string]bool{}
 	var peers []peer.Peer
 	for _, in := range l.Instances {
--- a/internal/server/recordtime_test.go
+++ b/internal/server/recordtime_test.go
@@ -8,7 +8,7 @@
 	"github.com/shoenig/test/must"
 
 	"ragwortstile/internal/id"
-	"ragwortstile/internal/platform"
+	"ragwortstile/internal/logservice"
 	"ragwortstile/internal/record"
 	"ragwortstile/internal/trial"
 )
@@ -27,7 +27,7 @@
 	_, err = c.Model(ctx, trial.ModelCall{Program: prog, Key: "k", Model: "m", Say: "x", MaxTokens: 4})
 	must.NoError(t, err)
 	time.Sleep(5 * time.Second)
-	client := platform.NewLogClient(d.LogURL(), http.DefaultClient)
+	client := logservice.NewLogClient(d.LogURL(), http.DefaultClient)
 	snapshots, refreshes := 0, 0
 	for from := uint64(0); ; {
 		page, err := client.Read(ctx, "programs", from, 0)
--- a/internal/standin/enginestand/engine.go
+++ b/internal/standin/enginestand/engine.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"ragwortstile/internal/platform"
+	"ragwortstile/internal/logservice"
 	"ragwortstile/internal/standin"
 )
 
@@ -89,7 +89,7 @@
 // New returns an Engine with generation 1.
 func New(s Settings) *Engine {
 	s.setDefaults()
-	e := &Engine{settings: s, mux: http.NewServeMux(), client: platform.NewHTTPClient(), generation: 1}
+	e := &Engine{settings: s, mux: http.NewServeMux(), client: logservice.NewHTTPClient(), generation: 1}
 	e.reset()
 	e.mux.HandleFunc("POST /v1/chat/completions", e.handleCompletion)
 	e.mux.HandleFunc("GET /v1/requests/{id}/stream", e.handleResume)
--- a/internal/standin/liststand/list.go
+++ b/internal/standin/liststand/list.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"ragwortstile/internal/platform"
+	"ragwortstile/internal/logservice"
 	"ragwortstile/internal/standin"
 )
 
@@ -25,7 +25,7 @@
 
 type version struct {
 	at   time.Time
-	list platform.List
+	list logservice.List
 }
 
 // New returns a List whose answers show the state of lag ago. Model time.
@@ -53,30 +53,30 @@
 }
 
 // PutInstance adds an instance or replaces the one with its name.
-func (l *List) PutInstance(in platform.Instance) {
-	l.change(func(v *platform.List) {
-		v.Instances = put(v.Instances, in, func(e platform.Instance) bool { return e.Name == in.Name })
+func (l *List) PutInstance(in logservice.Instance) {
+	l.change(func(v *logservice.List) {
+		v.Instances = put(v.Instances, in, func(e logservice.Instance) bool { return e.Name == in.Name })
 	})
 }
 
 // PutEndpoint adds an endpoint or replaces the one with its name.
-func (l *List) PutEndpoint(ep platform.Endpoint) {
-	l.change(func(v *platform.List) {
-		v.Endpoints = put(v.Endpoints, ep, func(e platform.Endpoint) bool { return e.Name == ep.Name })
+func (l *List) PutEndpoint(ep logservice.Endpoint) {
+	l.change(func(v *logservice.List) {
+		v.Endpoints = put(v.Endpoints, ep, func(e logservice.Endpoint) bool { return e.Name == ep.Name })
 	})
 }
 
 // Remove removes the instance and the endpoint with a name.
 func (l *List) Remove(name string) {
-	l.change(func(v *platform.List) {
-		v.Instances = without(v.Instances, func(e platform.Instance) bool { return e.Name == name })
-		v.Endpoints = without(v.Endpoints, func(e platform.Endpoint) bool { return e.Name == name })
+	l.change(func(v *logservice.List) {
+		v.Instances = without(v.Instances, func(e logservice.Instance) bool { return e.Name == name })
+		v.Endpoints = without(v.Endpoints, func(e logservice.Endpoint) bool { return e.Name == name })
 	})
 }
 
 // SetState sets the state of the instance and the endpoint with a name.
-func (l *List) SetState(name string, state platform.State) {
-	l.change(func(v *platform.List) {
+func (l *List) SetState(name string, state logservice.State) {
+	l.change(func(v *logservice.List) {
 		for i := range v.Instances {
 			if v.Instances[i].Name == name {
 				v.Instances[i].State = state
@@ -105,14 +105,14 @@
 }
 
 // change adds a version that is made from a copy of the newest one.
-func (l *List) change(f func(*platform.List)) {
+func (l *List) change(f func(*logservice.List)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var v platform.List
+	var v logservice.List
 	if n := len(l.history); n > 0 {
 		newest := l.history[n-1].list
-		v.Instances = append([]platform.Instance(nil), newest.Instances...)
-		v.Endpoints = append([]platform.Endpoint(nil), newest.Endpoints...)
+		v.Instances = append([]logservice.Instance(nil), newest.Instances...)
+		v.Endpoints = append([]logservice.Endpoint(nil), newest.Endpoints...)
 	}
 	f(&v)
 	l.history = append(l.history, version{at: time.Now(), list: v})
@@ -128,11 +128,11 @@
 }
 
 // visible returns the newest version that is older than the lag, and forgets those before it.
-func (l *List) visible() (platform.List, bool) {
+func (l *List) visible() (logservice.List, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.outage {
-		return platform.List{}, false
+		return logservice.List{}, false
 	}
 	limit := time.Now().Add(-l.scale.Real(l.lag))
 	n := 0
@@ -140,7 +140,7 @@
 		n++
 	}
 	if n == 0 && !l.shown {
-		return platform.List{}, true
+		return logservice.List{}, true
 	}
 	l.history = l.history[max(n, 1)-1:] // a longer lag never takes back what was shown
 	l.shown = true
--- a/internal/standin/weightstand/weights.go
+++ b/internal/standin/weightstand/weights.go
@@ -8,7 +8,7 @@
 
 	"golang.org/x/time/rate"
 
-	"ragwortstile/internal/platform"
+	"ragwortstile/internal/logservice"
 	"ragwortstile/internal/standin"
 )
 
@@ -20,7 +20,7 @@
 	mux     *http.ServeMux
 
 	mu      sync.Mutex
-	models  map[string]platform.Weights
+	models  map[string]logservice.Weights
 	outage  bool
 	fetches map[string]int
 }
@@ -32,7 +32,7 @@
 		every:   every,
 		limiter: rate.NewLimiter(rate.Every(scale.Real(every)), burst),
 		mux:     http.NewServeMux(),
-		models:  make(map[string]platform.Weights),
+		models:  make(map[string]logservice.Weights),
 		fetches: make(map[string]int),
 	}
 	s.mux.HandleFunc("POST /weights/{model}/fetch", s.handle)
@@ -43,7 +43,7 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
 
 // Put adds a model.
-func (s *Store) Put(w platform.Weights) {
+func (s *Store) Put(w logservice.Weights) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.models[w.Model] = w
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -18,9 +18,9 @@
 
 	"ragwortstile/internal/api"
 	"ragwortstile/internal/id"
+	"ragwortstile/internal/logservice"
 	"ragwortstile/internal/manifest"
 	"ragwortstile/internal/peer"
-	"ragwortstile/internal/platform"
 	"ragwortstile/internal/publish"
 	"ragwortstile/internal/server"
 	"ragwortstile/internal/standin"
@@ -174,7 +174,7 @@
 		}
 		d.hosts[ep.Name] = s
 		ep.URL = s.url()
-		d.List.PutEndpoint(platform.Endpoint{Name: ep.Name, Zone: ep.Zone, URL: ep.URL, State: platform.StateLive})
+		d.List.PutEndpoint(logservice.Endpoint{Name: ep.Name, Zone: ep.Zone, URL: ep.URL, State: logservice.StateLive})
 	}
 	return nil
 }
@@ -203,7 +203,7 @@
 
 // Publish puts the manifest in force as the next version.
 func (d *Deployment) Publish(ctx context.Context) error {
-	version, err := publish.Publish(ctx, platform.NewLogClient(d.LogURL(), http.DefaultClient), publish.Request{
+	version, err := publish.Publish(ctx, logservice.NewLogClient(d.LogURL(), http.DefaultClient), publish.Request{
 		Expected: d.version, Data: d.Manifest.Canonical(), Digest: d.Manifest.Digest(), Operator: "trial",
 	})
 	if err == nil {
@@ -255,7 +255,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d.List.PutInstance(platform.Instance{Name: p.Name, Zone: p.Zone, PeerAddr: i.PeerAddr(), HTTPAddr: i.HTTPAddr(), State: platform.StateLive})
+	d.List.PutInstance(logservice.Instance{Name: p.Name, Zone: p.Zone, PeerAddr: i.PeerAddr(), HTTPAddr: i.HTTPAddr(), State: logservice.StateLive})
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !slices.Contains(d.order, p.Name) {
