wire: samples of the new messages

Cause: the previous commits added kinds of messages without the samples that TestEveryKindRoundTrips asks for; that test failed since. It passes now.

--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -11,6 +11,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"ragwortstile/internal/history"
 	"ragwortstile/internal/id"
 	"ragwortstile/internal/program"
 	"ragwortstile/internal/record"
@@ -40,6 +41,16 @@
 		Copies{Copies: []Copy{{Slot: 1}}, More: true}, CopyDrop{Slot: 1, Session: "a.1", Refs: []uint64{1, 1 << 60}},
 		ManifestGet{Min: 3}, Manifest{Version: 4, Digest: "d", JSON: []byte("{}")},
 		Explain{Tenant: "t", Program: "p01-x"}, Explained{Decisions: []program.Decision{{Call: call, Executed: record.ExecutedYes}}},
+		TurnBegin{Part: 3, Begin: history.Begin{Program: "p", Turn: "t", Previous: "s", MaxTokens: 9, Budget: 99, Limited: true, Known: true, Longest: time.Second}},
+		TurnBegun{Outcome: history.Granted, Body: []byte("x")}, TurnConfirm{Part: 3, Program: "p", Turn: "t"},
+		TurnEnd{Part: 3, End: history.End{Program: "p", Turn: "t", Whole: true, Input: []byte("i"), Output: []byte("o"), Tokens: 5, Most: 9, Keep: time.Minute}},
+		TurnFind{Turn: "t"}, TurnFound{Found: true, Body: []byte("x"), Parts: []int{1, 2}, Doubtful: true},
+		TurnAdopt{Part: 3, Turn: "t", Body: []byte("x"), Keep: time.Minute},
+		HistoryHold{Part: 3, Epoch: 7, Records: [][]byte{{1}, {2}}}, HistoryHeld{Held: true, StoreReached: true},
+		HistoryCollect{Part: 3, Epoch: 7}, HistoryCollected{Records: [][]byte{{1}}}, HistoryKept{Part: 3, Epoch: 7},
+		GroupChanged{}, Holding{Member: "a@1.2.3.4:5", Claims: []Claim{{Part: 3, Epoch: 7}}},
+		LoadReport{Endpoints: []EndpointLoad{{ID: "e1", Running: 2}}}, BeliefsGet{},
+		Beliefs{Config: []byte("{}"), Age: time.Second, Endpoints: []KeyedRecord{{Key: "e1", Value: []byte("{}")}}, Holding: []Holding{{Member: "a@b"}}},
 		StatusGet{}, Status{Session: "a.1", Slots: SlotEpochs{{Slot: 2, Epoch: 3}}, Peers: []PeerAge{{Session: "b.1", Age: 2}}},
 	}
 }
