ledger, gateway: instances that are cut off give up partitions or follow peers

Change: such an instance follows holders, configuration and endpoints by a peer whose configuration is fresh; one that reaches at most a quarter of the members leaves the group and reports that it isn't ready.

--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -176,21 +176,6 @@
 
 // followEndpoints keeps the list of endpoints.
 func (b *beliefs) followEndpoints(ctx context.Context, within time.Duration) error {
-	whole := func(items []store.Item) {
-		ids := make(map[string]bool, len(items))
-		for _, i := range items {
-			ids[i.Key] = true
-		}
-		now := time.Now()
-		for _, id := range b.list.Keep(ids, now) {
-			delete(b.raw, id)
-			b.log.WithField("endpoint", id).Info("endpoint is not in the list any more")
-		}
-		for _, i := range items {
-			b.takeEndpoint(i, now)
-		}
-		b.publish(now, true)
-	}
 	change := func(items []store.Item) {
 		now := time.Now()
 		changed := false
@@ -199,7 +184,7 @@
 		}
 		b.publish(now, changed)
 	}
-	return b.follow(ctx, b.lists.EndpointTopic, 0, within/endpointFraction, whole, change)
+	return b.follow(ctx, b.lists.EndpointTopic, 0, within/endpointFraction, b.takeEndpoints, change)
 }
 
 // takeEndpoint takes an entry or a removal. It tells whether the endpoints to be used changed.
@@ -257,15 +242,32 @@
 	defer b.mu.Unlock()
 	b.log.WithFields(logrus.Fields{"peer": from, "age": m.Age.Milliseconds(), "count": len(m.Endpoints)}).Info("beliefs borrowed, the store is out of reach")
 	b.takeConfig(store.Item{Key: b.lists.ConfigKey, Value: m.Config})
-	now := time.Now()
+	items := make([]store.Item, 0, len(m.Endpoints))
 	for _, r := range m.Endpoints {
-		b.takeEndpoint(store.Item{Key: r.Key, Value: r.Value}, now)
+		items = append(items, store.Item{Key: r.Key, Value: r.Value})
 	}
+	b.takeEndpoints(items)
 	b.list.Lost()
-	b.publish(now, true)
 	return b.known()
 }
 
+// takeEndpoints takes a whole list.
+func (b *beliefs) takeEndpoints(items []store.Item) {
+	ids := make(map[string]bool, len(items))
+	for _, i := range items {
+		ids[i.Key] = true
+	}
+	now := time.Now()
+	for _, id := range b.list.Keep(ids, now) {
+		delete(b.raw, id)
+		b.log.WithField("endpoint", id).Info("endpoint is not in the list any more")
+	}
+	for _, i := range items {
+		b.takeEndpoint(i, now)
+	}
+	b.publish(now, true)
+}
+
 // publish makes the list available to requests.
 func (b *beliefs) publish(now time.Time, changed bool) {
 	for _, id := range b.list.Expire(now) {
@@ -335,3 +337,10 @@
 	defer d.mu.Unlock()
 	return d.failures > 0
 }
+
+// lost tells whether several calls in a row failed.
+func (d *dependency) lost() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.lostAt.IsZero()
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -42,6 +43,9 @@
 	// borrowEvery is the time between questions to peers while an instance that has just started cannot
 	// read the store.
 	borrowEvery = 150 * time.Millisecond
+	// borrowAgain is the same for an instance that has beliefs, and borrowTries the number of peers asked.
+	borrowAgain = 400 * time.Millisecond
+	borrowTries = 3
 	// reportEvery is the time between reports of load to peers.
 	reportEvery = 100 * time.Millisecond
 	pruneEvery  = time.Second
@@ -188,9 +192,11 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
-// ready tells whether the instance takes callers. An outage of the store changes nothing: others would
-// not serve them better.
-func (g *Gateway) ready() bool { return !g.stopping.Load() && g.beliefs.known() }
+// ready tells whether the instance takes callers. An outage of the store changes nothing, since others would
+// not serve them better; they do when this instance is cut off from them.
+func (g *Gateway) ready() bool {
+	return !g.stopping.Load() && g.beliefs.known() && !g.ledger.Isolated()
+}
 
 // service runs a function as a supervised service.
 type service struct {
@@ -212,30 +218,53 @@
 	g.log.WithField("reason", e.String()).Error("supervised service ended")
 }
 
-// borrow gets the configuration and the endpoints from peers while the store doesn't give them. Once both are
-// known it ends.
+// borrow gets the configuration, the endpoints and the holders of the history from peers while the store
+// doesn't give them to this instance.
 func (g *Gateway) borrow(ctx context.Context) error {
-	for !g.beliefs.known() {
+	for {
+		known := g.beliefs.known()
+		pause := borrowEvery
+		if known {
+			pause = borrowAgain
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-time.After(borrowEvery):
+		case <-time.After(pause):
 		}
-		if !g.storeDep.failing() {
+		if known && !g.storeDep.lost() || !g.storeDep.failing() {
 			continue
 		}
 		g.dialSeeds(ctx)
-		for _, r := range g.node.Connected() {
-			actx, cancel := context.WithTimeout(ctx, borrowEvery)
-			reply, err := g.node.Ask(actx, r.Session, wire.BeliefsGet{})
-			cancel()
-			if b, ok := reply.(wire.Beliefs); ok && err == nil && g.beliefs.borrow(b, string(r.Session)) {
-				g.ledger.Borrow(b.Holding)
+		remotes := g.node.Connected()
+		rand.Shuffle(len(remotes), func(i, j int) { remotes[i], remotes[j] = remotes[j], remotes[i] })
+		for _, r := range remotes[:min(len(remotes), borrowTries)] {
+			if g.borrowFrom(ctx, r.Session, known) {
 				break
 			}
 		}
 	}
-	return suture.ErrDoNotRestart
+}
+
+// borrowFrom takes the beliefs of a peer. Where this instance has some, those of a peer count only if the
+// store serves it.
+func (g *Gateway) borrowFrom(ctx context.Context, from id.Session, known bool) bool {
+	actx, cancel := context.WithTimeout(ctx, borrowEvery)
+	defer cancel()
+	reply, err := g.node.Ask(actx, from, wire.BeliefsGet{})
+	if err != nil {
+		g.log.WithFields(logrus.Fields{"peer": string(from), "reason": err.Error()}).Debug("beliefs not borrowed")
+		return false
+	}
+	b, ok := reply.(wire.Beliefs)
+	if !ok || known && b.Age > g.settings.ConfigWithin {
+		return false
+	}
+	if !g.beliefs.borrow(b, string(from)) {
+		return false
+	}
+	g.ledger.Borrow(b.Holding)
+	return true
 }
 
 // dialSeeds connects with the seeds while no peer is connected.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -69,7 +69,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	if g.stopping.Load() {
+	if g.stopping.Load() || g.ledger.Isolated() {
 		w.Header().Set("Connection", "close")
 	}
 	q := &request{g: g, w: w, r: r, meta: g.protocol.Decode(r.Header), start: time.Now()}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -94,6 +94,8 @@
 	keep       time.Duration
 	leaving    bool
 	lastOwners time.Time
+	ownersRead time.Time // when the holders were last read from the store
+	isolation  isolation
 	refresh    chan struct{}
 	rejoin     chan struct{}
 }
@@ -146,6 +148,7 @@
 		case <-l.rejoin:
 			l.join(ctx)
 		case <-join.C:
+			l.checkIsolation(ctx)
 			l.join(ctx)
 			join.Reset(l.ttl / joinFraction)
 		case <-l.refresh:
@@ -163,6 +166,11 @@
 	l.mu.Lock()
 	l.leaving = true
 	l.mu.Unlock()
+	l.giveUp(ctx)
+}
+
+// giveUp releases all partitions and leaves the group.
+func (l *Ledger) giveUp(ctx context.Context) {
 	l.release()
 	l.handOver(ctx)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -219,9 +227,7 @@
 	l.mu.Lock()
 	for _, h := range holders {
 		for _, c := range h.Claims {
-			if l.owners[c.Part] == "" || c.Epoch > l.claims[c.Part] {
-				l.owners[c.Part], l.claims[c.Part] = h.Member, c.Epoch
-			}
+			l.owners[c.Part], l.claims[c.Part] = h.Member, max(c.Epoch, l.claims[c.Part])
 		}
 		if p, ok := splitMember(h.Member); ok && p.Instance != l.cfg.Instance {
 			peers = append(peers, p)
@@ -275,7 +281,7 @@
 // join renews the membership and takes up or gives up partitions.
 func (l *Ledger) join(ctx context.Context) {
 	l.mu.Lock()
-	leaving, generation := l.leaving, l.generation
+	leaving, generation := l.leaving || l.isolation.isolated, l.generation
 	l.mu.Unlock()
 	if leaving {
 		return
@@ -364,6 +370,7 @@
 		l.cfg.Log.WithField("reason", err.Error()).Debug("reading assignments failed")
 		return
 	}
+	l.ownersRead = time.Now()
 	peers := make(map[string]peer.Peer)
 	for _, row := range rows {
 		if row.Topic != topic || row.Member == "" {
@@ -434,7 +441,7 @@
 		if err == nil || errors.Is(err, errWrongReply) {
 			return err
 		}
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || l.Isolated() {
 			return fmt.Errorf("%w: %w", ErrUnavailable, err)
 		}
 		l.poke(l.refresh)
