balance, gateway: rates of failures and hanging answers; clearer fields in the log

Change: a decaying rate of failures, answers overdue against the usual time, told to peers. Ruled out: health probes (they answer well there, and are priced). TestHangingEndpoints, TestPartlyFailingEndpoint. Refused callers come back over a span of 60 ms.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -8,6 +8,7 @@
 package balance
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 )
@@ -17,12 +18,21 @@
 	smoothing = 0.15
 	// peerLoadAge is how long a peer's report counts. Reports come several times in this span.
 	peerLoadAge = 600 * time.Millisecond
-	// failureRest keeps new requests off an endpoint after failures in a row, doubled by each up to
-	// maxRest.
-	failureRest = 50 * time.Millisecond
-	maxRest     = 2 * time.Second
-	// refusalRest does the same after an endpoint said that it was full.
+	// failureWeight is the weight of the newest outcome in an endpoint's rate of failures.
+	failureWeight = 0.2
+	// failureMemory is the time in which a rate of failures falls to a third without new outcomes, so that
+	// the endpoint is tried again.
+	failureMemory = 4 * time.Second
+	// failureCost is what a failure costs its caller: a pause and another attempt, or the program.
+	failureCost = 1.0 // seconds
+	// refusalRest keeps new requests off an endpoint that said that it was full.
 	refusalRest = 25 * time.Millisecond
+	// overdueFactor times the usual time, and overdueSlack, is how long an answer may take to begin before
+	// the endpoint counts as hanging.
+	overdueFactor = 4
+	overdueSlack  = 0.3 // seconds
+	// peerOverdue is the share of its own delay that a peer's report of hanging counts for.
+	peerOverdue = 0.3 // seconds
 	// explore is the part of the expected time by which estimates are varied, so that instances with the
 	// same knowledge don't all choose the same endpoint.
 	explore = 0.08
@@ -54,20 +64,55 @@
 
 // state is what is known of an endpoint.
 type state struct {
-	running  int
-	took     float64 // moving average of seconds a request takes when it doesn't wait; 0 when unknown
-	failures int
-	rest     time.Time
+	running int
+	took    float64 // moving average of seconds a request takes when it doesn't wait; 0 when unknown
+	failing float64 // rate of failures, as of failedAt
+	failed  time.Time
+	rest    time.Time
+	waiting map[int64]time.Time // requests whose answer hasn't begun, by number
+}
+
+// failureRate is the rate of failures as of now.
+func (s *state) failureRate(now time.Time) float64 {
+	if s.failing == 0 {
+		return 0
+	}
+	return s.failing * math.Exp(-now.Sub(s.failed).Seconds()/failureMemory.Seconds())
+}
+
+func (s *state) outcome(failed bool, now time.Time) {
+	rate := (1 - failureWeight) * s.failureRate(now)
+	if failed {
+		rate += failureWeight
+	}
+	s.failing, s.failed = rate, now
+}
+
+// delay is how long the oldest answer that hasn't begun is overdue, in seconds.
+func (s *state) delay(usual float64, now time.Time) float64 {
+	allowed := overdueFactor*max(s.took, usual) + overdueSlack
+	worst := 0.0
+	for _, since := range s.waiting {
+		worst = max(worst, now.Sub(since).Seconds()-allowed)
+	}
+	return worst
+}
+
+// Load is what an instance has at an endpoint.
+type Load struct {
+	Running int
+	Overdue bool // an answer takes far longer to begin than usual
 }
 
 type report struct {
-	running map[string]int
-	at      time.Time
+	loads map[string]Load
+	at    time.Time
 }
 
 // Balancer holds what an instance knows of the load of endpoints. It is not safe for concurrent use.
 type Balancer struct {
 	events float64 // moving average of the events of a stream
+	number int64   // of the newest request
 	zone   string
 	states map[string]*state
 	peers  map[string]report
@@ -131,7 +176,7 @@
 	if took == 0 {
 		took = usual
 	}
-	cost := took * (1 - saved)
+	cost := took*(1-saved) + failureCost*s.failureRate(now) + s.delay(usual, now) + peerOverdue*float64(b.peersOverdue(e.ID, now))
 	if e.Cold > 0 {
 		cost *= coldFactor
 	}
@@ -148,6 +193,17 @@
 	return cost * (1 + explore*b.rand.Float64())
 }
 
+// peersOverdue is the number of peers for which an endpoint hangs.
+func (b *Balancer) peersOverdue(id string, now time.Time) int {
+	n := 0
+	for _, r := range b.peers {
+		if now.Sub(r.at) < peerLoadAge && r.loads[id].Overdue {
+			n++
+		}
+	}
+	return n
+}
+
 // usual is the mean time of the candidates that are known.
 func (b *Balancer) usual(candidates []Endpoint) float64 {
 	sum, n := 0.0, 0
@@ -171,7 +227,7 @@
 	}
 	for _, r := range b.peers {
 		if now.Sub(r.at) < peerLoadAge {
-			load += r.running[id]
+			load += r.loads[id].Running
 		}
 	}
 	return load
@@ -186,8 +242,20 @@
 	return running, slots
 }
 
-// Sent notes that a request is on its way to an endpoint.
-func (b *Balancer) Sent(id string) { b.state(id).running++ }
+// Sent notes that a request is on its way to an endpoint. It returns the number of the request.
+func (b *Balancer) Sent(id string, now time.Time) int64 {
+	s := b.state(id)
+	s.running++
+	b.number++
+	if s.waiting == nil {
+		s.waiting = make(map[int64]time.Time)
+	}
+	s.waiting[b.number] = now
+	return b.number
+}
+
+// Answering notes that the answer of a request has begun.
+func (b *Balancer) Answering(id string, number int64) { delete(b.state(id).waiting, number) }
 
 // Result tells how a request ended at an endpoint.
 type Result uint8
@@ -201,12 +269,14 @@
 )
 
 // Ended notes the end of a request. took is its time, or 0 if that says nothing of the endpoint.
-func (b *Balancer) Ended(id string, result Result, took time.Duration, now time.Time) {
+func (b *Balancer) Ended(id string, number int64, result Result, took time.Duration, now time.Time) {
 	s := b.state(id)
 	s.running = max(s.running-1, 0)
+	since, unanswered := s.waiting[number]
+	delete(s.waiting, number)
 	switch result {
 	case Served:
-		s.failures = 0
+		s.outcome(false, now)
 		if took > 0 {
 			if s.took == 0 {
 				s.took = took.Seconds()
@@ -216,9 +286,12 @@
 	case Refused:
 		s.rest = now.Add(refusalRest)
 	case Failed:
-		s.failures++
-		s.rest = now.Add(min(failureRest<<min(s.failures, 6), maxRest))
+		s.outcome(true, now)
 	case Left:
+		// A caller that leaves before an answer that was long due says something of the endpoint.
+		if unanswered && now.Sub(since).Seconds() > overdueFactor*max(s.took, unknownTime)+overdueSlack {
+			s.outcome(true, now)
+		}
 	}
 }
 
@@ -237,20 +310,20 @@
 	return first + time.Duration(pace*max(b.events-1, 0))
 }
 
-// Own returns the instance's own requests by endpoint.
-func (b *Balancer) Own() map[string]int {
-	own := make(map[string]int)
+// Own returns what the instance has at endpoints.
+func (b *Balancer) Own(now time.Time) map[string]Load {
+	own := make(map[string]Load)
 	for id, s := range b.states {
 		if s.running > 0 {
-			own[id] = s.running
+			own[id] = Load{Running: s.running, Overdue: s.delay(unknownTime, now) > 0}
 		}
 	}
 	return own
 }
 
 // Peer takes the report of a peer.
-func (b *Balancer) Peer(name string, running map[string]int, now time.Time) {
-	b.peers[name] = report{running: running, at: now}
+func (b *Balancer) Peer(name string, loads map[string]Load, now time.Time) {
+	b.peers[name] = report{loads: loads, at: now}
 }
 
 // Keep drops what is known of endpoints that are not listed and have no requests.
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -20,8 +20,7 @@
 
 func learn(b *Balancer, id string, took time.Duration) {
 	for range 30 {
-		b.Sent(id)
-		b.Ended(id, Served, took, now)
+		b.Ended(id, b.Sent(id, now), Served, took, now)
 	}
 }
 
@@ -45,11 +44,11 @@
 	learn(b, "slow", 180*time.Millisecond)
 	must.Eq(t, map[string]int{"fast": 100}, counts(b, q, 100))
 	for range 4 {
-		b.Sent("fast")
+		b.Answering("fast", b.Sent("fast", now))
 	}
 	must.Eq(t, map[string]int{"fast": 100}, counts(b, q, 100))
 	for range 3 {
-		b.Sent("fast")
+		b.Answering("fast", b.Sent("fast", now))
 	}
 	must.Eq(t, map[string]int{"slow": 100}, counts(b, q, 100))
 }
@@ -58,7 +57,7 @@
 func TestLoadOfPeers(t *testing.T) {
 	b := New("z", 1)
 	q := Query{Candidates: endpoints("1", "2")}
-	b.Peer("p", map[string]int{"1": 9}, now)
+	b.Peer("p", map[string]Load{"1": {Running: 9}}, now)
 	must.Eq(t, map[string]int{"2": 50}, counts(b, q, 50))
 	e, load, ok := b.Pick(Query{Candidates: endpoints("1")}, now)
 	must.True(t, ok)
@@ -75,12 +74,11 @@
 	for _, result := range []Result{Failed, Refused} {
 		b := New("z", 1)
 		q := Query{Candidates: endpoints("1", "2")}
-		b.Sent("1")
-		b.Ended("1", result, 0, now)
+		b.Ended("1", b.Sent("1", now), result, 0, now)
 		must.Eq(t, map[string]int{"2": 50}, counts(b, q, 50))
 		got := make(map[string]int)
 		for range 50 {
-			e, _, _ := b.Pick(q, now.Add(maxRest))
+			e, _, _ := b.Pick(q, now.Add(time.Minute))
 			got[e.ID]++
 		}
 		must.MapLen(t, 2, got)
@@ -119,8 +117,7 @@
 		events := 2 + r.Int64N(10)
 		first := 20 * time.Millisecond
 		took := b.StreamTime(first, first+time.Duration(events-1)*30*time.Millisecond, events)
-		b.Sent("1")
-		b.Ended("1", Served, took, now)
+		b.Ended("1", b.Sent("1", now), Served, took, now)
 	}
 	want := (20 + 30*(b.events-1)) / 1000
 	must.InDelta(t, want, b.states["1"].took, 0.05)
@@ -130,10 +127,52 @@
 func TestForgottenEndpoints(t *testing.T) {
 	b := New("z", 1)
 	learn(b, "1", time.Second)
-	b.Sent("2")
+	b.Sent("2", now)
 	b.Peer("p", nil, now)
 	b.Keep(map[string]bool{}, now.Add(time.Second))
 	must.MapLen(t, 1, b.states) // a request is still there
 	must.MapLen(t, 0, b.peers)
-	must.Eq(t, map[string]int{"2": 1}, b.Own())
+	must.Eq(t, map[string]Load{"2": {Running: 1}}, b.Own(now))
+}
+
+// Endpoints that hang keep their requests without an answer. They are avoided while that lasts, by peers too.
+func TestHangingEndpoints(t *testing.T) {
+	b := New("z", 1)
+	q := Query{Candidates: endpoints("1", "2")}
+	learn(b, "1", 50*time.Millisecond)
+	learn(b, "2", 100*time.Millisecond)
+	number := b.Sent("1", now)
+	late := now.Add(1500 * time.Millisecond)
+	for range 50 {
+		e, _, _ := b.Pick(q, late)
+		must.Eq(t, "2", e.ID)
+	}
+	own := b.Own(late)
+	must.True(t, own["1"].Overdue)
+	peer := New("z", 1)
+	peer.Peer("p", own, late)
+	for range 50 {
+		e, _, _ := peer.Pick(q, late)
+		must.Eq(t, "2", e.ID)
+	}
+	b.Ended("1", number, Left, 0, late)
+	must.Greater(t, 0.1, b.states["1"].failureRate(late))
+}
+
+// An endpoint fails a part of its requests. It gets fewer than the sound ones, and more again later.
+func TestPartlyFailingEndpoint(t *testing.T) {
+	b := New("z", 1)
+	q := Query{Candidates: endpoints("1", "2")}
+	learn(b, "1", 50*time.Millisecond)
+	learn(b, "2", 70*time.Millisecond)
+	for i := range 20 {
+		result := Served
+		if i%3 == 0 {
+			result = Failed
+		}
+		b.Ended("1", b.Sent("1", now), result, 50*time.Millisecond, now)
+	}
+	must.Eq(t, map[string]int{"2": 50}, counts(b, q, 50))
+	e, _, _ := b.Pick(q, now.Add(time.Minute))
+	must.Eq(t, "1", e.ID)
 }
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -209,7 +209,7 @@
 	changed := b.list.Put(e)
 	if changed {
 		b.log.WithFields(logrus.Fields{
-			"endpoint": e.ID, "name": e.Service, "remote": e.Addr, "zone": e.Zone, "status": leavingWord(e.Leaving), "offset": i.Offset,
+			"endpoint": e.ID, "service": e.Service, "remote": e.Addr, "zone": e.Zone, "status": leavingWord(e.Leaving), "offset": i.Offset,
 		}).Info("endpoint listed")
 	}
 	return changed
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -307,7 +307,7 @@
 			return ctx.Err()
 		case <-tick.C:
 			g.mu.Lock()
-			own := g.balancer.Own()
+			own := g.balancer.Own(time.Now())
 			due := len(own) > 0 || g.lastLoad
 			g.lastLoad = len(own) > 0
 			g.mu.Unlock()
@@ -315,8 +315,8 @@
 				continue
 			}
 			report := wire.LoadReport{Endpoints: make([]wire.EndpointLoad, 0, len(own))}
-			for id, n := range own {
-				report.Endpoints = append(report.Endpoints, wire.EndpointLoad{ID: id, Running: n})
+			for id, load := range own {
+				report.Endpoints = append(report.Endpoints, wire.EndpointLoad{ID: id, Running: load.Running, Overdue: load.Overdue})
 			}
 			if _, err := g.node.Broadcast(report); err != nil {
 				g.log.WithField("reason", err.Error()).Warn("load report not sent")
@@ -344,12 +344,12 @@
 	case wire.HistoryKept:
 		h.ledger.Kept(m)
 	case wire.LoadReport:
-		running := make(map[string]int, len(m.Endpoints))
+		loads := make(map[string]balance.Load, len(m.Endpoints))
 		for _, e := range m.Endpoints {
-			running[e.ID] = e.Running
+			loads[e.ID] = balance.Load{Running: e.Running, Overdue: e.Overdue}
 		}
 		h.mu.Lock()
-		h.balancer.Peer(r.Session.Instance(), running, time.Now())
+		h.balancer.Peer(r.Session.Instance(), loads, time.Now())
 		h.mu.Unlock()
 	default:
 		h.log.WithFields(logrus.Fields{"peer": string(r.Session), "name": m.Kind().String()}).Debug("message passed over")
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -23,7 +24,9 @@
 	// maxUnsent bounds the endpoints that are tried without anything having been sent to them.
 	maxUnsent = 4
 	// returnSoon is after how long a refused caller may come back when nothing is known to be busy.
-	returnSoon = 60 * time.Millisecond
+	returnSoon = 40 * time.Millisecond
+	// returnSpread is the span over which refused callers come back, so that they don't come at once.
+	returnSpread = 60 * time.Millisecond
 	// defaultWait is how long a caller waits that doesn't say.
 	defaultWait = 30 * time.Second
 )
@@ -144,7 +147,7 @@
 func (q *request) refuse(status int, reason string) {
 	var retryAfter time.Duration
 	if status == http.StatusServiceUnavailable {
-		retryAfter = returnSoon
+		retryAfter = returnSoon + rand.N(returnSpread)
 	}
 	h := q.w.Header()
 	q.g.protocol.EncodeRefusal(h, q.meta.ID, retryAfter)
@@ -158,12 +161,12 @@
 func (q *request) ended(status int, reason string) {
 	took := time.Since(q.start)
 	fields := logrus.Fields{
-		"status": status, "took": took.Milliseconds(), "version": q.version, "count": q.sends,
+		"status": status, "took": took.Milliseconds(), "config": q.version, "sends": q.sends,
 	}
 	name := ""
 	if q.route != nil {
 		name = q.route.Name
-		fields["name"] = name
+		fields["route"] = name
 	}
 	if reason != "" {
 		fields["reason"] = reason
@@ -175,25 +178,39 @@
 // left tells whether the caller has gone.
 func (q *request) left() bool { return q.r.Context().Err() != nil }
 
+// place is a request at an endpoint.
+type place struct {
+	balance.Endpoint
+	number int64 // of the request at the balancer
+}
+
 // pick chooses an endpoint.
-func (q *request) pick(service string, saves map[string]float64) (balance.Endpoint, bool) {
+func (q *request) pick(service string, saves map[string]float64) (place, bool) {
 	candidates := q.g.beliefs.candidates(service)
 	q.g.mu.Lock()
 	e, load, ok := q.g.balancer.Pick(balance.Query{Candidates: candidates, Tried: q.tried, Saves: saves, Connected: q.g.pool.Has}, time.Now())
+	number := int64(0)
 	if ok {
-		q.g.balancer.Sent(e.ID)
+		number = q.g.balancer.Sent(e.ID, time.Now())
 	}
 	q.g.mu.Unlock()
 	if ok {
-		q.log.WithFields(logrus.Fields{"endpoint": e.ID, "zone": e.Zone, "slot": load, "attempt": q.sends + 1, "age": time.Since(q.start).Milliseconds()}).
+		q.log.WithFields(logrus.Fields{"endpoint": e.ID, "zone": e.Zone, "load": load, "config": q.version, "attempt": q.sends + 1, "age": time.Since(q.start).Milliseconds()}).
 			Info("endpoint chosen")
 	}
-	return e, ok
+	return place{Endpoint: e, number: number}, ok
+}
+
+// answering notes that the answer has begun.
+func (q *request) answering(e place) {
+	q.g.mu.Lock()
+	q.g.balancer.Answering(e.ID, e.number)
+	q.g.mu.Unlock()
 }
 
-func (q *request) done(e balance.Endpoint, result balance.Result, took time.Duration) {
+func (q *request) done(e place, result balance.Result, took time.Duration) {
 	q.g.mu.Lock()
-	q.g.balancer.Ended(e.ID, result, took, time.Now())
+	q.g.balancer.Ended(e.ID, e.number, result, took, time.Now())
 	q.g.mu.Unlock()
 }
 
@@ -207,7 +224,7 @@
 }
 
 // send writes the request to an endpoint and returns the head of the answer.
-func (q *request) send(ctx context.Context, e balance.Endpoint, body []byte) (*upstream.Response, Reply, error) {
+func (q *request) send(ctx context.Context, e place, body []byte) (*upstream.Response, Reply, error) {
 	var reply Reply
 	left := time.Until(q.ends)
 	resp, err := q.g.pool.Do(ctx, e.Addr, upstream.Request{
@@ -289,7 +306,7 @@
 	}
 }
 
-func (q *request) plainAttempt(ctx context.Context, e balance.Endpoint) verdict {
+func (q *request) plainAttempt(ctx context.Context, e place) verdict {
 	begun := time.Now()
 	resp, reply, err := q.send(ctx, e, q.body)
 	if err != nil {
@@ -315,7 +332,7 @@
 var errUnusable = errors.New("answer is not usable")
 
 // failed notes an attempt without a usable answer.
-func (q *request) failed(ctx context.Context, e balance.Endpoint, err error) verdict {
+func (q *request) failed(ctx context.Context, e place, err error) verdict {
 	fields := logrus.Fields{"endpoint": e.ID, "reason": err.Error(), "age": time.Since(q.start).Milliseconds()}
 	if ctx.Err() != nil {
 		q.done(e, balance.Left, 0)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -150,7 +150,7 @@
 }
 
 // attempt sends the turn to an endpoint and passes its events on.
-func (t *turn) attempt(ctx context.Context, e balance.Endpoint, confirmed <-chan error) verdict {
+func (t *turn) attempt(ctx context.Context, e place, confirmed <-chan error) verdict {
 	q := t.request
 	begun := time.Now()
 	body := q.body
@@ -180,6 +180,7 @@
 		resp.Discard()
 		return q.failed(ctx, e, errors.Join(errUnusable, err))
 	}
+	q.answering(e)
 	select {
 	case err = <-confirmed:
 	case <-ctx.Done():
@@ -195,7 +196,7 @@
 }
 
 // failureAnswer passes an endpoint's own failure on.
-func (t *turn) failureAnswer(ctx context.Context, e balance.Endpoint, resp *upstream.Response) verdict {
+func (t *turn) failureAnswer(ctx context.Context, e place, resp *upstream.Response) verdict {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err != nil {
 		resp.Discard()
@@ -210,7 +211,7 @@
 
 // pass hands the events on. From here on the answer has begun: it ends whole, or the connection breaks.
 func (t *turn) pass(
-	ctx context.Context, e balance.Endpoint, resp *upstream.Response, reader *eventReader, first event, begun time.Time, sent int,
+	ctx context.Context, e place, resp *upstream.Response, reader *eventReader, first event, begun time.Time, sent int,
 ) {
 	q := t.request
 	closing := q.w.Header().Get("Connection")
@@ -240,7 +241,7 @@
 		}
 	}
 	q.log.WithFields(logrus.Fields{
-		"endpoint": e.ID, "bytes": sent, "age": firstAt.Milliseconds(), "offset": time.Since(ended).Milliseconds(), "slot": t.events,
+		"endpoint": e.ID, "bytes": sent, "first": firstAt.Milliseconds(), "waited": time.Since(ended).Milliseconds(), "events": t.events,
 	}).Info("stream passed on")
 	q.ended(resp.Status, "")
 }
--- a/internal/ledger/copies.go
+++ b/internal/ledger/copies.go
@@ -212,7 +212,7 @@
 		err = l.adoptAt(actx, part, r.Turn, body)
 		cancel()
 		if err == nil {
-			k.lines.WithFields(logrus.Fields{"call": r.Turn, "count": part}).Info("turn kept in another partition")
+			k.lines.WithFields(logrus.Fields{"call": r.Turn, "name": fmt.Sprint("partition ", part)}).Info("turn kept in another partition")
 			return nil
 		}
 	}
@@ -305,7 +305,7 @@
 		for _, r := range l.cfg.Node.Connected() {
 			wg.Go(func() {
 				if _, err := l.cfg.Node.Ask(ctx, r.Session, m); err != nil {
-					l.cfg.Log.WithFields(logrus.Fields{"peer": string(r.Session), "slot": m.Part, "reason": err.Error()}).Warn("copies not handed over")
+					l.cfg.Log.WithFields(logrus.Fields{"peer": string(r.Session), "part": m.Part, "reason": err.Error()}).Warn("copies not handed over")
 				}
 			})
 		}
@@ -355,7 +355,7 @@
 		go func() {
 			reply, err := l.cfg.Node.Ask(ctx, r.Session, wire.HistoryCollect{Part: part, Epoch: epoch})
 			if err != nil {
-				l.cfg.Log.WithFields(logrus.Fields{"peer": string(r.Session), "reason": err.Error(), "slot": part}).Info("copies not collected")
+				l.cfg.Log.WithFields(logrus.Fields{"peer": string(r.Session), "reason": err.Error(), "part": part}).Info("copies not collected")
 			}
 			collected, _ := reply.(wire.HistoryCollected)
 			answers <- collected.Records
--- a/internal/ledger/isolation.go
+++ b/internal/ledger/isolation.go
@@ -70,7 +70,7 @@
 	isolated, doubtful := l.isolation.isolated, !l.isolation.since.IsZero()
 	l.mu.Unlock()
 	if changed {
-		l.cfg.Log.WithFields(logrus.Fields{"count": reached, "offset": len(members), "status": isolatedWord(isolated)}).
+		l.cfg.Log.WithFields(logrus.Fields{"reached": reached, "members": len(members), "status": isolatedWord(isolated)}).
 			Warn("reach of the other instances changed")
 	}
 	if changed && isolated {
--- a/internal/ledger/keeper.go
+++ b/internal/ledger/keeper.go
@@ -111,7 +111,7 @@
 func newKeeper(part store.Partition, generation int64, name string, limit int, log store.Log, lines logrus.FieldLogger, watch func(error)) *keeper {
 	return &keeper{
 		part: part, generation: generation, limit: limit, name: name, log: log, watch: watch,
-		lines:    lines.WithFields(logrus.Fields{"slot": part.Part}),
+		lines:    lines.WithFields(logrus.Fields{"part": part.Part}),
 		ready:    make(chan struct{}),
 		closed:   make(chan struct{}),
 		state:    history.NewState(),
@@ -296,7 +296,7 @@
 		}
 	}
 	k.lines.WithFields(logrus.Fields{
-		"epoch": k.epoch, "count": records, "offset": from, "took": time.Since(start).Milliseconds(), "bytes": k.state.Turns(),
+		"epoch": k.epoch, "count": records, "offset": from, "took": time.Since(start).Milliseconds(), "turns": k.state.Turns(),
 	}).Info("partition claimed")
 	return nil
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -646,7 +646,7 @@
 			return wire.TurnFound{Found: true, Body: body}
 		}
 		if err != nil {
-			l.cfg.Log.WithFields(logrus.Fields{"slot": part, "reason": err.Error()}).Info("partition not searched")
+			l.cfg.Log.WithFields(logrus.Fields{"part": part, "reason": err.Error()}).Info("partition not searched")
 			continue
 		}
 		found.Parts = append(found.Parts, part)
--- a/internal/wire/turn.go
+++ b/internal/wire/turn.go
@@ -64,6 +64,7 @@
 type EndpointLoad struct {
 	ID      string `msgpack:"id"`
 	Running int    `msgpack:"r"`
+	Overdue bool   `msgpack:"o"` // an answer takes far longer to begin than usual
 }
 
 // HistoryHold asks a peer to hold copies of records that the store doesn't take. The reply is HistoryHeld.
