ledger: a keeper that has ended does not answer for its partition

Ruled out: announcements that don't arrive (the new holder was known). TestReplacedHolderAsksTheNewOne fails without the change.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -418,7 +418,7 @@
 func (l *Ledger) holder(part int) (*keeper, id.Session, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if k := l.keepers[part]; k != nil {
+	if k := l.keepers[part]; k != nil && !k.isClosed() {
 		return k, "", nil
 	}
 	p, ok := splitMember(l.owners[part])
@@ -598,9 +598,9 @@
 	defer cancel()
 	l.mu.Lock()
 	remotes := make(map[id.Session]bool)
-	for part, member := range l.owners {
+	for _, member := range l.owners {
 		p, _ := splitMember(member)
-		if session, ok := l.cfg.Node.Session(p.Instance); ok && l.keepers[part] == nil {
+		if session, ok := l.cfg.Node.Session(p.Instance); ok {
 			remotes[session] = true
 		}
 	}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -181,6 +181,19 @@
 	must.Eq(t, "in-t1;out-t1;in-t2;out-t2;", runTurn(t, a, "p", "t4", "t2"))
 }
 
+// A holder that the store refuses, and that has been replaced, asks the new holder.
+func TestReplacedHolderAsksTheNewOne(t *testing.T) {
+	s := storestand.New(1)
+	cut := atomic.Bool{}
+	a := start(t, "a", 1, cutOff{s, &cut})
+	runTurn(t, a, "p", "t1", "")
+	b := start(t, "b", 1, s)
+	time.Sleep(800 * time.Millisecond) // b lets the holder dial first, then connects
+	cut.Store(true)
+	must.Eq(t, "in-t1;out-t1;", runTurn(t, b, "p", "t2", "t1"))
+	must.Eq(t, "in-t1;out-t1;in-t2;out-t2;", runTurn(t, a, "p", "t3", "t2"))
+}
+
 // cutOff is a store that an instance can lose.
 type cutOff struct {
 	*storestand.Store
