ledger: no turn is denied after the store was away, and all connected peers are searched

The search asked only holders of partitions, and only instances that held copies knew of the doubt; holders and copies had been stopped and killed meanwhile. Change: every instance that saw the store away says 503 instead of 404 for the retention, and instances without a partition are asked too. Refusals of the store's own count as answers in one place (store.Answered). TestNoDenialAfterAnOutage fails without the change (404).

--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -307,7 +307,7 @@
 // result takes the outcome of a call. Answers that refuse for a reason of the call's own count as
 // reached.
 func (d *dependency) result(err error) {
-	reached := err == nil || answered(err)
+	reached := store.Answered(err)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if reached {
@@ -323,14 +323,6 @@
 	}
 }
 
-func answered(err error) bool {
-	var moved *store.MovedError
-	var sequence *store.SequenceError
-	var trimmed *store.TrimmedError
-	return errors.Is(err, store.ErrFenced) || errors.Is(err, store.ErrNotMember) ||
-		errors.As(err, &moved) || errors.As(err, &sequence) || errors.As(err, &trimmed)
-}
-
 // failing tells whether the newest call failed.
 func (d *dependency) failing() bool {
 	d.mu.Lock()
--- a/internal/ledger/copies.go
+++ b/internal/ledger/copies.go
@@ -11,6 +11,7 @@
 
 	"ragwortstile/internal/history"
 	"ragwortstile/internal/id"
+	"ragwortstile/internal/store"
 	"ragwortstile/internal/wire"
 )
 
@@ -153,19 +154,31 @@
 	}
 }
 
-// storeWatch remembers when the store last answered.
+// storeWatch remembers when the store last answered, and when it was last away.
 type storeWatch struct {
-	mu sync.Mutex
-	at time.Time
+	mu     sync.Mutex
+	at     time.Time // of the last answer
+	awayAt time.Time // of the last call that failed a while after the last answer
 }
 
-func (w *storeWatch) result(err error) {
-	if err != nil {
-		return
+func (w *storeWatch) result(err error) { w.resultAt(err, time.Now()) }
+
+func (w *storeWatch) resultAt(err error, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case store.Answered(err):
+		w.at = now
+	case now.Sub(w.at) > stallAge:
+		w.awayAt = now
 	}
+}
+
+// away returns when the store was last away; zero if it never was.
+func (w *storeWatch) away() time.Time {
 	w.mu.Lock()
-	w.at = time.Now()
-	w.mu.Unlock()
+	defer w.mu.Unlock()
+	return w.awayAt
 }
 
 func (w *storeWatch) reached() bool {
@@ -314,13 +327,17 @@
 }
 
 // doubtful tells whether records may exist that only memory held for a while, so that a turn which isn't
-// found can't be said not to exist.
+// found can't be said not to exist: this instance held copies, or saw the store away.
 func (l *Ledger) doubtful() bool {
 	l.mu.Lock()
 	keep := l.keep
 	l.mu.Unlock()
-	newest := l.copies.since()
-	return !newest.IsZero() && time.Since(newest) < keep
+	for _, at := range []time.Time{l.copies.since(), l.watch.away()} {
+		if !at.IsZero() && time.Since(at) < keep {
+			return true
+		}
+	}
+	return false
 }
 
 // serveHold takes copies for the holder of a partition.
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -596,21 +596,13 @@
 func (l *Ledger) findOnce(ctx context.Context, turn string) (wire.TurnFound, int) {
 	actx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	l.mu.Lock()
-	remotes := make(map[id.Session]bool)
-	for _, member := range l.owners {
-		p, _ := splitMember(member)
-		if session, ok := l.cfg.Node.Session(p.Instance); ok {
-			remotes[session] = true
-		}
-	}
-	l.mu.Unlock()
+	remotes := l.cfg.Node.Connected() // those without a partition may hold copies
 	answers := make(chan wire.TurnFound, len(remotes)+1)
-	for session := range remotes {
+	for _, r := range remotes {
 		go func() {
-			reply, err := l.cfg.Node.Ask(actx, session, wire.TurnFind{Turn: turn})
+			reply, err := l.cfg.Node.Ask(actx, r.Session, wire.TurnFind{Turn: turn})
 			if err != nil {
-				l.cfg.Log.WithFields(logrus.Fields{"peer": string(session), "reason": err.Error()}).Debug("search failed")
+				l.cfg.Log.WithFields(logrus.Fields{"peer": string(r.Session), "reason": err.Error()}).Debug("search failed")
 			}
 			found, _ := reply.(wire.TurnFound)
 			answers <- found
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -307,6 +307,20 @@
 	}
 }
 
+// After an outage of the store a turn that isn't found is not denied, also by instances that hold no copies.
+func TestNoDenialAfterAnOutage(t *testing.T) {
+	s := storestand.New(2)
+	a := start(t, "a", 2, s)
+	runTurn(t, a, "p", "t1", "")
+	_, err := a.Begin(within(t, 2*time.Second), history.Begin{Program: "p", Turn: "x", Previous: "never"})
+	must.ErrorIs(t, err, ErrUnknownTurn)
+	s.SetFault(away)
+	time.Sleep(2 * stallAge)
+	s.SetFault(nil)
+	_, err = a.Begin(within(t, 2*time.Second), history.Begin{Program: "p", Turn: "x", Previous: "never"})
+	must.ErrorIs(t, err, ErrUnavailable)
+}
+
 // A partition takes no records while the store serves the others: whole turns go to another partition, so
 // that they outlive all instances.
 func TestTurnsOfAPartitionThatIsAway(t *testing.T) {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -38,6 +38,16 @@
 // Error implements error.
 func (e *TrimmedError) Error() string { return fmt.Sprintf("first retained offset is %d", e.First) }
 
+// Answered tells whether the outcome of a call shows that the store is in reach: it succeeded, or was refused
+// for a reason of its own.
+func Answered(err error) bool {
+	var moved *MovedError
+	var sequence *SequenceError
+	var trimmed *TrimmedError
+	return err == nil || errors.Is(err, ErrFenced) || errors.Is(err, ErrNotMember) ||
+		errors.As(err, &moved) || errors.As(err, &sequence) || errors.As(err, &trimmed)
+}
+
 // Partition names a partition of a topic.
 type Partition struct {
 	Topic string
