ledger: copies reach a holder that was out of their reach

Change: peers that learn of a claim offer it the copies they still have; nothing is denied in the first 3 s after a claim; an instance that is dealt all partitions waits for the others to join. Ruled out: loss of the copies (the holders had them; 'copies not handed over' names only the instances without power). TestCopiesReachAHolderThatKnowsNobody. Tests that expect 404 now wait for it, since the answer is 503 while nothing is certain.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -343,6 +343,8 @@
 		h.ledger.Holding(m)
 	case wire.HistoryKept:
 		h.ledger.Kept(m)
+	case wire.HistoryOffer:
+		h.ledger.Offer(m)
 	case wire.LoadReport:
 		loads := make(map[string]balance.Load, len(m.Endpoints))
 		for _, e := range m.Endpoints {
--- a/internal/ledger/copies.go
+++ b/internal/ledger/copies.go
@@ -309,6 +309,38 @@
 	}
 }
 
+// offer gives the holders of partitions the copies that are left here. They were out of reach when the holder
+// collected.
+func (l *Ledger) offer(m wire.Holding) {
+	p, ok := splitMember(m.Member)
+	if !ok || p.Instance == l.cfg.Instance {
+		return
+	}
+	session, ok := l.cfg.Node.Session(p.Instance)
+	if !ok {
+		return
+	}
+	for _, c := range m.Claims {
+		records := l.copies.collect(c.Part, c.Epoch)
+		if len(records) == 0 {
+			continue
+		}
+		if err := l.cfg.Node.Send(session, wire.HistoryOffer{Part: c.Part, Records: records}); err != nil {
+			l.cfg.Log.WithFields(logrus.Fields{"peer": string(session), "part": c.Part, "reason": err.Error()}).Info("copies not offered")
+		}
+	}
+}
+
+// Offer takes copies that a peer offers.
+func (l *Ledger) Offer(m wire.HistoryOffer) {
+	l.mu.Lock()
+	k := l.keepers[m.Part]
+	l.mu.Unlock()
+	if k != nil && k.isServing() {
+		k.recover(m.Records)
+	}
+}
+
 // handOver gives the copies held here to all peers, before this instance ends.
 func (l *Ledger) handOver(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/ledger/keeper.go
+++ b/internal/ledger/keeper.go
@@ -27,7 +27,9 @@
 	refusedPause = 40 * time.Millisecond
 	// stallAge is how long an append may fail before records are made to last otherwise. Slow stores answer
 	// within it.
-	stallAge     = 250 * time.Millisecond
+	stallAge = 250 * time.Millisecond
+	// newClaim is how long after a claim peers may still connect and offer copies.
+	newClaim     = 3 * time.Second
 	protectPause = 10 * time.Millisecond
 	protectRetry = 100 * time.Millisecond
 	// readBytes is the most that one read of a claim returns.
@@ -87,19 +89,20 @@
 	closed chan struct{} // closed when the keeper holds the partition no more
 	cancel context.CancelFunc
 
-	mu       sync.Mutex
-	state    *history.State
-	pending  []*entry
-	sending  []*entry  // the append on its way
-	stalled  time.Time // start of an append that has failed since; zero otherwise
-	stall    chan struct{}
-	granting map[string]*entry // newest grant by program, while it may be on its way
-	changed  chan struct{}     // closed and replaced when an attempt ends
-	wake     chan struct{}
-	sequence int64
-	usual    time.Duration // moving average of an append's time
-	marks    []mark
-	lastTrim time.Time
+	mu        sync.Mutex
+	state     *history.State
+	pending   []*entry
+	sending   []*entry  // the append on its way
+	stalled   time.Time // start of an append that has failed since; zero otherwise
+	stall     chan struct{}
+	granting  map[string]*entry // newest grant by program, while it may be on its way
+	changed   chan struct{}     // closed and replaced when an attempt ends
+	wake      chan struct{}
+	sequence  int64
+	usual     time.Duration // moving average of an append's time
+	marks     []mark
+	lastTrim  time.Time
+	claimedAt time.Time
 }
 
 // mark remembers when the partition ended at an offset.
@@ -127,6 +130,10 @@
 	err := k.claim(ctx)
 	if err == nil {
 		k.recover(k.collect(ctx, k.part.Part, k.epoch))
+		k.mu.Lock()
+		k.state.Recovered()
+		k.claimedAt = time.Now()
+		k.mu.Unlock()
 		close(k.ready)
 		k.claimed(k.part.Part, k.epoch)
 		go k.protectStalled(ctx)
@@ -158,7 +165,6 @@
 		e.copied = true
 		taken++
 	}
-	k.state.Recovered()
 	if len(records) > 0 {
 		k.lines.WithFields(logrus.Fields{"count": taken, "offset": len(records)}).Info("copies of an earlier holder taken over")
 	}
@@ -617,6 +623,13 @@
 	return outcome, body, nil, nil
 }
 
+// isNew tells whether peers that were out of reach at the claim may still come with copies.
+func (k *keeper) isNew(now time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return now.Sub(k.claimedAt) < newClaim
+}
+
 func (k *keeper) isServing() bool {
 	select {
 	case <-k.ready:
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -37,6 +37,9 @@
 	// least that the store allows, since it bounds how long the partitions of an instance that died stay
 	// without a holder.
 	joinFraction = 3
+	// aloneWait is how long an instance that is dealt all partitions waits for others, a little above the time
+	// between two joins.
+	aloneWait = 450 * time.Millisecond
 	// ownersEvery is the time between reads of all assignments while nothing points at a change.
 	ownersEvery = 2 * time.Second
 	// ownersAtOnce is the least time between two such reads.
@@ -94,6 +97,7 @@
 	keep       time.Duration
 	leaving    bool
 	lastOwners time.Time
+	aloneSince time.Time // when all partitions were dealt here, until they are taken up
 	ownersRead time.Time // when the holders were last read from the store
 	isolation  isolation
 	refresh    chan struct{}
@@ -189,8 +193,9 @@
 	}
 }
 
-// Holding takes the news of what a peer holds.
+// Holding takes the news of what a peer holds. Copies that are left here are offered to it.
 func (l *Ledger) Holding(m wire.Holding) {
+	defer l.offer(m)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, c := range m.Claims {
@@ -310,7 +315,7 @@
 			dropped = append(dropped, k)
 		}
 	}
-	if !l.leaving {
+	if settled := l.settled(len(held), time.Now()); settled && !l.leaving {
 		for part := range held {
 			if l.keepers[part] == nil {
 				l.keepers[part] = l.start(ctx, part, m.Generation)
@@ -332,6 +337,19 @@
 	}
 }
 
+// settled tells whether partitions may be taken up. An instance that is dealt all of them is likely the first
+// to find the store again: the others, who may hold copies, join a moment later. The caller holds the lock.
+func (l *Ledger) settled(held int, now time.Time) bool {
+	if held < l.cfg.Parts || len(l.keepers) > 0 {
+		l.aloneSince = time.Time{}
+		return true
+	}
+	if l.aloneSince.IsZero() {
+		l.aloneSince = now
+	}
+	return now.Sub(l.aloneSince) >= aloneWait
+}
+
 // start takes a partition up. The caller holds the lock.
 func (l *Ledger) start(ctx context.Context, part int, generation int64) *keeper {
 	k := newKeeper(store.Partition{Topic: topic, Part: part}, generation, l.cfg.Instance, l.cfg.CallBytes,
@@ -642,6 +660,7 @@
 			continue
 		}
 		found.Parts = append(found.Parts, part)
+		found.Doubtful = found.Doubtful || k.isNew(time.Now())
 	}
 	return found
 }
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -40,6 +40,8 @@
 		h.ledger.Holding(m)
 	case wire.HistoryKept:
 		h.ledger.Kept(m)
+	case wire.HistoryOffer:
+		h.ledger.Offer(m)
 	case wire.GroupChanged:
 		h.ledger.GroupChanged()
 	}
@@ -127,6 +129,7 @@
 	for _, program := range []string{"q", "r", "s", "u", "v"} {
 		must.Eq(t, "in-t1;out-t1;", runTurn(t, a, program, "t-"+program, "t1"))
 	}
+	time.Sleep(newClaim)
 	_, err := a.Begin(within(t, 5*time.Second), history.Begin{Program: "p", Turn: "x", Previous: "never"})
 	must.ErrorIs(t, err, ErrUnknownTurn)
 }
@@ -307,11 +310,36 @@
 	}
 }
 
+// The store comes back with an empty group, and an instance that has just started and knows nobody claims all
+// partitions. The copies of the outage reach it when their holders find it.
+func TestCopiesReachAHolderThatKnowsNobody(t *testing.T) {
+	s := storestand.New(2)
+	all := []*instance{start(t, "a", 2, s), start(t, "b", 2, s), start(t, "c", 2, s)}
+	runTurn(t, all[0], "p", "t1", "")
+	time.Sleep(800 * time.Millisecond)
+	s.SetFault(away)
+	time.Sleep(storeFresh)
+	must.Eq(t, "in-t1;out-t1;", runTurn(t, all[1], "p", "t2", "t1"))
+	late := atomic.Bool{} // the others find the store a moment later
+	late.Store(true)
+	s.SetFault(func(call string, _ store.Partition) storestand.Fault {
+		if late.Load() && call == "join" {
+			return storestand.Refuse
+		}
+		return storestand.None
+	})
+	s.Empty(group)
+	late.Store(false)
+	d := start(t, "d", 2, s)
+	must.Eq(t, "in-t1;out-t1;in-t2;out-t2;", runTurn(t, d, "p", "t3", "t2"))
+}
+
 // After an outage of the store a turn that isn't found is not denied, also by instances that hold no copies.
 func TestNoDenialAfterAnOutage(t *testing.T) {
 	s := storestand.New(2)
 	a := start(t, "a", 2, s)
 	runTurn(t, a, "p", "t1", "")
+	time.Sleep(newClaim)
 	_, err := a.Begin(within(t, 2*time.Second), history.Begin{Program: "p", Turn: "x", Previous: "never"})
 	must.ErrorIs(t, err, ErrUnknownTurn)
 	s.SetFault(away)
--- a/internal/standin/storestand/store.go
+++ b/internal/standin/storestand/store.go
@@ -298,6 +298,15 @@
 	g.generation++
 }
 
+// Empty drops all members of a group, as their times may run out in an outage.
+func (s *Store) Empty(group string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g := s.groups[group]
+	g.members = make(map[string]member)
+	g.deal(s.count)
+}
+
 // Leave implements store.Groups.
 func (s *Store) Leave(_ context.Context, group, name string) error {
 	s.mu.Lock()
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -52,6 +52,7 @@
 	KindBeliefsGet
 	KindBeliefs
 	KindHistoryKept
+	KindHistoryOffer
 	kindEnd // one above the last kind
 )
 
@@ -103,6 +104,7 @@
 	KindBeliefsGet:       "beliefs_get",
 	KindBeliefs:          "beliefs",
 	KindHistoryKept:      "history_kept",
+	KindHistoryOffer:     "history_offer",
 }
 
 // Known tells whether this binary knows the kind.
@@ -122,7 +124,7 @@
 	switch k {
 	case KindForward, KindChunk, KindCopyPut, KindCopyGet, KindCopies, KindManifestGet, KindManifest,
 		KindExplain, KindExplained, KindTurnBegun, KindTurnEnd, KindTurnFound, KindTurnAdopt,
-		KindHistoryHold, KindHistoryCollected, KindBeliefs:
+		KindHistoryHold, KindHistoryCollected, KindHistoryOffer, KindBeliefs:
 		return true
 	default:
 		return false
--- a/internal/wire/registry.go
+++ b/internal/wire/registry.go
@@ -141,6 +141,9 @@
 // Kind implements Message.
 func (HistoryKept) Kind() Kind { return KindHistoryKept }
 
+// Kind implements Message.
+func (HistoryOffer) Kind() Kind { return KindHistoryOffer }
+
 // decoders holds the decoder of each kind.
 var decoders = [kindEnd]func([]byte) (Message, error){
 	KindHello:            decodeAs[Hello],
@@ -190,4 +193,5 @@
 	KindBeliefsGet:       decodeAs[BeliefsGet],
 	KindBeliefs:          decodeAs[Beliefs],
 	KindHistoryKept:      decodeAs[HistoryKept],
+	KindHistoryOffer:     decodeAs[HistoryOffer],
 }
--- a/internal/wire/turn.go
+++ b/internal/wire/turn.go
@@ -92,6 +92,13 @@
 	Records [][]byte `msgpack:"r"`
 }
 
+// HistoryOffer gives the new holder of a partition copies that its claim didn't collect, since the sender
+// was out of its reach. It is one-way.
+type HistoryOffer struct {
+	Part    int      `msgpack:"pt"`
+	Records [][]byte `msgpack:"r"`
+}
+
 // HistoryKept tells that all records of a partition up to an epoch are in the store, so that copies are not
 // needed any more. It is one-way.
 type HistoryKept struct {
