ledger: a test that fails when copies are not offered

TestCopiesReachAHolderThatKnowsNobody passes without the offer, since a later claim collects the copies too; it stays as a test of the whole. TestCopiesAreOffered fails without it (ErrUnavailable after 5 s).

--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -314,26 +314,42 @@
 // partitions. The copies of the outage reach it when their holders find it.
 func TestCopiesReachAHolderThatKnowsNobody(t *testing.T) {
 	s := storestand.New(2)
-	all := []*instance{start(t, "a", 2, s), start(t, "b", 2, s), start(t, "c", 2, s)}
+	cut := atomic.Bool{}
+	all := []*instance{start(t, "a", 2, cutOff{s, &cut}), start(t, "b", 2, cutOff{s, &cut}), start(t, "c", 2, cutOff{s, &cut})}
 	runTurn(t, all[0], "p", "t1", "")
 	time.Sleep(800 * time.Millisecond)
 	s.SetFault(away)
 	time.Sleep(storeFresh)
 	must.Eq(t, "in-t1;out-t1;", runTurn(t, all[1], "p", "t2", "t1"))
-	late := atomic.Bool{} // the others find the store a moment later
-	late.Store(true)
-	s.SetFault(func(call string, _ store.Partition) storestand.Fault {
-		if late.Load() && call == "join" {
-			return storestand.Refuse
-		}
-		return storestand.None
-	})
+	cut.Store(true) // the others find the store later
+	s.SetFault(nil)
 	s.Empty(group)
-	late.Store(false)
 	d := start(t, "d", 2, s)
+	time.Sleep(3 * aloneWait)
+	held, _ := d.Held()
+	must.Eq(t, 2, held)
+	cut.Store(false)
 	must.Eq(t, "in-t1;out-t1;in-t2;out-t2;", runTurn(t, d, "p", "t3", "t2"))
 }
 
+// A peer that was out of reach at a claim offers its copies when it learns of the claim.
+func TestCopiesAreOffered(t *testing.T) {
+	s := storestand.New(1)
+	a := start(t, "a", 1, s)
+	runTurn(t, a, "p", "t1", "")
+	b := start(t, "b", 1, s)
+	time.Sleep(800 * time.Millisecond) // b lets the holder dial first, then connects
+	record, err := history.Record{
+		Kind: history.RecordTurn, At: time.Now().UnixMilli(), Program: "p", Turn: "t2", Previous: "t1",
+		Input: []byte("in-t2;"), Output: []byte("out-t2;"), KeepMs: testKeep.Milliseconds(),
+	}.Encode()
+	must.NoError(t, err)
+	must.True(t, b.copies.put(0, 1, [][]byte{record}, time.Now()))
+	a.claimed(0, 1<<40)
+	time.Sleep(100 * time.Millisecond)
+	must.Eq(t, "in-t1;out-t1;in-t2;out-t2;", runTurn(t, a, "p", "t3", "t2"))
+}
+
 // After an outage of the store a turn that isn't found is not denied, also by instances that hold no copies.
 func TestNoDenialAfterAnOutage(t *testing.T) {
 	s := storestand.New(2)
