--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -344,7 +344,7 @@
 		Input: []byte("in-t2;"), Output: []byte("out-t2;"), KeepMs: testKeep.Milliseconds(),
 	}.Encode()
 	must.NoError(t, err)
-	must.True(t, b.copies.put(0, 1, [][]byte{record}, time.Now()))
+	must.True(t, b.copies.put(0, 1<<30, [][]byte{record}, time.Now()))
 	a.claimed(0, 1<<40)
 	time.Sleep(100 * time.Millisecond)
 	must.Eq(t, "in-t1;out-t1;in-t2;out-t2;", runTurn(t, a, "p", "t3", "t2"))
