gateway: lines of events that are longer than the read buffer

Cause: the second read of a long line overwrote the part of the first before it was copied, so the data of an event above 4 KB went wrong into the history (what callers got was right). Found by TestEventsInAnyPieces, which fails without the change.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -28,25 +28,13 @@
 	var e event
 	hasField, hasData := false, false
 	for {
-		line, err := r.br.ReadSlice('\n')
-		e.raw = append(e.raw, line...)
-		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
+		line, err := r.line(&e)
+		if err != nil {
 			if err == io.EOF && len(bytes.TrimSpace(e.raw)) > 0 {
 				return e, errCutEvent
 			}
 			return e, err
 		}
-		if len(e.raw) > maxEventBytes {
-			return e, bufio.ErrTooLong
-		}
-		if errors.Is(err, bufio.ErrBufferFull) {
-			rest, err := r.br.ReadBytes('\n')
-			e.raw = append(e.raw, rest...)
-			if err != nil {
-				return e, errCutEvent
-			}
-			line = append(append([]byte(nil), line...), rest...)
-		}
 		text := bytes.TrimRight(line, "\r\n")
 		if len(text) == 0 {
 			if hasField {
@@ -64,3 +52,18 @@
 		}
 	}
 }
+
+// line reads a line into the event's bytes and returns it, as a part of them.
+func (r *eventReader) line(e *event) ([]byte, error) {
+	start := len(e.raw)
+	for {
+		part, err := r.br.ReadSlice('\n')
+		e.raw = append(e.raw, part...)
+		if len(e.raw) > maxEventBytes {
+			return nil, bufio.ErrTooLong
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return e.raw[start:], err
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/events_test.go
@@ -0,0 +1,87 @@
+package gateway
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// read returns the raw texts and the data of the events, and how the stream ended.
+func read(r io.Reader) (raw, data []string, err error) {
+	reader := &eventReader{br: bufio.NewReaderSize(r, 16)}
+	for {
+		e, err := reader.next()
+		if err != nil {
+			return append(raw, string(e.raw)), data, err
+		}
+		raw, data = append(raw, string(e.raw)), append(data, string(e.data))
+	}
+}
+
+// Whatever the pieces in which a stream arrives, its bytes are passed on unchanged and its data is found.
+func TestEventsInAnyPieces(t *testing.T) {
+	stream := "id: 1\ndata: one\n\n\nweight-versions: 3\r\nid: 2\r\ndata:two\r\ndata: more than a buffer holds\r\n\r\n: comment\n\n\n"
+	for _, r := range []io.Reader{strings.NewReader(stream), iotest.OneByteReader(strings.NewReader(stream)), iotest.HalfReader(strings.NewReader(stream))} {
+		raw, data, err := read(r)
+		must.Eq(t, io.EOF, err)
+		must.Eq(t, stream, strings.Join(raw, ""))
+		must.Eq(t, []string{"one", "two\nmore than a buffer holds", ""}, data)
+	}
+}
+
+func TestStreamsThatEndWithinAnEvent(t *testing.T) {
+	for _, stream := range []string{"id: 1", "id: 1\n", "id: 1\ndata: x\n", "id: 1\ndata: longer than the buffer"} {
+		_, _, err := read(strings.NewReader(stream))
+		must.ErrorIs(t, err, errCutEvent)
+	}
+	broken := errors.New("reset")
+	_, _, err := read(io.MultiReader(strings.NewReader("id: 1\n\n"), iotest.ErrReader(broken)))
+	must.ErrorIs(t, err, broken)
+}
+
+func FuzzEvents(f *testing.F) {
+	f.Add("id: 1\ndata: one\n\n")
+	f.Fuzz(func(t *testing.T, stream string) {
+		raw, _, err := read(strings.NewReader(stream))
+		if !errors.Is(err, io.EOF) && !errors.Is(err, errCutEvent) {
+			t.Fatalf("unexpected end: %v", err)
+		}
+		if got := strings.Join(raw, ""); got != stream {
+			t.Fatalf("%q became %q", stream, got)
+		}
+	})
+}
+
+func TestChainCacheIsBounded(t *testing.T) {
+	c := newChainCache()
+	big := make([]byte, chainCacheBytes/2)
+	for _, id := range []string{"1", "2", "3"} {
+		c.put(id, big)
+	}
+	_, ok := c.get("1")
+	must.False(t, ok)
+	_, ok = c.get("3")
+	must.True(t, ok)
+	_, ok = c.get("")
+	must.True(t, ok) // the text before the first turn is known to be empty
+	c.prune(time.Now().Add(2 * chainCacheAge))
+	must.Eq(t, 0, c.bytes)
+	must.MapLen(t, 0, c.byID)
+}
+
+func TestAffinity(t *testing.T) {
+	a := newAffinity()
+	m := Meta{Program: "p"}
+	must.Nil(t, a.saves(m, []byte("text")))
+	a.placed(m, "e")
+	must.MapContainsKey(t, a.saves(m, []byte("text")), "e")
+	must.Nil(t, a.saves(m, nil))
+	a.prune(time.Now().Add(2 * affinityAge))
+	must.Nil(t, a.saves(m, []byte("text")))
+}
