--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -31,7 +31,7 @@
 	// the endpoint counts as hanging.
 	overdueFactor = 4
 	overdueSlack  = 0.3 // seconds
-	// peerOverdue is the share of its own delay that a peer's report of hanging counts for.
+	// peerOverdue is what each peer for which the endpoint hangs adds to its cost.
 	peerOverdue = 0.3 // seconds
 	// explore is the part of the expected time by which estimates are varied, so that instances with the
 	// same knowledge don't all choose the same endpoint.
