gateway: one piece of code for refusals by endpoints and for headers of answers

Cause: calls and streams noted an endpoint's refusal, and took its headers over, in two copies each; the field 'written' of a request was set and never read. Behaviour stays as it is. Ruled out: joining the two loops over endpoints, which end differently. Run: vet, staticcheck, tests of gateway and platform with the race detector.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -62,10 +62,9 @@
 	ends    time.Time // when the caller, or the operator's time limit, ends the wait
 	log     logrus.FieldLogger
 
-	tried   map[string]bool
-	sends   int  // requests written to endpoints
-	mayRun  bool // an endpoint may have run the request
-	written bool // the answer has begun
+	tried  map[string]bool
+	sends  int  // requests written to endpoints
+	mayRun bool // an endpoint may have run the request
 }
 
 // ServeHTTP serves callers.
@@ -153,7 +152,6 @@
 	q.g.protocol.EncodeRefusal(h, q.meta.ID, retryAfter)
 	h.Set("Content-Length", "0")
 	q.w.WriteHeader(status)
-	q.written = true
 	q.ended(status, reason)
 }
 
@@ -313,10 +311,7 @@
 		return q.failed(ctx, e, err)
 	}
 	if reply.NotRun {
-		resp.Discard()
-		q.done(e, balance.Refused, 0)
-		q.log.WithFields(logrus.Fields{"endpoint": e.ID, "http": resp.Status}).Info("endpoint refused")
-		return notRun
+		return q.refused(e, resp)
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	if err != nil || !reply.Signed || len(body) > maxAnswerBytes || resp.Header.Get("Content-Encoding") != "" {
@@ -331,6 +326,14 @@
 
 var errUnusable = errors.New("answer is not usable")
 
+// refused notes that an endpoint has not run the request.
+func (q *request) refused(e place, resp *upstream.Response) verdict {
+	resp.Discard()
+	q.done(e, balance.Refused, 0)
+	q.log.WithFields(logrus.Fields{"endpoint": e.ID, "http": resp.Status}).Info("endpoint refused")
+	return notRun
+}
+
 // failed notes an attempt without a usable answer.
 func (q *request) failed(ctx context.Context, e place, err error) verdict {
 	fields := logrus.Fields{"endpoint": e.ID, "reason": err.Error(), "age": time.Since(q.start).Milliseconds()}
@@ -347,14 +350,19 @@
 	return unsure
 }
 
-// deliver passes a whole answer on.
-func (q *request) deliver(resp *upstream.Response, body []byte) {
+// copyHeaders takes the headers of an answer over. What this instance says of the caller's connection stays.
+func (q *request) copyHeaders(resp *upstream.Response) {
 	h := q.w.Header()
 	closing := h.Get("Connection")
 	q.g.protocol.EncodeReply(h, resp.Header)
 	if closing != "" {
 		h.Set("Connection", closing)
 	}
+}
+
+// deliver passes a whole answer on.
+func (q *request) deliver(resp *upstream.Response, body []byte) {
+	q.copyHeaders(resp)
 	if _, err := q.writeAnswer(resp.Status, body); err != nil {
 		q.log.WithField("reason", err.Error()).Info("answer not taken by the caller")
 	}
@@ -362,7 +370,6 @@
 }
 
 func (q *request) writeAnswer(status int, body []byte) (int, error) {
-	q.written = true
 	if status != http.StatusNoContent && status != http.StatusNotModified {
 		q.w.Header()["Content-Length"] = []string{itoa(len(body))}
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -162,10 +162,7 @@
 		return q.failed(ctx, e, err)
 	}
 	if reply.NotRun {
-		resp.Discard()
-		q.done(e, balance.Refused, 0)
-		q.log.WithFields(logrus.Fields{"endpoint": e.ID, "http": resp.Status}).Info("endpoint refused")
-		return notRun
+		return q.refused(e, resp)
 	}
 	if !reply.Signed || resp.Header.Get("Content-Encoding") != "" {
 		resp.Discard()
@@ -214,13 +211,8 @@
 	ctx context.Context, e place, resp *upstream.Response, reader *eventReader, first event, begun time.Time, sent int,
 ) {
 	q := t.request
-	closing := q.w.Header().Get("Connection")
-	q.g.protocol.EncodeReply(q.w.Header(), resp.Header)
-	if closing != "" {
-		q.w.Header().Set("Connection", closing)
-	}
+	q.copyHeaders(resp)
 	q.w.WriteHeader(resp.Status)
-	q.written = true
 	firstAt, firstTook := time.Since(q.start), time.Since(begun)
 	err := t.copyEvents(reader, first)
 	if err != nil {
