program: a key with an open intent is not called "not run" by its next holder

Cause: a key whose first attempt was settled as not run has an outcome "no" on record. When it was made again and its holder died with the second intent open, the next holder found the old outcome first, took the key for a new call and refused it with "executed no", because of its own open intent. P6 broke: the second attempt had run.

Change: after an outcome "no" the open intents are looked at too.

Ruled out: the lease of the old holder (it was paused, and had sent the call before), the time to settle (13 s, the refusal came 1.2 s after the claim).

Test: TestRepeatedKeyWithOpenIntentIsNotCalledNotRun, P6 before, passes after.

--- a/internal/program/call.go
+++ b/internal/program/call.go
@@ -165,16 +165,14 @@
 	}
 	st := c.state(p)
 	o := st.Outcomes[key]
-	if o == nil {
+	if o == nil || o.Executed == record.ExecutedNo {
+		// An attempt that was certainly not run may have been followed by one that was.
 		return c.repeatedIntent(p, st, w, key, digest)
 	}
 	if o.Digest != digest {
 		c.refuse(w.req, problem(ProblemKeyReused, 422, o.Executed, "the key was used for another request"), 0)
 		return true
 	}
-	if o.Executed == record.ExecutedNo {
-		return false // certainly not run: the call may be made again
-	}
 	c.answerRecorded(p, w, o)
 	return true
 }
--- a/internal/program/guarantee_test.go
+++ b/internal/program/guarantee_test.go
@@ -243,6 +243,33 @@
 	}
 }
 
+// P6: a key that was not run at first and was made again under a holder that died has an open intent; the
+// next holder must not say of it that it was not run. Found by TestInstancesUnderFaults of package whole at
+// seed 555.
+func TestRepeatedKeyWithOpenIntentIsNotCalledNotRun(t *testing.T) {
+	w, a := started(t, 2)
+	pid := w.program(a, record.Limits{})
+	w.faults(map[string]int{"service": 7})
+	w.service(a, pid, "main", "k1", "charge")
+	w.pump()
+	a.step(SettleCall{Req: w.oracle.ask(request{owner: a, program: pid, kind: "other"}), Tenant: "t", Program: pid, Key: "k1", Executed: record.ExecutedNo})
+	w.pump()
+	a.step(ServiceCall{
+		Req: w.oracle.ask(request{owner: a, program: pid, branch: "main", key: "k1", kind: "service", body: "k1"}), Tenant: "t",
+		Program: pid, Key: "k1", Digest: 9, Service: "s", Operation: "charge", Body: []byte("k1"), TimeLimit: time.Minute,
+	})
+	a.flush()
+	a.read() // the intent is committed
+	a.paused = true
+	b := w.owners[1]
+	w.takeOver(b)
+	r := w.service(b, pid, "main", "k1", "charge") // before the new holder settles what is open
+	w.advance(time.Second)
+	must.True(t, r.done)
+	must.Eq(t, ProblemBlocked, r.problem.Type)
+	must.Eq(t, record.ExecutedUnknown, r.problem.Executed)
+}
+
 // P7: an unknown outcome blocks its branch until it is settled, and other branches go on.
 func TestUnknownOutcomeBlocksBranch(t *testing.T) {
 	w, o := started(t, 1)
