membership, server: a resumed instance waits for the list before it sends work; model of the shell corrected

Cause of P8 after a pause: an instance that resumed took a grant at an endpoint that had begun to leave meanwhile; what it knew was as old as its pause. A list answer could also have waited in its queue during the pause and counted as new.

Change: after a gap of 1 s between events, grants are given back until a list came that was true at the end of the pause, at most 2 s (a list service that is away holds nothing up). The age of an answer counts from the start of its poll.

The instance that stopped had sent its whole answer; the front that waited for it was paused and had it in its queue. The check now takes such an answer as given, and a new one fails if it does not arrive at the front.

--- a/internal/logservice/list.go
+++ b/internal/logservice/list.go
@@ -53,8 +53,8 @@
 	Base     string
 	Client   *http.Client
 	Interval time.Duration // between polls; default 1 s
-	// Polled is called on the goroutine of Serve after each answer. It may be nil.
-	Polled func(List)
+	// Polled is called on the goroutine of Serve after each answer, with the start of its poll. It may be nil.
+	Polled func(l List, sent time.Time)
 	// Failed is called on the goroutine of Serve for each poll that failed. It may be nil.
 	Failed func(err error)
 }
@@ -166,6 +166,6 @@
 	c.at = at
 	c.mu.Unlock()
 	if c.cfg.Polled != nil {
-		c.cfg.Polled(list)
+		c.cfg.Polled(list, at)
 	}
 }
--- a/internal/membership/endpoints.go
+++ b/internal/membership/endpoints.go
@@ -11,6 +11,17 @@
 // returnGuard is how long after the return of an endpoint older marks of lagging peers are ignored.
 const returnGuard = ListLagBound
 
+const (
+	// pauseGap is the time without any event after which the process is taken to have been paused. Ticks
+	// come ten times as often.
+	pauseGap = time.Second
+	// resumeListAge is how much older than the end of a pause a list may be: one poll interval.
+	resumeListAge = time.Second
+	// resumeListWait is how long a resumed instance waits for the list before it goes on without: the
+	// time that a poll takes at most (logservice), so a list service that is away holds nothing up.
+	resumeListWait = 2 * time.Second
+)
+
 // endpointState keeps the marks of leaving endpoints.
 type endpointState struct {
 	marks    map[string]*leavingMark
@@ -92,6 +103,15 @@
 	return m.endpoints.marks[name] != nil || m.endpoints.listed[name]
 }
 
+// EndpointsCurrent tells whether what is known of leaving endpoints is recent enough to send work on it.
+// After a pause of the process it is not until a list came that was true at its end.
+func (m *Members) EndpointsCurrent(now time.Duration) bool {
+	if now-m.steppedAt > pauseGap {
+		return false // resumed, and no event has come yet
+	}
+	return m.list.contentAt >= m.resumedAt-resumeListAge || now-m.resumedAt >= resumeListWait
+}
+
 // LeavingEndpoints returns all of them in order.
 func (m *Members) LeavingEndpoints() []string {
 	var names []string
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -82,6 +82,8 @@
 	list      listState
 	lease     leaseState
 	endpoints endpointState
+	steppedAt time.Duration // latest event
+	resumedAt time.Duration // first event after the latest gap between events
 }
 
 // New returns the view of an instance that has heard nothing yet.
@@ -92,6 +94,8 @@
 		byHash:    make(map[uint32]time.Duration),
 		lease:     newLeaseState(),
 		endpoints: newEndpointState(),
+		steppedAt: cfg.Start,
+		resumedAt: cfg.Start - resumeListWait, // a process that starts has not been paused
 	}
 }
 
@@ -153,6 +157,10 @@
 
 // Step applies an event at a time of the own clock.
 func (m *Members) Step(now time.Duration, e Event) {
+	if now-m.steppedAt > pauseGap {
+		m.resumedAt = now
+	}
+	m.steppedAt = now
 	m.lease.expire(now)
 	m.list.expire(now)
 	switch e := e.(type) {
--- a/internal/server/dispatch.go
+++ b/internal/server/dispatch.go
@@ -23,7 +23,7 @@
 // ignores a repeated ID or repeats its grant.
 const resubmitAfter = 2 * time.Second
 
-// regrantPause is the time until a call that was granted to a leaving endpoint is submitted again. The
+// regrantPause is the time until a call is submitted again whose grant was given back. The
 // dispatcher hears of the endpoint with the next heartbeat.
 const regrantPause = 200 * time.Millisecond
 
@@ -85,8 +85,8 @@
 	if s.endpoint != "" {
 		return // the same grant again
 	}
-	if c.members.core.EndpointIsLeaving(g.Endpoint) {
-		// The endpoint began to leave while the grant was on its way.
+	if !c.members.core.EndpointsCurrent(c.inst.now()) || c.members.core.EndpointIsLeaving(g.Endpoint) {
+		// The endpoint began to leave while the grant was on its way, or may have during a pause of this process.
 		c.toDispatcher(from, pool, sched.Done{ID: g.Request.ID, Endpoint: g.Endpoint, Result: sched.ResultCanceled})
 		s.at = c.inst.now() - resubmitAfter + regrantPause
 		return
--- a/internal/server/heartbeat.go
+++ b/internal/server/heartbeat.go
@@ -87,12 +87,14 @@
 	c.followLeaving()
 }
 
-// listed takes over the platform's list.
-func (c *core) listed(l logservice.List) {
+// listed takes over the platform's list. sent is the start of its poll on the instance's clock: an answer
+// that waited out a pause of the process in a queue is old.
+func (c *core) listed(l logservice.List, sent time.Duration) {
 	m := c.members
 	m.hasList = true
 	m.listed = map[string]bool{c.inst.cfg.Instance: true}
-	var answer membership.ListAnswer
+	now := c.inst.now()
+	answer := membership.ListAnswer{Age: now - sent}
 	for _, in := range l.Instances {
 		m.listed[in.Name] = true
 		answer.Instances = append(answer.Instances, membership.Instance{Name: in.Name, Leaving: in.State == logservice.StateLeaving})
@@ -100,7 +102,7 @@
 	for _, e := range l.Endpoints {
 		answer.Endpoints = append(answer.Endpoints, membership.Endpoint{Name: e.Name, Leaving: e.State == logservice.StateLeaving})
 	}
-	m.core.Step(c.inst.now(), answer)
+	m.core.Step(now, answer)
 	c.inst.node.SetPeers(c.inst.peersOf(l))
 	c.followLeaving()
 }
--- a/internal/server/platform.go
+++ b/internal/server/platform.go
@@ -76,9 +76,9 @@
 		Base:     i.cfg.ListURL,
 		Client:   i.httpCl,
 		Interval: i.cfg.ListInterval,
-		Polled: func(l logservice.List) {
+		Polled: func(l logservice.List, sent time.Time) {
 			i.passGate()
-			i.core.events.post(func() { i.core.listed(l) })
+			i.core.events.post(func() { i.core.listed(l, sent.Sub(i.epoch)) })
 		},
 		Failed: func(err error) { i.log.Debug("list_not_read", telemetry.Err(err)) },
 	})
--- a/internal/whole/dispatch_test.go
+++ b/internal/whole/dispatch_test.go
@@ -24,10 +24,11 @@
 	submissions map[id.Attempt]*submission
 	schedulers  map[string]*sched.Scheduler
 	grants      map[id.Attempt]sched.Grant
+	grantedAt   map[id.Attempt]time.Duration
 }
 
 func newDispatching() dispatching {
-	return dispatching{submissions: map[id.Attempt]*submission{}, schedulers: map[string]*sched.Scheduler{}, grants: map[id.Attempt]sched.Grant{}}
+	return dispatching{submissions: map[id.Attempt]*submission{}, schedulers: map[string]*sched.Scheduler{}, grants: map[id.Attempt]sched.Grant{}, grantedAt: map[id.Attempt]time.Duration{}}
 }
 
 func (n *node) poolConfig(pool string) sched.Config {
@@ -45,6 +46,16 @@
 	return cfg
 }
 
+// poolOf returns the pool of an endpoint.
+func poolOf(endpoint string) string {
+	for _, e := range wholeManifest().Endpoints {
+		if e.Name == endpoint {
+			return e.Pool
+		}
+	}
+	return ""
+}
+
 // configure tells the schedulers here what is in force and which endpoints leave.
 func (n *node) configure() {
 	for _, pool := range sortedKeys(n.dispatch.schedulers) {
@@ -61,7 +72,7 @@
 	for _, a := range s.Step(n.now(), ev, nil) {
 		switch a := a.(type) {
 		case sched.Grant:
-			n.dispatch.grants[a.Request.ID] = a
+			n.dispatch.grants[a.Request.ID], n.dispatch.grantedAt[a.Request.ID] = a, n.now()
 			n.sendGrant(pool, a)
 		case sched.Refuse:
 			n.toOwner(a.Request.Owner, wire.Refuse{Pool: pool, ID: a.Request.ID, Reason: a.Reason, RetryAfter: a.RetryAfter})
@@ -110,11 +121,15 @@
 			n.sendSubmit(s)
 		case s.dispatcher != current:
 			s.dispatcher = current
-			n.toDispatcher(current, wire.Running{Pool: s.pool, Calls: []wire.RunningCall{{Request: s.request, Endpoint: s.endpoint}}})
+			n.next["sync"] = 0
+			if current == n.session {
+				n.toDispatcher(current, wire.Running{Pool: s.pool, Calls: []wire.RunningCall{{Request: s.request, Endpoint: s.endpoint}}})
+			}
 		case s.endpoint == "" && n.now()-s.at > 2*time.Second:
 			n.sendSubmit(s)
 		}
 	}
+	n.syncRunning()
 	live := map[id.Session]bool{}
 	for _, s := range n.members.Live(n.now()) {
 		live[s] = true
@@ -154,13 +169,55 @@
 			n.toSched(pool, sched.Done{ID: e.Request.ID, Endpoint: g.Endpoint, Result: sched.ResultCanceled})
 		}
 	case sched.Running:
-		n.dispatch.grants[e.Request.ID] = sched.Grant{Request: e.Request, Endpoint: e.Endpoint}
+		n.dispatch.grants[e.Request.ID], n.dispatch.grantedAt[e.Request.ID] = sched.Grant{Request: e.Request, Endpoint: e.Endpoint}, n.now()
 	case sched.Done:
 		delete(n.dispatch.grants, e.ID)
 	}
 	n.toSched(pool, ev)
 }
 
+// syncRunning reports the running calls of each pool to its dispatcher, as package server does: a report
+// makes good a lost Done.
+func (n *node) syncRunning() {
+	if n.version == 0 || !n.every("sync", 5*time.Second) {
+		return
+	}
+	for _, p := range wholeManifest().Pools {
+		to := n.members.Dispatcher(n.now(), p.Name)
+		if to == n.session {
+			continue
+		}
+		report := wire.Running{Pool: p.Name}
+		for _, attempt := range sortedKeys(n.dispatch.submissions) {
+			if s := n.dispatch.submissions[attempt]; s.pool == p.Name && s.endpoint != "" && s.dispatcher == to {
+				report.Calls = append(report.Calls, wire.RunningCall{Request: s.request, Endpoint: s.endpoint})
+			}
+		}
+		n.send(to, report)
+	}
+}
+
+// running takes an owner's report of all its running calls of a pool. Grants that it lacks have ended.
+func (n *node) running(from id.Session, m wire.Running) {
+	listed := map[id.Attempt]bool{}
+	for _, c := range m.Calls {
+		listed[c.Request.ID] = true
+		if _, known := n.dispatch.grants[c.Request.ID]; !known {
+			n.fromOwner(from, m.Pool, sched.Running{Request: c.Request, Endpoint: c.Endpoint})
+		}
+	}
+	if from == n.session {
+		return // a single call, taken over by the dispatcher here
+	}
+	for _, attempt := range sortedKeys(n.dispatch.grants) {
+		g := n.dispatch.grants[attempt]
+		// A grant of the latest 3 s may still be on its way to its owner.
+		if poolOf(g.Endpoint) == m.Pool && g.Request.Owner == from && !listed[attempt] && n.now()-n.dispatch.grantedAt[attempt] > 3*time.Second {
+			n.fromOwner(from, m.Pool, sched.Done{ID: attempt, Endpoint: g.Endpoint, Result: sched.ResultCanceled})
+		}
+	}
+}
+
 // granted is the owner's side of a grant.
 func (n *node) granted(from id.Session, m wire.Grant) {
 	s := n.dispatch.submissions[m.ID]
@@ -171,6 +228,11 @@
 	if s.endpoint != "" {
 		return
 	}
+	if !n.members.EndpointsCurrent(n.now()) || n.members.EndpointIsLeaving(m.Endpoint) {
+		n.toDispatcher(from, wire.Done{Pool: m.Pool, Done: sched.Done{ID: m.ID, Endpoint: m.Endpoint, Result: sched.ResultCanceled}})
+		s.at = n.now() - 1800*time.Millisecond // submitted again 200 ms later, as in package server
+		return
+	}
 	s.dispatcher, s.endpoint = from, m.Endpoint
 	n.step(program.Granted{Grant: sched.Grant{Request: s.request, Endpoint: m.Endpoint, Reason: m.Reason, MoveFrom: m.MoveFrom}})
 }
--- a/internal/whole/exchange_test.go
+++ b/internal/whole/exchange_test.go
@@ -48,8 +48,9 @@
 
 // forward is a request of this front at its owner.
 type forward struct {
-	to  id.Session
-	req *request
+	to       id.Session
+	req      *request
+	answered bool // the last chunk is on its way here; a front that is paused takes it when it resumes
 }
 
 func newExchanges() exchanges {
@@ -115,9 +116,7 @@
 	case wire.Done:
 		n.fromOwner(from, m.Pool, m.Done)
 	case wire.Running:
-		for _, c := range m.Calls {
-			n.fromOwner(from, m.Pool, sched.Running{Request: c.Request, Endpoint: c.Endpoint})
-		}
+		n.running(from, m)
 	case wire.ProgramPaused:
 		n.fromOwner(from, m.Pool, m.Paused)
 	case wire.ProgramEnded:
--- a/internal/whole/front_test.go
+++ b/internal/whole/front_test.go
@@ -81,6 +81,9 @@
 func (n *node) breakForward(number uint64) {
 	if f := n.exchange.forwards[number]; f != nil {
 		delete(n.exchange.forwards, number)
+		if f.answered && !n.dead {
+			n.w.fail("P9: the answer to request %s, sent by %s before it stopped, did not arrive", f.req.what, f.to)
+		}
 		f.req.end(n.w, result{broken: true})
 	}
 }
@@ -137,6 +140,9 @@
 	}
 	at := max(n.w.now+n.w.delay(), n.exchange.lastSent[s.exchange])
 	n.exchange.lastSent[s.exchange] = at
+	if f := front.exchange.forwards[s.exchange]; f != nil && last {
+		f.answered = true
+	}
 	n.w.to(front, at-n.w.now, func() {
 		f := front.exchange.forwards[s.exchange]
 		if f == nil {
--- a/internal/whole/node_test.go
+++ b/internal/whole/node_test.go
@@ -99,7 +99,7 @@
 func (n *node) resume() {
 	n.w.note("%s resumes", n.session)
 	n.paused = false
-	n.since, n.w.resumedAt = n.w.now, n.w.now
+	n.since = n.w.now
 	inbox := n.inbox
 	n.inbox = nil
 	for _, f := range inbox {
--- a/internal/whole/oracle_test.go
+++ b/internal/whole/oracle_test.go
@@ -19,20 +19,19 @@
 // oracle checks P1 to P10 from what endpoints run, what callers get and what a reader of the whole log
 // knows.
 type oracle struct {
-	w             *world
-	last          map[string]uint64 // per branch
-	limits        map[id.Program]record.Limits
-	ended         map[id.Program]bool
-	tokens        map[id.Program]int64
-	charge        map[id.Program]int64
-	ran           map[callID]int
-	execs         map[callID]int // of non-idempotent operations
-	acked         map[callID][]byte
-	answerTokens  map[string]int64 // by answer message
-	accepted      map[uint64]acceptance
-	forced        map[id.Session]uint64
-	strictLeaving bool           // P8 also for instances that were paused
-	counts        map[string]int // what happened, to show that the checks are not vacuous
+	w            *world
+	last         map[string]uint64 // per branch
+	limits       map[id.Program]record.Limits
+	ended        map[id.Program]bool
+	tokens       map[id.Program]int64
+	charge       map[id.Program]int64
+	ran          map[callID]int
+	execs        map[callID]int // of non-idempotent operations
+	acked        map[callID][]byte
+	answerTokens map[string]int64 // by answer message
+	accepted     map[uint64]acceptance
+	forced       map[id.Session]uint64
+	counts       map[string]int // what happened, to show that the checks are not vacuous
 }
 
 type acceptance struct {
@@ -219,16 +218,12 @@
 	return nil
 }
 
-// dispatched checks P8 when an instance sends new work. Unless strict is set, the bound counts from the
-// end of the latest pause of an instance, because of the open fault in KNOWN-RED.txt.
+// dispatched checks P8 when an instance sends new work, also one that has just resumed from a pause.
 func (o *oracle) dispatched(n *node, endpoint, attempt string) {
 	at, leaving := o.w.leaving[endpoint]
 	if !leaving {
 		return
 	}
-	if !o.strictLeaving {
-		at = max(at, o.w.resumedAt)
-	}
 	if o.w.now-at > leavingBound {
 		o.w.fail("P8: %s sends %s to %s, which has been leaving for %s", n.session, attempt, endpoint, o.w.now-o.w.leaving[endpoint])
 	}
@@ -274,12 +269,13 @@
 	}
 }
 
-// drained checks P9: no caller of the instance and no instance that forwarded to it waits for it.
+// drained checks P9: no caller of the instance and no instance that forwarded to it waits for it. Of a
+// front that is paused, answers are on their way; breakForward checks that they arrive.
 func (o *oracle) drained(n *node) {
 	o.counts["drain"]++
 	for _, other := range o.w.nodes {
 		for _, f := range other.exchange.forwards {
-			if f.to == n.session && len(f.req.got) > 0 {
+			if f.to == n.session && !f.answered && len(f.req.got) > 0 {
 				o.w.fail("P9: %s stopped during request %s", n.session, f.req.what)
 			}
 		}
--- a/internal/whole/whole_test.go
+++ b/internal/whole/whole_test.go
@@ -253,11 +253,9 @@
 }
 
 // Guards P8 against an instance that was paused while endpoints began to leave: when it resumes, it must
-// not send work to them on what it knew before. TestInstancesUnderFaults found it with seed 20261210 when
-// its bound counted from the list's change also for instances that were paused.
+// not send work to them on what it knew before. TestInstancesUnderFaults found it with seed 20261210.
 func TestResumedInstanceAvoidsLeavingEndpoint(t *testing.T) {
 	w := newWorld(t, 1, 1)
-	w.oracle.strictLeaving = true
 	publishOne(w)
 	w.advance(12 * time.Second)
 	c := &caller{w: w, pid: id.NewProgram(0, "x")}
--- a/internal/whole/world_test.go
+++ b/internal/whole/world_test.go
@@ -91,7 +91,6 @@
 	ref       *fsm.Programs // has read everything from offset 0 at once
 	refConfig *fsm.Configs
 	refAt     [2]int
-	resumedAt time.Duration            // end of the latest pause of a process
 	leaving   map[string]time.Duration // endpoints, by the time the list took it up
 	engines   map[string]*engine
 	services  map[string]*service
