ledger: a new holder lists copies first and fetches each once; a stopping instance hands copies to two peers

Each new holder of a partition then got every copy from every peer, and once more as offers: 91 times 89 copies for one partition. The links were full, appends timed out for 3.3 s, partitions 9 and 22 took no turn for 10 s over eight holders. 0.705 GB went between zones.

Offers carry sums too. Hand-over goes to two peers, as many as must have a copy. The timeout of an append allows for its upload. Lines about single peers are debug; one line tells how many were silent. Found on the way: a keeper that reads its partition raced with the expiry of old records; both hold the lock now.

Ruled out: the churn of the group alone (69 claims in 20 s, nearly the same after the change), the store (it answered others meanwhile).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -93,7 +93,7 @@
 		return nil, err
 	}
 	g.ledger = ledger.New(ledger.Config{
-		Instance: s.Instance, PeerAddr: s.PeerAddr, Parts: s.StoreParts, CallBytes: s.StoreCallBytes,
+		Instance: s.Instance, PeerAddr: s.PeerAddr, Zone: s.Zone, Parts: s.StoreParts, CallBytes: s.StoreCallBytes,
 		MinTTL: s.StoreMinTTL, Store: store, Node: g.node, Log: log, Reached: g.storeDep.result,
 	})
 	g.beliefs = newBeliefs(lists, store, log, g.storeDep)
@@ -344,7 +344,7 @@
 	case wire.HistoryKept:
 		h.ledger.Kept(m)
 	case wire.HistoryOffer:
-		h.ledger.Offer(m)
+		h.ledger.Offer(r, m)
 	case wire.LoadReport:
 		loads := make(map[string]balance.Load, len(m.Endpoints))
 		for _, e := range m.Endpoints {
--- a/internal/ledger/copies.go
+++ b/internal/ledger/copies.go
@@ -11,6 +11,7 @@
 
 	"ragwortstile/internal/history"
 	"ragwortstile/internal/id"
+	"ragwortstile/internal/peer"
 	"ragwortstile/internal/store"
 	"ragwortstile/internal/wire"
 )
@@ -82,6 +83,13 @@
 	return true
 }
 
+// replaced tells whether a holder of a later epoch has asked for the copies of a partition.
+func (c *copies) replaced(part int, epoch int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return epoch < c.fence[part]
+}
+
 // since returns when the newest copy came; zero if there never was one.
 func (c *copies) since() time.Time {
 	c.mu.Lock()
@@ -111,14 +119,31 @@
 	return out
 }
 
-// collect returns the copies of a partition, and takes none of earlier epochs any more.
-func (c *copies) collect(part int, epoch int64) [][]byte {
+// index returns the sums of the copies of a partition, and takes none of earlier epochs any more.
+func (c *copies) index(part int, epoch int64) []uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.fence[part] = max(c.fence[part], epoch)
-	out := make([][]byte, 0, len(c.byPart[part]))
+	out := make([]uint64, 0, len(c.byPart[part]))
 	for _, r := range c.byPart[part] {
-		out = append(out, r.data)
+		out = append(out, r.sum)
+	}
+	return out
+}
+
+// get returns those copies of a partition that have one of the sums.
+func (c *copies) get(part int, sums []uint64) [][]byte {
+	wanted := make(map[uint64]bool, len(sums))
+	for _, sum := range sums {
+		wanted[sum] = true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out [][]byte
+	for _, r := range c.byPart[part] {
+		if wanted[r.sum] {
+			out = append(out, r.data)
+		}
 	}
 	return out
 }
@@ -321,43 +346,76 @@
 		return
 	}
 	for _, c := range m.Claims {
-		records := l.copies.collect(c.Part, c.Epoch)
-		if len(records) == 0 {
+		sums := l.copies.index(c.Part, c.Epoch)
+		if len(sums) == 0 {
 			continue
 		}
-		if err := l.cfg.Node.Send(session, wire.HistoryOffer{Part: c.Part, Records: records}); err != nil {
+		if err := l.cfg.Node.Send(session, wire.HistoryOffer{Part: c.Part, Sums: sums}); err != nil {
 			l.cfg.Log.WithFields(logrus.Fields{"peer": string(session), "part": c.Part, "reason": err.Error()}).Info("copies not offered")
 		}
 	}
 }
 
-// Offer takes copies that a peer offers.
-func (l *Ledger) Offer(m wire.HistoryOffer) {
+// Offer takes copies that a peer offers, if they are not known. It returns at once.
+func (l *Ledger) Offer(from peer.Remote, m wire.HistoryOffer) {
 	l.mu.Lock()
 	k := l.keepers[m.Part]
 	l.mu.Unlock()
-	if k != nil && k.isServing() {
-		k.recover(m.Records)
+	if k == nil || !k.isServing() {
+		return
 	}
+	go func() {
+		// Several peers offer the same copies; they are fetched once.
+		k.offers.Lock()
+		defer k.offers.Unlock()
+		f := newFetch(l.cfg.Zone, k.hasRecord)
+		f.at(from, m.Sums)
+		if plan := f.plan(); len(plan) > 0 && !k.isClosed() {
+			k.recover(l.fetch(context.Background(), m.Part, plan, f))
+		}
+	}()
 }
 
-// handOver gives the copies held here to all peers, before this instance ends.
+// handOver gives the copies held here to some peers, before this instance ends.
 func (l *Ledger) handOver(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
 	for _, m := range l.copies.all() {
-		for _, r := range l.cfg.Node.Connected() {
-			wg.Go(func() {
-				if _, err := l.cfg.Node.Ask(ctx, r.Session, m); err != nil {
-					l.cfg.Log.WithFields(logrus.Fields{"peer": string(r.Session), "part": m.Part, "reason": err.Error()}).Warn("copies not handed over")
-				}
-			})
-		}
+		wg.Go(func() { l.handOverCopies(ctx, m) })
 	}
 	wg.Wait()
 }
 
+// handOverCopies gives copies to as many peers as must have them. A later holder that has claimed the
+// partition has asked this instance for them too.
+func (l *Ledger) handOverCopies(ctx context.Context, m wire.HistoryHold) {
+	taken, asked := 0, 0
+	for _, r := range l.cfg.Node.Connected() {
+		if taken == copiesWanted || asked == copyPeers {
+			break
+		}
+		asked++
+		actx, cancel := context.WithTimeout(ctx, copyTimeout)
+		reply, err := l.cfg.Node.Ask(actx, r.Session, m)
+		cancel()
+		a, ok := reply.(wire.HistoryHeld)
+		if err != nil || !ok {
+			continue
+		}
+		if a.Replaced {
+			return
+		}
+		if a.Held {
+			taken++
+		}
+	}
+	if taken < copiesWanted {
+		l.cfg.Log.WithFields(logrus.Fields{"part": m.Part, "count": taken, "reason": fmt.Sprintf("%d peers asked", asked)}).
+			Warn("copies not handed over")
+	}
+}
+
 // doubtful tells whether records may exist that only memory held for a while, so that a turn which isn't
 // found can't be said not to exist: this instance held copies, or saw the store away.
 func (l *Ledger) doubtful() bool {
@@ -377,12 +435,13 @@
 	return wire.HistoryHeld{
 		Held:         l.copies.put(m.Part, m.Epoch, m.Records, time.Now()),
 		StoreReached: l.watch.reached(),
+		Replaced:     l.copies.replaced(m.Part, m.Epoch),
 	}
 }
 
-// serveCollect gives the copies of a partition to its new holder. A keeper of an earlier epoch ends first,
-// so that it adds no more.
-func (l *Ledger) serveCollect(m wire.HistoryCollect) wire.HistoryCollected {
+// serveIndex tells the new holder of a partition which copies are here. A keeper of an earlier epoch ends
+// first, so that it adds no more.
+func (l *Ledger) serveIndex(m wire.HistoryIndex) wire.HistoryIndexed {
 	l.mu.Lock()
 	k := l.keepers[m.Part]
 	l.mu.Unlock()
@@ -390,30 +449,87 @@
 		k.cancel()
 		<-k.closed
 	}
-	return wire.HistoryCollected{Records: l.copies.collect(m.Part, m.Epoch)}
+	return wire.HistoryIndexed{Sums: l.copies.index(m.Part, m.Epoch)}
 }
 
-// collect gets the copies of a partition from all peers in reach.
-func (l *Ledger) collect(ctx context.Context, part int, epoch int64) [][]byte {
+// collect gets the copies of a partition that its new holder doesn't know, each once, from the peers in
+// reach. All peers say first which copies they have: each copy is at several of them, and most are in the
+// partition already when its holders follow each other quickly.
+func (l *Ledger) collect(ctx context.Context, part int, epoch int64, known func(sum uint64) bool) [][]byte {
 	l.awaitPeers(ctx)
+	sums := l.copies.index(part, epoch)
+	records := l.copies.get(part, sums)
+	f := newFetch(l.cfg.Zone, known)
+	f.have(sums)
+	silent := l.indexes(ctx, part, epoch, f)
+	for range fetchRounds {
+		plan := f.plan()
+		if len(plan) == 0 {
+			break
+		}
+		records = append(records, l.fetch(ctx, part, plan, f)...)
+	}
+	missing := f.missing()
+	if silent > 0 || missing > 0 {
+		l.cfg.Log.WithFields(logrus.Fields{"part": part, "silent": silent, "missing": missing, "count": len(records)}).
+			Info("copies not collected")
+	}
+	return records
+}
+
+// indexes asks all peers which copies they have. It returns how many did not answer.
+func (l *Ledger) indexes(ctx context.Context, part int, epoch int64, f *fetch) (silent int) {
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
+	type answer struct {
+		from  peer.Remote
+		sums  []uint64
+		given bool
+	}
 	remotes := l.cfg.Node.Connected()
-	answers := make(chan [][]byte, len(remotes)+1)
+	answers := make(chan answer, len(remotes))
 	for _, r := range remotes {
 		go func() {
-			reply, err := l.cfg.Node.Ask(ctx, r.Session, wire.HistoryCollect{Part: part, Epoch: epoch})
+			reply, err := l.cfg.Node.Ask(ctx, r.Session, wire.HistoryIndex{Part: part, Epoch: epoch})
+			if err != nil {
+				l.cfg.Log.WithFields(logrus.Fields{"peer": string(r.Session), "reason": err.Error(), "part": part}).Debug("copies not listed")
+			}
+			a, ok := reply.(wire.HistoryIndexed)
+			answers <- answer{r, a.Sums, ok}
+		}()
+	}
+	for range remotes {
+		a := <-answers
+		if !a.given {
+			silent++
+		}
+		f.at(a.from, a.sums)
+	}
+	return silent
+}
+
+// fetch gets copies from the peers of a plan.
+func (l *Ledger) fetch(ctx context.Context, part int, plan map[id.Session][]uint64, f *fetch) [][]byte {
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	answers := make(chan [][]byte, len(plan))
+	for session, sums := range plan {
+		go func() {
+			reply, err := l.cfg.Node.Ask(ctx, session, wire.HistoryCollect{Part: part, Sums: sums})
 			if err != nil {
-				l.cfg.Log.WithFields(logrus.Fields{"peer": string(r.Session), "reason": err.Error(), "part": part}).Info("copies not collected")
+				l.cfg.Log.WithFields(logrus.Fields{"peer": string(session), "reason": err.Error(), "part": part}).Debug("copies not given")
 			}
 			collected, _ := reply.(wire.HistoryCollected)
 			answers <- collected.Records
 		}()
 	}
-	answers <- l.copies.collect(part, epoch)
 	var all [][]byte
-	for range len(remotes) + 1 {
-		all = append(all, <-answers...)
+	for range plan {
+		records := <-answers
+		for _, data := range records {
+			f.have([]uint64{xxhash.Sum64(data)})
+		}
+		all = append(all, records...)
 	}
 	return all
 }
--- a/internal/ledger/keeper.go
+++ b/internal/ledger/keeper.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"ragwortstile/internal/history"
@@ -77,7 +78,7 @@
 	// protect makes records last otherwise while the store doesn't take them, and returns those that do.
 	protect func(ctx context.Context, k *keeper, entries []*entry) (kept []*entry)
 	// collect returns the copies that peers hold, once the partition is claimed.
-	collect func(ctx context.Context, part int, epoch int64) [][]byte
+	collect func(ctx context.Context, part int, epoch int64, known func(sum uint64) bool) [][]byte
 	// claimed is told of the claim, once the partition is served.
 	claimed func(part int, epoch int64)
 	// flushed is told when all records that peers have copies of are in the store.
@@ -103,6 +104,9 @@
 	marks     []mark
 	lastTrim  time.Time
 	claimedAt time.Time
+	sums      map[uint64]time.Time // of records of the last copyAge, so that copies of them are not fetched
+
+	offers sync.Mutex // held while offered copies are fetched
 }
 
 // mark remembers when the partition ended at an offset.
@@ -119,6 +123,7 @@
 		closed:   make(chan struct{}),
 		state:    history.NewState(),
 		granting: make(map[string]*entry),
+		sums:     make(map[uint64]time.Time),
 		changed:  make(chan struct{}),
 		wake:     make(chan struct{}, 1),
 		stall:    make(chan struct{}, 1),
@@ -129,7 +134,7 @@
 func (k *keeper) run(ctx context.Context) {
 	err := k.claim(ctx)
 	if err == nil {
-		k.recover(k.collect(ctx, k.part.Part, k.epoch))
+		k.recover(k.collect(ctx, k.part.Part, k.epoch, k.hasRecord))
 		k.mu.Lock()
 		k.state.Recovered()
 		k.claimedAt = time.Now()
@@ -333,6 +338,7 @@
 			return from, count, err
 		}
 		now, wall := time.Now(), time.Now()
+		k.mu.Lock() // the ledger expires what is over meanwhile
 		for _, data := range b.Records {
 			r, err := history.Decode(data)
 			if err != nil {
@@ -340,7 +346,11 @@
 				continue
 			}
 			k.state.Load(r, now, wall)
+			if at := time.UnixMilli(r.At); wall.Sub(at) < copyAge {
+				k.sums[xxhash.Sum64(data)] = at
+			}
 		}
+		k.mu.Unlock()
 		count += len(b.Records)
 		from += int64(len(b.Records))
 		if from >= b.End || len(b.Records) == 0 {
@@ -472,8 +482,9 @@
 		records[i] = e.data
 	}
 	first := time.Now()
+	upload := uploadTime(batch)
 	for try := 0; ; try++ {
-		timeout := min(max(appendSlack*k.usual, minAppendTimeout)<<min(try, 4), maxAppendTimeout)
+		timeout := upload + min(max(appendSlack*k.usual, minAppendTimeout)<<min(try, 4), maxAppendTimeout)
 		actx, cancel := context.WithTimeout(ctx, timeout)
 		start := time.Now()
 		end, err := k.log.Append(actx, store.Append{
@@ -509,6 +520,20 @@
 	}
 }
 
+// slowUpload is the rate, in bytes a second, that a busy link of an instance still has for an append: a
+// third of 22 Mbit/s, the slowest link of the deployments described.
+const slowUpload = 900_000
+
+// uploadTime is how long the records of an append may take on a slow link. A batch of copies taken over is
+// far above the usual size.
+func uploadTime(batch []*entry) time.Duration {
+	size := 0
+	for _, e := range batch {
+		size += len(e.data) + lengthPrefix
+	}
+	return time.Duration(size) * time.Second / slowUpload
+}
+
 // noteStall notes that the append on its way has failed.
 func (k *keeper) noteStall(since time.Time) {
 	k.mu.Lock()
@@ -547,6 +572,7 @@
 	}
 	e := &entry{record: r, data: data, urgent: urgent, since: time.Now(), done: make(chan struct{})}
 	k.pending = append(k.pending, e)
+	k.sums[xxhash.Sum64(data)] = e.since
 	select {
 	case k.wake <- struct{}{}:
 	default:
@@ -630,6 +656,14 @@
 	return now.Sub(k.claimedAt) < newClaim
 }
 
+// hasRecord tells whether a record with the sum is known here.
+func (k *keeper) hasRecord(sum uint64) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	_, ok := k.sums[sum]
+	return ok
+}
+
 func (k *keeper) isServing() bool {
 	select {
 	case <-k.ready:
@@ -763,6 +797,11 @@
 			delete(k.granting, program)
 		}
 	}
+	for sum, at := range k.sums {
+		if now.Sub(at) > copyAge {
+			delete(k.sums, sum)
+		}
+	}
 	before := int64(0)
 	if now.Sub(k.lastTrim) > trimEvery {
 		k.lastTrim = now
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -72,6 +72,7 @@
 type Config struct {
 	Instance  string
 	PeerAddr  string
+	Zone      string // availability zone
 	Parts     int
 	CallBytes int
 	MinTTL    time.Duration // of a membership, by the store
@@ -684,8 +685,10 @@
 		return true, l.serveAck(ctx, r, m.Part, func(k *keeper) error { return k.adopt(ctx, m.Turn, m.Body, m.Keep) })
 	case wire.HistoryHold:
 		return true, r.SendLast(ctx, l.serveHold(m))
+	case wire.HistoryIndex:
+		return true, r.SendLast(ctx, l.serveIndex(m))
 	case wire.HistoryCollect:
-		return true, r.SendLast(ctx, l.serveCollect(m))
+		return true, r.SendLast(ctx, wire.HistoryCollected{Records: l.copies.get(m.Part, m.Sums)})
 	case wire.TurnFind:
 		return true, r.SendLast(ctx, l.search(ctx, m.Turn))
 	default:
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -34,14 +34,14 @@
 
 func (h *handler) Connected(r peer.Remote)         { h.ledger.Connected(r) }
 func (h *handler) Disconnected(peer.Remote, error) {}
-func (h *handler) Receive(_ peer.Remote, m wire.Message) {
+func (h *handler) Receive(r peer.Remote, m wire.Message) {
 	switch m := m.(type) {
 	case wire.Holding:
 		h.ledger.Holding(m)
 	case wire.HistoryKept:
 		h.ledger.Kept(m)
 	case wire.HistoryOffer:
-		h.ledger.Offer(m)
+		h.ledger.Offer(r, m)
 	case wire.GroupChanged:
 		h.ledger.GroupChanged()
 	}
@@ -350,6 +350,27 @@
 	must.Eq(t, "in-t1;out-t1;in-t2;out-t2;", runTurn(t, a, "p", "t3", "t2"))
 }
 
+// Copies that an instance holds go to as many peers as must have them when it stops, not to all: with a
+// rolling restart during an outage, all copies would soon be everywhere.
+func TestHandOverGoesToFewPeers(t *testing.T) {
+	s := storestand.New(6)
+	var all []*instance
+	for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
+		all = append(all, start(t, name, 6, s))
+	}
+	runTurn(t, all[0], "p", "t1", "")
+	time.Sleep(800 * time.Millisecond)
+	f := all[5]
+	must.True(t, f.copies.put(0, 1<<40, [][]byte{[]byte("record")}, time.Now()))
+	must.Less(t, len(f.cfg.Node.Connected()), copiesWanted)
+	f.handOver(context.Background())
+	holding := 0
+	for _, x := range all[:5] {
+		holding += len(x.copies.index(0, 0))
+	}
+	must.Eq(t, copiesWanted, holding)
+}
+
 // After an outage of the store a turn that isn't found is not denied, also by instances that hold no copies.
 func TestNoDenialAfterAnOutage(t *testing.T) {
 	s := storestand.New(2)
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -53,6 +53,8 @@
 	KindBeliefs
 	KindHistoryKept
 	KindHistoryOffer
+	KindHistoryIndex
+	KindHistoryIndexed
 	kindEnd // one above the last kind
 )
 
@@ -105,6 +107,8 @@
 	KindBeliefs:          "beliefs",
 	KindHistoryKept:      "history_kept",
 	KindHistoryOffer:     "history_offer",
+	KindHistoryIndex:     "history_index",
+	KindHistoryIndexed:   "history_indexed",
 }
 
 // Known tells whether this binary knows the kind.
@@ -124,7 +128,7 @@
 	switch k {
 	case KindForward, KindChunk, KindCopyPut, KindCopyGet, KindCopies, KindManifestGet, KindManifest,
 		KindExplain, KindExplained, KindTurnBegun, KindTurnEnd, KindTurnFound, KindTurnAdopt,
-		KindHistoryHold, KindHistoryCollected, KindHistoryOffer, KindBeliefs:
+		KindHistoryHold, KindHistoryCollected, KindBeliefs:
 		return true
 	default:
 		return false
--- a/internal/wire/registry.go
+++ b/internal/wire/registry.go
@@ -120,6 +120,12 @@
 // Kind implements Message.
 func (HistoryHeld) Kind() Kind { return KindHistoryHeld }
 
+// Kind implements Message.
+func (HistoryIndex) Kind() Kind { return KindHistoryIndex }
+
+// Kind implements Message.
+func (HistoryIndexed) Kind() Kind { return KindHistoryIndexed }
+
 // Kind implements Message.
 func (HistoryCollect) Kind() Kind { return KindHistoryCollect }
 
@@ -194,4 +200,6 @@
 	KindBeliefs:          decodeAs[Beliefs],
 	KindHistoryKept:      decodeAs[HistoryKept],
 	KindHistoryOffer:     decodeAs[HistoryOffer],
+	KindHistoryIndex:     decodeAs[HistoryIndex],
+	KindHistoryIndexed:   decodeAs[HistoryIndexed],
 }
--- a/internal/wire/turn.go
+++ b/internal/wire/turn.go
@@ -78,25 +78,37 @@
 type HistoryHeld struct {
 	Held         bool `msgpack:"h"`
 	StoreReached bool `msgpack:"s"` // the store answers the peer
+	Replaced     bool `msgpack:"r"` // a later holder has claimed the partition and has asked for the copies
 }
 
-// HistoryCollect asks for the copies of a partition that its new holder has claimed under an epoch. No
-// copies of earlier epochs are taken afterwards. The reply is HistoryCollected.
-type HistoryCollect struct {
+// HistoryIndex asks which copies there are of a partition that its new holder has claimed under an epoch.
+// No copies of earlier epochs are taken afterwards. The reply is HistoryIndexed.
+type HistoryIndex struct {
 	Part  int   `msgpack:"pt"`
 	Epoch int64 `msgpack:"e"`
 }
 
+// HistoryIndexed answers HistoryIndex. Sums are hashes of the encoded records.
+type HistoryIndexed struct {
+	Sums []uint64 `msgpack:"s"`
+}
+
+// HistoryCollect asks for some copies of a partition. The reply is HistoryCollected.
+type HistoryCollect struct {
+	Part int      `msgpack:"pt"`
+	Sums []uint64 `msgpack:"s"`
+}
+
 // HistoryCollected answers HistoryCollect.
 type HistoryCollected struct {
 	Records [][]byte `msgpack:"r"`
 }
 
-// HistoryOffer gives the new holder of a partition copies that its claim didn't collect, since the sender
-// was out of its reach. It is one-way.
+// HistoryOffer tells the holder of a partition which copies the sender has. Its claim may not have collected
+// them, since the sender was out of its reach. It is one-way.
 type HistoryOffer struct {
-	Part    int      `msgpack:"pt"`
-	Records [][]byte `msgpack:"r"`
+	Part int      `msgpack:"pt"`
+	Sums []uint64 `msgpack:"s"`
 }
 
 // HistoryKept tells that all records of a partition up to an epoch are in the store, so that copies are not
