telemetry: lines that come after the end of the log are dropped instead of ending the process

Cause: at the end of a planned stop the log is closed while connections of peers still end; their lines were sent on a closed channel, and each process ended with a panic and exit code 2 after it had served all its callers.

Change: the writer's queue is never closed; lines after its end are dropped.

Ruled out: a signal handler, the supervisor (the trace ends in BoundedWriter.Write).

Test: TestBoundedWriterTakesLinesAfterItsEnd, a panic before.

--- a/internal/telemetry/bounded.go
+++ b/internal/telemetry/bounded.go
@@ -15,12 +15,13 @@
 type BoundedWriter struct {
 	lines   chan []byte
 	dropped atomic.Int64
+	closing chan struct{}
 	done    chan struct{}
 }
 
 // NewBoundedWriter returns a writer with room for a number of lines.
 func NewBoundedWriter(w io.Writer, lines int) *BoundedWriter {
-	b := &BoundedWriter{lines: make(chan []byte, lines), done: make(chan struct{})}
+	b := &BoundedWriter{lines: make(chan []byte, lines), closing: make(chan struct{}), done: make(chan struct{})}
 	go b.run(w)
 	return b
 }
@@ -36,9 +37,10 @@
 	return len(line), nil
 }
 
-// Close writes what is queued. Nothing may be written after it.
+// Close writes what is queued. Lines that come later, from connections that end with the process, are
+// dropped.
 func (b *BoundedWriter) Close() {
-	close(b.lines)
+	close(b.closing)
 	<-b.done
 }
 
@@ -48,12 +50,30 @@
 func (b *BoundedWriter) run(w io.Writer) {
 	defer close(b.done)
 	told, next := int64(0), time.Now()
-	for line := range b.lines {
-		// The log has nowhere to report that it cannot be written.
-		_, _ = w.Write(line)
+	for {
+		select {
+		case line := <-b.lines:
+			// The log has nowhere to report that it cannot be written.
+			_, _ = w.Write(line)
+		case <-b.closing:
+			b.flush(w)
+			return
+		}
 		if n := b.dropped.Load(); n > told && time.Now().After(next) {
 			_, _ = fmt.Fprintf(w, "level=warning msg=\"log lines dropped\" count=%d\n", n-told)
 			told, next = n, time.Now().Add(dropNotice)
 		}
 	}
 }
+
+// flush writes what is queued now.
+func (b *BoundedWriter) flush(w io.Writer) {
+	for {
+		select {
+		case line := <-b.lines:
+			_, _ = w.Write(line) // as above
+		default:
+			return
+		}
+	}
+}
--- a/internal/telemetry/bounded_test.go
+++ b/internal/telemetry/bounded_test.go
@@ -38,3 +38,16 @@
 	must.StrContains(t, s.buf.String(), "log lines dropped")
 	must.LessEq(t, 6, strings.Count(s.buf.String(), "line\n"))
 }
+
+// Connections that end with the process still write lines when the log has been closed. Found by the soak:
+// every process ended with a panic after its planned stop.
+func TestBoundedWriterTakesLinesAfterItsEnd(t *testing.T) {
+	var out bytes.Buffer
+	b := NewBoundedWriter(&out, 8)
+	_, err := b.Write([]byte("first\n"))
+	must.NoError(t, err)
+	b.Close()
+	_, err = b.Write([]byte("late\n"))
+	must.NoError(t, err)
+	must.Eq(t, "first\n", out.String())
+}
