--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -67,6 +67,8 @@
 }
 
 func runGateway(ctx context.Context, env environment, o gatewayOptions) error {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP) // from the first moment to the last: by default it ends the process
 	level, err := logrus.ParseLevel(o.logLevel)
 	if err != nil {
 		return usagef("log-level: %w", err)
@@ -90,7 +92,7 @@
 	if err != nil {
 		return &runError{err}
 	}
-	reload(ctx, o.settings, log)
+	go reload(hup, o.settings, log)
 	if err := g.Run(ctx); err != nil {
 		log.WithField("reason", err.Error()).Error("instance ended")
 		return &runError{err}
@@ -120,26 +122,16 @@
 	return nil
 }
 
-// reload checks the settings file again on SIGHUP. Addresses and limits hold until the next start; the
-// process says what it found.
-func reload(ctx context.Context, path string, log logrus.FieldLogger) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	go func() {
-		defer signal.Stop(hup)
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-hup:
-			}
-			if _, err := platform.LoadSettings(path); err != nil {
-				log.WithField("reason", err.Error()).Error("settings file refused, the settings of the start stay")
-				continue
-			}
-			log.Info("settings file read again, it takes effect at the next start")
+// reload checks the settings file again on each SIGHUP, also while the instance stops. Addresses and limits
+// hold until the next start; the process says what it found.
+func reload(hup <-chan os.Signal, path string, log logrus.FieldLogger) {
+	for range hup {
+		if _, err := platform.LoadSettings(path); err != nil {
+			log.WithField("reason", err.Error()).Error("settings file refused, the settings of the start stay")
+			continue
 		}
-	}()
+		log.Info("settings file read again, it takes effect at the next start")
+	}
 }
 
 func nonce() string {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -310,6 +310,34 @@
 	}
 }
 
+// A holder is killed in the outage: what it had peers hold is found when the store is back.
+func TestCopiesOutliveAKilledHolder(t *testing.T) {
+	s := storestand.New(3)
+	all := []*instance{start(t, "a", 3, s), start(t, "b", 3, s), start(t, "c", 3, s), start(t, "d", 3, s)}
+	runTurn(t, all[0], "p", "t1", "")
+	time.Sleep(800 * time.Millisecond) // connections of all pairs
+	s.SetFault(away)
+	time.Sleep(storeFresh)
+	runTurn(t, all[0], "p", "t2", "t1")
+	for i, x := range all {
+		x.mu.Lock()
+		holds := x.keepers[x.part("p")] != nil
+		x.mu.Unlock()
+		if holds {
+			x.kill()
+			<-x.done
+			all = append(all[:i:i], all[i+1:]...)
+			break
+		}
+	}
+	must.Len(t, 3, all)
+	time.Sleep(storeFresh)
+	s.SetFault(nil)
+	for _, x := range all {
+		must.Eq(t, "in-t1;out-t1;in-t2;out-t2;", runTurn(t, x, "p", "v"+x.cfg.Instance, "t2"))
+	}
+}
+
 // The store comes back with an empty group, and an instance that has just started and knows nobody claims all
 // partitions. The copies of the outage reach it when their holders find it.
 func TestCopiesReachAHolderThatKnowsNobody(t *testing.T) {
