--- a/examples/examples.go
+++ b/examples/examples.go
@@ -20,9 +20,9 @@
 //go:embed raintank_programs.yaml
 var raintank []byte
 
-// User is one tenant with its programs.
+// User is one team with its programs.
 type User struct {
-	Tenant   string    `yaml:"tenant"`
+	Team     string    `yaml:"tenant"`
 	Key      string    `yaml:"key"` // bearer key
 	Programs []Program `yaml:"programs"`
 }
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -1,4 +1,4 @@
-// Package api is the HTTP front for callers: it authenticates tenants, checks requests strictly,
+// Package api is the HTTP front for callers: it authenticates teams, checks requests strictly,
 // turns them into events of package program and writes the answers back as JSON, event streams or
 // problem documents (RFC 9457).
 //
@@ -45,8 +45,8 @@
 	// Ready returns nil when the instance can serve callers.
 	Ready() error
 	// Status returns the state of the deployment as a value that encodes to JSON, with the programs
-	// of one tenant or, for an empty name, of all.
-	Status(tenant string) any
+	// of one team or, for an empty name, of all.
+	Status(team string) any
 	// WriteMetrics writes the metrics in Prometheus text format.
 	WriteMetrics(w io.Writer)
 }
@@ -74,21 +74,21 @@
 }
 
 func (f *Front) routes() {
-	f.tenant("POST /v1/programs", f.openProgram)
-	f.tenant("GET /v1/programs/{id}", f.readProgram)
-	f.tenant("DELETE /v1/programs/{id}", f.endProgram)
-	f.tenant("POST /v1/programs/{id}/branches", f.openBranch)
-	f.tenant("POST /v1/programs/{id}/chat/completions", f.programChat)
-	f.tenant("POST /v1/programs/{id}/branches/{branch}/chat/completions", f.programChat)
-	f.tenant("POST /v1/chat/completions", f.chat)
-	f.tenant("POST /v1/programs/{id}/services/{service}/{operation}", f.serviceCall)
-	f.tenant("POST /v1/programs/{id}/branches/{branch}/services/{service}/{operation}", f.serviceCall)
-	f.tenant("GET /v1/programs/{id}/calls/{key}", f.joinCall)
-	f.tenant("POST /v1/programs/{id}/calls/{key}/settle", f.settleCall)
-	f.tenant("GET /v1/programs/{id}/history", f.history)
-	f.tenant("GET /v1/models", f.models)
-	f.tenantOrOperator("GET /v1/programs/{id}/explain", f.explain)
-	f.tenantOrOperator("GET /v1/status", f.status)
+	f.team("POST /v1/programs", f.openProgram)
+	f.team("GET /v1/programs/{id}", f.readProgram)
+	f.team("DELETE /v1/programs/{id}", f.endProgram)
+	f.team("POST /v1/programs/{id}/branches", f.openBranch)
+	f.team("POST /v1/programs/{id}/chat/completions", f.programChat)
+	f.team("POST /v1/programs/{id}/branches/{branch}/chat/completions", f.programChat)
+	f.team("POST /v1/chat/completions", f.chat)
+	f.team("POST /v1/programs/{id}/services/{service}/{operation}", f.serviceCall)
+	f.team("POST /v1/programs/{id}/branches/{branch}/services/{service}/{operation}", f.serviceCall)
+	f.team("GET /v1/programs/{id}/calls/{key}", f.joinCall)
+	f.team("POST /v1/programs/{id}/calls/{key}/settle", f.settleCall)
+	f.team("GET /v1/programs/{id}/history", f.history)
+	f.team("GET /v1/models", f.models)
+	f.teamOrOperator("GET /v1/programs/{id}/explain", f.explain)
+	f.teamOrOperator("GET /v1/status", f.status)
 	f.mux.HandleFunc("GET /healthz", f.healthz)
 	f.mux.HandleFunc("GET /readyz", f.readyz)
 	f.mux.HandleFunc("GET /metrics", f.metrics)
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -55,9 +55,9 @@
 func (b *fakeBackend) Manifest() *manifest.Manifest { return testManifest }
 
 var testManifest = &manifest.Manifest{
-	Tenants: []manifest.Tenant{{Name: "t", KeyDigests: []string{KeyDigest("key")}, DefaultDuty: "d"}},
-	Duties:  []manifest.Duty{{Name: "d", Tenants: []string{"t"}, Pools: []string{"m"}}, {Name: "other", Tenants: []string{"u"}}},
-	Pools:   []manifest.Pool{{Name: "m", Kind: manifest.PoolModel}},
+	Teams:  []manifest.Team{{Name: "t", KeyDigests: []string{KeyDigest("key")}, DefaultDuty: "d"}},
+	Duties: []manifest.Duty{{Name: "d", Teams: []string{"t"}, Pools: []string{"m"}}, {Name: "other", Teams: []string{"u"}}},
+	Pools:  []manifest.Pool{{Name: "m", Kind: manifest.PoolModel}},
 }
 
 func serveFake(t *testing.T, b *fakeBackend) string {
--- a/internal/api/auth.go
+++ b/internal/api/auth.go
@@ -17,63 +17,63 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// keyIndex maps key digests to tenants. It is built once for each manifest.
+// keyIndex maps key digests to teams. It is built once for each manifest.
 type keyIndex struct {
 	current atomic.Pointer[keyTable]
 }
 
 type keyTable struct {
-	of      *manifest.Manifest
-	tenants map[string]*manifest.Tenant
+	of    *manifest.Manifest
+	teams map[string]*manifest.Team
 }
 
-func (x *keyIndex) tenant(m *manifest.Manifest, digest string) *manifest.Tenant {
+func (x *keyIndex) team(m *manifest.Manifest, digest string) *manifest.Team {
 	t := x.current.Load()
 	if t == nil || t.of != m {
 		t = newKeyTable(m)
 		x.current.Store(t)
 	}
-	return t.tenants[digest]
+	return t.teams[digest]
 }
 
 func newKeyTable(m *manifest.Manifest) *keyTable {
-	t := &keyTable{of: m, tenants: map[string]*manifest.Tenant{}}
-	for i := range m.Tenants {
-		for _, d := range m.Tenants[i].KeyDigests {
-			t.tenants[strings.ToLower(d)] = &m.Tenants[i]
+	t := &keyTable{of: m, teams: map[string]*manifest.Team{}}
+	for i := range m.Teams {
+		for _, d := range m.Teams[i].KeyDigests {
+			t.teams[strings.ToLower(d)] = &m.Teams[i]
 		}
 	}
 	return t
 }
 
-// caller is the authenticated sender of a request. Tenant is nil for the operator.
+// caller is the authenticated sender of a request. Team is nil for the operator.
 type caller struct {
-	tenant   *manifest.Tenant
+	team     *manifest.Team
 	manifest *manifest.Manifest
 }
 
 func (c caller) name() string {
-	if c.tenant == nil {
+	if c.team == nil {
 		return ""
 	}
-	return c.tenant.Name
+	return c.team.Name
 }
 
 type handler func(w http.ResponseWriter, r *http.Request, c caller)
 
-// tenant registers a handler for requests that carry a tenant's key.
-func (f *Front) tenant(pattern string, h handler) {
+// team registers a handler for requests that carry a team's key.
+func (f *Front) team(pattern string, h handler) {
 	f.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
 		c, p := f.authenticate(r)
-		if p == nil && c.tenant == nil {
+		if p == nil && c.team == nil {
 			p = ptr(refuse(http.StatusForbidden, "operator_key", "this path needs the key of a tenant", "header Authorization"))
 		}
 		f.serve(w, r, c, p, h)
 	})
 }
 
-// tenantOrOperator registers a handler that the operator's key opens too.
-func (f *Front) tenantOrOperator(pattern string, h handler) {
+// teamOrOperator registers a handler that the operator's key opens too.
+func (f *Front) teamOrOperator(pattern string, h handler) {
 	f.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
 		c, p := f.authenticate(r)
 		f.serve(w, r, c, p, h)
@@ -105,11 +105,11 @@
 	if m == nil {
 		return caller{}, ptr(refuse(http.StatusServiceUnavailable, "no_manifest", "no manifest is in force yet", ""))
 	}
-	t := f.keys.tenant(m, digest)
+	t := f.keys.team(m, digest)
 	if t == nil {
 		return caller{}, ptr(refuse(http.StatusUnauthorized, "unknown_key", "the key belongs to no tenant", "header Authorization"))
 	}
-	return caller{tenant: t, manifest: m}, nil
+	return caller{team: t, manifest: m}, nil
 }
 
 func ptr[T any](v T) *T { return &v }
--- a/internal/api/calls.go
+++ b/internal/api/calls.go
@@ -45,7 +45,7 @@
 	}
 	w.Header().Set("X-Program", string(prog))
 	f.answer(w, r, program.ServiceCall{
-		Tenant:    c.name(),
+		Team:      c.name(),
 		Program:   prog,
 		Branch:    branch,
 		Key:       head.key,
@@ -72,7 +72,7 @@
 	}
 	withProgram(w, r, func(prog id.Program) {
 		w.Header().Set("X-Program", string(prog))
-		f.answer(w, r, program.JoinCall{Tenant: c.name(), Program: prog, Key: key, FromByte: from}, key)
+		f.answer(w, r, program.JoinCall{Team: c.name(), Program: prog, Key: key, FromByte: from}, key)
 	})
 }
 
@@ -104,6 +104,6 @@
 		return
 	}
 	withProgram(w, r, func(prog id.Program) {
-		f.answer(w, r, program.SettleCall{Tenant: c.name(), Program: prog, Key: key, Executed: executed, Body: body.Body}, key)
+		f.answer(w, r, program.SettleCall{Team: c.name(), Program: prog, Key: key, Executed: executed, Body: body.Body}, key)
 	})
 }
--- a/internal/api/chat.go
+++ b/internal/api/chat.go
@@ -203,7 +203,7 @@
 		head.key = newKey()
 	}
 	return program.ModelCall{
-		Tenant:    c.name(),
+		Team:      c.name(),
 		Key:       head.key,
 		Seq:       head.seq,
 		Digest:    req.digest,
--- a/internal/api/implicit.go
+++ b/internal/api/implicit.go
@@ -17,15 +17,15 @@
 // SlotForKey returns the slot in which a program is opened under an idempotency key that the caller
 // chose. It follows from the key alone, so a repeated key reaches the owner that knows the program
 // from any instance.
-func SlotForKey(tenant, key string) id.Slot {
-	sum := sha256.Sum256([]byte(tenant + "\x00" + key))
+func SlotForKey(team, key string) id.Slot {
+	sum := sha256.Sum256([]byte(team + "\x00" + key))
 	return id.Slot(sum[0] % id.Slots)
 }
 
 // newProgram chooses the ID of a new program: in the slot of its key when the caller chose one,
 // otherwise in a slot of this instance, which saves the way to another owner.
-func (f *Front) newProgram(tenant, key string, generated bool) id.Program {
-	slot := SlotForKey(tenant, key)
+func (f *Front) newProgram(team, key string, generated bool) id.Program {
+	slot := SlotForKey(team, key)
 	if generated {
 		if local, ok := f.backend.LocalSlot(); ok {
 			slot = local
@@ -44,7 +44,7 @@
 	return opened.ID, err == nil && opened.ID != ""
 }
 
-// implicitChat serves a model call without a program: it opens a program of the tenant's default
+// implicitChat serves a model call without a program: it opens a program of the team's default
 // duty, makes the call and ends the program when the call has been answered.
 func (f *Front) implicitChat(w http.ResponseWriter, r *http.Request, c caller) {
 	call, p := readModelCall(r, c)
@@ -52,7 +52,7 @@
 		writeProblem(w, *p, 0)
 		return
 	}
-	duty := findDuty(c.manifest, c.tenant.DefaultDuty)
+	duty := findDuty(c.manifest, c.team.DefaultDuty)
 	if duty == nil {
 		writeProblem(w, refuse(http.StatusBadRequest, "no_default_duty",
 			"the tenant has no default duty; open a program and name it in X-Program", "header X-Program"), 0)
@@ -63,11 +63,11 @@
 		return
 	}
 	generated := strings.HasPrefix(call.Key, "auto-")
-	call.Program = f.newProgram(call.Tenant, "implicit:"+call.Key, generated)
+	call.Program = f.newProgram(call.Team, "implicit:"+call.Key, generated)
 	call.Branch = id.MainBranch
 	reply, ok := f.ask(r.Context(), program.OpenProgram{
 		Program: call.Program,
-		Tenant:  call.Tenant,
+		Team:    call.Team,
 		Duty:    duty.Name,
 		Key:     "implicit:" + call.Key,
 		Limits:  record.Limits{WallTime: ImplicitWallTime},
@@ -85,7 +85,7 @@
 	}
 	w.Header().Set("X-Program", string(call.Program))
 	box := newMailbox()
-	end := program.EndProgram{Tenant: call.Tenant, Program: call.Program}
+	end := program.EndProgram{Team: call.Team, Program: call.Program}
 	sink := &endingSink{mailbox: box, keepRefused: !generated, end: func() { f.backend.Submit(end, discard{}) }}
 	gone := f.backend.Submit(call, sink)
 	if !copyAnswer(r.Context(), w, box, call.Key) {
--- a/internal/api/ops.go
+++ b/internal/api/ops.go
@@ -40,7 +40,7 @@
 	Data   []modelEntry `json:"data"`
 }
 
-// models lists the models that the tenant's duties may use.
+// models lists the models that the team's duties may use.
 func (f *Front) models(w http.ResponseWriter, _ *http.Request, c caller) {
 	list := modelList{Object: "list", Data: []modelEntry{}}
 	for _, p := range c.manifest.Pools {
@@ -53,7 +53,7 @@
 
 func mayUse(c caller, pool string) bool {
 	for _, d := range c.manifest.Duties {
-		if slices.Contains(d.Tenants, c.tenant.Name) && slices.Contains(d.Pools, pool) {
+		if slices.Contains(d.Teams, c.team.Name) && slices.Contains(d.Pools, pool) {
 			return true
 		}
 	}
--- a/internal/api/programs.go
+++ b/internal/api/programs.go
@@ -75,7 +75,7 @@
 	}
 	ev := program.OpenProgram{
 		Program: f.newProgram(c.name(), key, generated),
-		Tenant:  c.name(),
+		Team:    c.name(),
 		Duty:    body.Duty,
 		Key:     key,
 		Limits:  limits,
@@ -87,16 +87,16 @@
 	f.answer(w, r, ev, key)
 }
 
-// checkDuty fills in the default duty and checks that the tenant may use the duty.
+// checkDuty fills in the default duty and checks that the team may use the duty.
 func checkDuty(body *openRequest, c caller) *program.Problem {
 	if body.Duty == "" {
-		body.Duty = c.tenant.DefaultDuty
+		body.Duty = c.team.DefaultDuty
 	}
 	d := findDuty(c.manifest, body.Duty)
 	if d == nil {
 		return ptr(refuse(http.StatusBadRequest, "unknown_duty", fmt.Sprintf("no duty %q", body.Duty), "body.duty"))
 	}
-	if !slices.Contains(d.Tenants, c.tenant.Name) {
+	if !slices.Contains(d.Teams, c.team.Name) {
 		return ptr(refuse(http.StatusForbidden, "duty_not_allowed",
 			fmt.Sprintf("duty %q is not open to this tenant", body.Duty), "body.duty"))
 	}
@@ -135,7 +135,7 @@
 	if key == "" {
 		key = newKey()
 	}
-	f.answer(w, r, program.OpenBranch{Tenant: c.name(), Program: prog, Name: body.Name, Parent: body.Parent, Key: key}, key)
+	f.answer(w, r, program.OpenBranch{Team: c.name(), Program: prog, Name: body.Name, Parent: body.Parent, Key: key}, key)
 }
 
 // withProgram runs a handler with the checked program ID of the path.
@@ -150,7 +150,7 @@
 
 func (f *Front) readProgram(w http.ResponseWriter, r *http.Request, c caller) {
 	withProgram(w, r, func(prog id.Program) {
-		f.answer(w, r, program.ReadProgram{Tenant: c.name(), Program: prog}, "")
+		f.answer(w, r, program.ReadProgram{Team: c.name(), Program: prog}, "")
 	})
 }
 
@@ -164,18 +164,18 @@
 		return
 	}
 	withProgram(w, r, func(prog id.Program) {
-		f.answer(w, r, program.ReadProgram{Tenant: c.name(), Program: prog, Branch: branch, History: true}, "")
+		f.answer(w, r, program.ReadProgram{Team: c.name(), Program: prog, Branch: branch, History: true}, "")
 	})
 }
 
 func (f *Front) endProgram(w http.ResponseWriter, r *http.Request, c caller) {
 	withProgram(w, r, func(prog id.Program) {
-		f.answer(w, r, program.EndProgram{Tenant: c.name(), Program: prog}, "")
+		f.answer(w, r, program.EndProgram{Team: c.name(), Program: prog}, "")
 	})
 }
 
 func (f *Front) explain(w http.ResponseWriter, r *http.Request, c caller) {
 	withProgram(w, r, func(prog id.Program) {
-		f.answer(w, r, program.ExplainProgram{Tenant: c.name(), Program: prog}, "")
+		f.answer(w, r, program.ExplainProgram{Team: c.name(), Program: prog}, "")
 	})
 }
--- a/internal/bench/ablation.go
+++ b/internal/bench/ablation.go
@@ -12,7 +12,7 @@
 	return []variant{
 		off(policyOurs, sched.Options{}),
 		off("no_program_order", sched.Options{NoProgramOrder: true}),
-		off("no_tenant_fairness", sched.Options{NoTenantFairness: true}),
+		off("no_tenant_fairness", sched.Options{NoTeamFairness: true}),
 		off("no_shares", sched.Options{NoShares: true}),
 		off("no_admission", sched.Options{NoAdmission: true}),
 		off("no_early_refusal", sched.Options{NoEarlyRefusal: true}),
--- a/internal/bench/deployment.go
+++ b/internal/bench/deployment.go
@@ -36,7 +36,7 @@
 type dutySpec struct {
 	sched.Duty
 	part      float64 // of the offered work
-	tenants   int
+	teams     int
 	turns     float64 // median number of turns
 	turnsTail float64 // sigma of the logarithm
 	maxTurns  int
@@ -84,13 +84,13 @@
 			weightLatency: 0.4, weightCache: 0.6, queueLimit: 600,
 			patience: 120 * time.Second, length: 1800 * time.Second, move: true,
 			duties: []dutySpec{
-				{Duty: sched.Duty{Name: "layout", Share: 0.35}, part: 0.4, tenants: 3, turns: 9, turnsTail: 0.8, maxTurns: 60,
+				{Duty: sched.Duty{Name: "layout", Share: 0.35}, part: 0.4, teams: 3, turns: 9, turnsTail: 0.8, maxTurns: 60,
 					prefix: [2]int64{6000, 16000}, add: [2]int64{150, 900}, output: 220, pause: 8, pauseTail: 0.9,
 					service: 0.15, subs: 0.03},
-				{Duty: sched.Duty{Name: "drafting", Share: 0.3}, part: 0.3, tenants: 4, turns: 5, turnsTail: 0.7, maxTurns: 40,
+				{Duty: sched.Duty{Name: "drafting", Share: 0.3}, part: 0.3, teams: 4, turns: 5, turnsTail: 0.7, maxTurns: 40,
 					prefix: [2]int64{4000, 10000}, add: [2]int64{200, 1200}, output: 350, pause: 3, pauseTail: 0.8,
 					service: 0.2, subs: 0.1, deadline: [2]time.Duration{300 * time.Second, 900 * time.Second}},
-				{Duty: sched.Duty{Name: "archive", Share: 0.1}, part: 0.3, tenants: 2, turns: 6, turnsTail: 0.9, maxTurns: 60,
+				{Duty: sched.Duty{Name: "archive", Share: 0.1}, part: 0.3, teams: 2, turns: 6, turnsTail: 0.9, maxTurns: 60,
 					prefix: [2]int64{4000, 12000}, add: [2]int64{200, 1500}, output: 250, pause: 1, pauseTail: 0.7, service: 0.3},
 			},
 		},
@@ -101,11 +101,11 @@
 			weightLatency: 0.7, weightCache: 0.3, queueLimit: 400,
 			patience: 30 * time.Second, length: 600 * time.Second, move: true,
 			duties: []dutySpec{
-				{Duty: sched.Duty{Name: "field", Share: 0.4}, part: 0.4, tenants: 6, turns: 4, turnsTail: 0.6, maxTurns: 25,
+				{Duty: sched.Duty{Name: "field", Share: 0.4}, part: 0.4, teams: 6, turns: 4, turnsTail: 0.6, maxTurns: 25,
 					prefix: [2]int64{1500, 4000}, add: [2]int64{60, 400}, output: 90, pause: 1.5, pauseTail: 0.8, service: 0.5},
-				{Duty: sched.Duty{Name: "routes", Share: 0.25}, part: 0.25, tenants: 4, turns: 5, turnsTail: 0.7, maxTurns: 30,
+				{Duty: sched.Duty{Name: "routes", Share: 0.25}, part: 0.25, teams: 4, turns: 5, turnsTail: 0.7, maxTurns: 30,
 					prefix: [2]int64{2000, 5000}, add: [2]int64{100, 600}, output: 130, pause: 0.8, pauseTail: 0.8, service: 0.4, subs: 0.05},
-				{Duty: sched.Duty{Name: "orders", Share: 0.2}, part: 0.35, tenants: 3, turns: 3, turnsTail: 0.7, maxTurns: 20,
+				{Duty: sched.Duty{Name: "orders", Share: 0.2}, part: 0.35, teams: 3, turns: 3, turnsTail: 0.7, maxTurns: 20,
 					prefix: [2]int64{1000, 3000}, add: [2]int64{60, 300}, output: 70, pause: 0.5, pauseTail: 0.6, service: 0.7},
 			},
 		},
--- a/internal/bench/program.go
+++ b/internal/bench/program.go
@@ -146,7 +146,7 @@
 	s := p.sim
 	r := sched.Request{
 		ID: at.id, Owner: p.owner.session, Program: p.spec.id, Branch: b.name,
-		Tenant: p.spec.tenant, Duty: p.spec.duty, Zone: zoneName(p.owner.zone),
+		Team: p.spec.team, Duty: p.spec.duty, Zone: zoneName(p.owner.zone),
 		Attained: p.attained, Calls: p.calls, ProgramAge: s.now - p.spec.arrival,
 		CallTimeLimit: left, Idempotent: true, Retry: c.failures, Avoid: c.avoid,
 	}
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -14,7 +14,7 @@
 	reportDelay time.Duration
 	eventLoss   float64
 	faults      func(*sim)
-	flood       bool // one tenant sends many programs; they are not in the latencies
+	flood       bool // one team sends many programs; they are not in the latencies
 	extra       bool // runs only when it is named
 }
 
--- a/internal/bench/slopes.go
+++ b/internal/bench/slopes.go
@@ -71,8 +71,8 @@
 	for i := range programs {
 		programs[i] = sched.Request{
 			Program: id.Program(fmt.Sprintf("p00-%d", i)), Branch: id.MainBranch, Calls: 1,
-			Owner:  id.Session(fmt.Sprintf("i%d.1", i%size.instances)),
-			Tenant: fmt.Sprintf("t%d", i%64), Duty: fmt.Sprintf("d%d", i%8), PromptTokens: 2000, MaxTokens: 300,
+			Owner: id.Session(fmt.Sprintf("i%d.1", i%size.instances)),
+			Team:  fmt.Sprintf("t%d", i%64), Duty: fmt.Sprintf("d%d", i%8), PromptTokens: 2000, MaxTokens: 300,
 		}
 	}
 	var out []sched.Action
--- a/internal/bench/workload.go
+++ b/internal/bench/workload.go
@@ -22,7 +22,7 @@
 // programSpec is a program of the trace. Its shape is known to the clients only.
 type programSpec struct {
 	id       id.Program
-	tenant   string
+	team     string
 	duty     string
 	arrival  time.Duration
 	deadline time.Duration // after arrival; 0: none
@@ -66,7 +66,7 @@
 	g.serial++
 	p := &programSpec{
 		id:      id.NewProgram(id.Slot(g.rng.IntN(id.Slots)), fmt.Sprintf("%06d", g.serial)),
-		tenant:  fmt.Sprintf("%s-%d", u.Name, int(float64(u.tenants)*g.rng.Float64()*g.rng.Float64())+1),
+		team:    fmt.Sprintf("%s-%d", u.Name, int(float64(u.teams)*g.rng.Float64()*g.rng.Float64())+1),
 		duty:    u.Name,
 		arrival: arrival,
 	}
@@ -139,13 +139,13 @@
 	}
 }
 
-// flood adds programs of one tenant of the first duty, at twice the given rate for a sixth of the run.
+// flood adds programs of one team of the first duty, at twice the given rate for a sixth of the run.
 func (g *generator) flood(trace []*programSpec, rate float64, length time.Duration) []*programSpec {
 	_, mean := g.mix()
 	gap := mean / (2 * rate)
 	for t := length.Seconds() / 2; t < length.Seconds()*2/3; t += gap {
 		p := g.program(g.deploy.duties[0], seconds(t))
-		p.tenant, p.flood = g.deploy.duties[0].Name+"-1", true
+		p.team, p.flood = g.deploy.duties[0].Name+"-1", true
 		trace = append(trace, p)
 	}
 	return trace
--- a/internal/capacity/config.go
+++ b/internal/capacity/config.go
@@ -12,12 +12,12 @@
 	"ragwortstile/internal/sched"
 )
 
-// sizedManifest returns a manifest with as many tenants and endpoints. It is not checked: only its
+// sizedManifest returns a manifest with as many teams and endpoints. It is not checked: only its
 // size and the time to read it are of interest.
-func sizedManifest(tenants, endpoints int) *manifest.Manifest {
+func sizedManifest(teams, endpoints int) *manifest.Manifest {
 	m := &manifest.Manifest{Deployment: "probe", Duties: []manifest.Duty{{Name: "drafting"}}}
-	for i := range tenants {
-		m.Tenants = append(m.Tenants, manifest.Tenant{
+	for i := range teams {
+		m.Teams = append(m.Teams, manifest.Team{
 			Name: fmt.Sprintf("tenant-%04d", i), DefaultDuty: "drafting",
 			KeyDigests: []string{strings.Repeat("0f", 32)},
 		})
@@ -67,7 +67,7 @@
 			l.open(0)
 			l.req++
 			l.step(program.ModelCall{
-				Req: l.req, Tenant: "tenant", Program: programID(0), Branch: id.MainBranch, Key: "key",
+				Req: l.req, Team: "tenant", Program: programID(0), Branch: id.MainBranch, Key: "key",
 				Model: "model", MaxTokens: 100, Stream: true, History: program.HistoryAppend,
 				Messages: []record.Message{{Raw: []byte(`{"role":"user","content":"q"}`)}},
 			})
--- a/internal/capacity/dispatcher.go
+++ b/internal/capacity/dispatcher.go
@@ -52,7 +52,7 @@
 
 func endpointName(i int) string { return fmt.Sprintf("engine-%03d", i) }
 
-// fill submits n calls of as many programs, spread over tenants and duties.
+// fill submits n calls of as many programs, spread over teams and duties.
 func fill(s *sched.Scheduler, n int) []sched.Grant {
 	var grants []sched.Grant
 	var out []sched.Action
@@ -67,7 +67,7 @@
 	r := probeRequest()
 	r.Program = programID(n)
 	r.ID = id.NewAttempt(id.Call{Program: r.Program, Branch: id.MainBranch, Seq: 40}, 1, 1)
-	r.Tenant = fmt.Sprintf("tenant-%d", n%64)
+	r.Team = fmt.Sprintf("tenant-%d", n%64)
 	r.LastEndpoint = endpointName(n % 9)
 	if n%2 == 0 {
 		r.Duty = "layout"
--- a/internal/capacity/messages.go
+++ b/internal/capacity/messages.go
@@ -80,7 +80,7 @@
 func probeRequest() sched.Request {
 	return sched.Request{
 		ID:    id.NewAttempt(id.Call{Program: programID(7), Branch: id.MainBranch, Seq: 40}, 12, 1),
-		Owner: session, Program: programID(7), Branch: id.MainBranch, Tenant: "tenant-1234", Duty: "drafting",
+		Owner: session, Program: programID(7), Branch: id.MainBranch, Team: "tenant-1234", Duty: "drafting",
 		Zone: "zone-a", PromptTokens: 120_000, SharedTokens: 119_000, MaxTokens: 800, LastEndpoint: "engine-007",
 		Attained: time.Minute, Calls: 39, ProgramAge: 10 * time.Minute, CallTimeLimit: time.Minute,
 	}
--- a/internal/capacity/owner.go
+++ b/internal/capacity/owner.go
@@ -41,7 +41,7 @@
 
 func probeManifest() *manifest.Manifest {
 	return &manifest.Manifest{
-		Duties:    []manifest.Duty{{Name: "drafting", Tenants: []string{"tenant"}, Pools: []string{"model"}}},
+		Duties:    []manifest.Duty{{Name: "drafting", Teams: []string{"tenant"}, Pools: []string{"model"}}},
 		Pools:     []manifest.Pool{{Name: "model", Kind: manifest.PoolModel, MaxTokens: 100, Timeout: time.Minute}},
 		Endpoints: []manifest.Endpoint{{Name: "engine-1", Pool: "model"}},
 	}
@@ -93,7 +93,7 @@
 func (l *loopback) open(n int) {
 	l.req++
 	l.step(program.OpenProgram{
-		Req: l.req, Program: programID(n), Tenant: "tenant", Duty: "drafting", Key: fmt.Sprintf("open-%d", n),
+		Req: l.req, Program: programID(n), Team: "tenant", Duty: "drafting", Key: fmt.Sprintf("open-%d", n),
 		Limits: record.Limits{Tokens: 640_000}, Now: epochStart,
 	})
 }
@@ -101,7 +101,7 @@
 func (l *loopback) call(n, seq int) {
 	l.req++
 	l.step(program.ModelCall{
-		Req: l.req, Tenant: "tenant", Program: programID(n), Branch: id.MainBranch,
+		Req: l.req, Team: "tenant", Program: programID(n), Branch: id.MainBranch,
 		Key: fmt.Sprintf("key-%d", seq), Digest: uint64(seq), Model: "model", MaxTokens: 50,
 		Messages: []record.Message{{Raw: bytes.Repeat([]byte{'q'}, 64)}}, History: program.HistoryAppend,
 	})
--- a/internal/capacity/state.go
+++ b/internal/capacity/state.go
@@ -52,7 +52,7 @@
 func openRecord(n int) record.Open {
 	p := programID(n)
 	return record.Open{
-		Holder: holderOf(p), Program: p, Tenant: fmt.Sprintf("tenant-%d", n%2500), Duty: "drafting",
+		Holder: holderOf(p), Program: p, Team: fmt.Sprintf("tenant-%d", n%2500), Duty: "drafting",
 		Key: fmt.Sprintf("open-%d", n), OpenedAt: epochStart,
 		Limits: record.Limits{Tokens: 640_000, Calls: 120}, Mark: record.Spend{Tokens: 160_000},
 	}
--- a/internal/command/demo.go
+++ b/internal/command/demo.go
@@ -88,7 +88,7 @@
 	for _, u := range users {
 		c := trial.NewCaller(u.Key, x.d.Bases)
 		defer c.Close()
-		x.callers[u.Tenant] = c
+		x.callers[u.Team] = c
 	}
 	x.faults.Go(func() { x.killInstance(ctx) })
 	x.faults.Go(func() { x.withdrawEndpoint(ctx) })
@@ -208,9 +208,9 @@
 	defer c.Close()
 	r := trial.RunProgram(ctx, c, u, p, serial, x.d.Executed)
 	if r.Err != nil {
-		x.say("%s %s-%d failed: %v", u.Tenant, p.Name, serial, r.Err)
+		x.say("%s %s-%d failed: %v", u.Team, p.Name, serial, r.Err)
 	} else {
-		x.say("%s %s-%d finished: %d calls, %d repeats, %.1f s", u.Tenant, p.Name, serial, r.Calls, r.Repeats, r.Latency.Seconds())
+		x.say("%s %s-%d finished: %d calls, %d repeats, %.1f s", u.Team, p.Name, serial, r.Calls, r.Repeats, r.Latency.Seconds())
 	}
 	x.runsMu.Lock()
 	defer x.runsMu.Unlock()
--- a/internal/command/demo_check.go
+++ b/internal/command/demo_check.go
@@ -21,7 +21,7 @@
 			broken = append(broken, fmt.Errorf("program %s did not finish: %w", r.Program, r.Err))
 			continue
 		}
-		c := x.callers[r.Tenant]
+		c := x.callers[r.Team]
 		if err := trial.CheckHistory(ctx, c, r); err != nil {
 			broken = append(broken, err)
 		}
@@ -115,7 +115,7 @@
 	rows := map[string]*row{}
 	var kinds []string
 	for _, r := range x.runs {
-		kind := r.Tenant + " " + r.Kind
+		kind := r.Team + " " + r.Kind
 		if rows[kind] == nil {
 			rows[kind] = &row{kind: kind}
 			kinds = append(kinds, kind)
--- a/internal/command/manifest.go
+++ b/internal/command/manifest.go
@@ -62,7 +62,7 @@
 				return err
 			}
 			fmt.Fprintf(env.stdout, "%s: valid, digest %s, %d tenants, %d duties, %d pools, %d endpoints\n",
-				name, m.Digest(), len(m.Tenants), len(m.Duties), len(m.Pools), len(m.Endpoints))
+				name, m.Digest(), len(m.Teams), len(m.Duties), len(m.Pools), len(m.Endpoints))
 			return nil
 		})
 }
--- a/internal/command/show.go
+++ b/internal/command/show.go
@@ -102,7 +102,7 @@
 			if n.Service != "" {
 				operation = n.Service + "/" + n.Operation
 			}
-			row(n.Program, n.Tenant, n.Reason, call, n.Key, operation)
+			row(n.Program, n.Team, n.Reason, call, n.Key, operation)
 		}
 	})
 }
@@ -143,7 +143,7 @@
 // explanation is the part of the answer to explain that is printed.
 type explanation struct {
 	Program string `json:"program"`
-	Tenant  string `json:"tenant"`
+	Team    string `json:"tenant"`
 	Duty    string `json:"duty"`
 	State   string `json:"state"`
 	Limits  cost   `json:"limits"`
@@ -177,7 +177,7 @@
 	if err := json.Unmarshal(body, &e); err != nil {
 		return errors.Join(errors.New("the answer could not be read"), err)
 	}
-	fmt.Fprintf(out, "program %s tenant %s duty %s state %s\n", e.Program, e.Tenant, e.Duty, e.State)
+	fmt.Fprintf(out, "program %s tenant %s duty %s state %s\n", e.Program, e.Team, e.Duty, e.State)
 	fmt.Fprintf(out, "spent %d of %d tokens, %d of %d cents; after take-overs %d tokens and %d cents more count as spent\n\n",
 		e.Spent.Tokens, e.Limits.Tokens, e.Spent.ChargeCents, e.Limits.ChargeCents, e.Lost.Tokens, e.Lost.ChargeCents)
 	err := table(out, "CALL KEY EXECUTED TOKENS CENTS NOTE", func(row func(...any)) {
--- a/internal/fsm/apply.go
+++ b/internal/fsm/apply.go
@@ -10,7 +10,7 @@
 // NewProgram returns the state after an Open record.
 func NewProgram(r record.Open) *Program {
 	return &Program{
-		ID: r.Program, Tenant: r.Tenant, Duty: r.Duty, Key: r.Key,
+		ID: r.Program, Team: r.Team, Duty: r.Duty, Key: r.Key,
 		Limits: r.Limits, Mark: r.Mark, OpenedAt: r.OpenedAt, Deadline: r.Deadline,
 		Branches: map[string]*Branch{id.MainBranch: {Name: id.MainBranch}},
 		Outcomes: map[string]*Outcome{},
--- a/internal/fsm/fsm_test.go
+++ b/internal/fsm/fsm_test.go
@@ -39,7 +39,7 @@
 const pid = id.Program("p05-a")
 
 func open(h record.Holder, p id.Program) record.Open {
-	return record.Open{Holder: h, Program: p, Tenant: "t", Duty: "d", Key: string(p), OpenedAt: start}
+	return record.Open{Holder: h, Program: p, Team: "t", Duty: "d", Key: string(p), OpenedAt: start}
 }
 
 func turn(h record.Holder, p id.Program, seq uint64) record.Turn {
--- a/internal/fsm/programs.go
+++ b/internal/fsm/programs.go
@@ -60,7 +60,7 @@
 	touched bool // another record of the program came in between
 }
 
-type openKey struct{ tenant, key string }
+type openKey struct{ team, key string }
 
 type endedEntry struct {
 	program id.Program
@@ -111,22 +111,22 @@
 	return p.slots[s].programs[pid]
 }
 
-// ByKey returns the program that a tenant opened with an idempotency key. Of two programs opened with
+// ByKey returns the program that a team opened with an idempotency key. Of two programs opened with
 // the same key by two holders at the same time, it is the first in log order.
-func (p *Programs) ByKey(tenant, key string) (id.Program, bool) {
-	pid, ok := p.keys[openKey{tenant, key}]
+func (p *Programs) ByKey(team, key string) (id.Program, bool) {
+	pid, ok := p.keys[openKey{team, key}]
 	return pid, ok
 }
 
 func (p *Programs) addKey(prog *Program) {
-	k := openKey{prog.Tenant, prog.Key}
+	k := openKey{prog.Team, prog.Key}
 	if _, taken := p.keys[k]; !taken && prog.Key != "" && !prog.unused() {
 		p.keys[k] = prog.ID
 	}
 }
 
 func (p *Programs) dropKey(prog *Program) {
-	k := openKey{prog.Tenant, prog.Key}
+	k := openKey{prog.Team, prog.Key}
 	if p.keys[k] == prog.ID {
 		delete(p.keys, k)
 	}
--- a/internal/fsm/state.go
+++ b/internal/fsm/state.go
@@ -18,7 +18,7 @@
 // copies and never written in place.
 type Program struct {
 	ID       id.Program          `msgpack:"p"`
-	Tenant   string              `msgpack:"t"`
+	Team     string              `msgpack:"t"`
 	Duty     string              `msgpack:"d"`
 	Key      string              `msgpack:"k"`
 	Limits   record.Limits       `msgpack:"l"`
--- a/internal/manifest/check.go
+++ b/internal/manifest/check.go
@@ -20,7 +20,7 @@
 type checker struct {
 	m        *Manifest
 	findings Findings
-	tenants  map[string]bool
+	teams    map[string]bool
 	duties   map[string]*Duty
 	pools    map[string]*Pool
 }
@@ -29,13 +29,13 @@
 // findings have places but no lines; Parse adds them.
 func (m *Manifest) Check() Findings {
 	c := &checker{
-		m:       m,
-		tenants: make(map[string]bool),
-		duties:  make(map[string]*Duty),
-		pools:   make(map[string]*Pool),
+		m:      m,
+		teams:  make(map[string]bool),
+		duties: make(map[string]*Duty),
+		pools:  make(map[string]*Pool),
 	}
-	for _, t := range m.Tenants {
-		c.tenants[t.Name] = true
+	for _, t := range m.Teams {
+		c.teams[t.Name] = true
 	}
 	for i := range m.Duties {
 		c.duties[m.Duties[i].Name] = &m.Duties[i]
@@ -44,7 +44,7 @@
 		c.pools[m.Pools[i].Name] = &m.Pools[i]
 	}
 	c.checkGeneral()
-	c.checkTenants()
+	c.checkTeams()
 	c.checkDuties()
 	c.checkShares()
 	c.checkPools()
@@ -125,9 +125,9 @@
 	seen[value] = place
 }
 
-func (c *checker) checkTenants() {
+func (c *checker) checkTeams() {
 	names, digests := make(map[string]string), make(map[string]string)
-	for i, t := range c.m.Tenants {
+	for i, t := range c.m.Teams {
 		at := fmt.Sprintf("tenants[%d]", i)
 		c.name(at+".name", t.Name)
 		c.unique(names, at+".name", t.Name)
@@ -154,7 +154,7 @@
 	seen[digest] = place
 }
 
-func (c *checker) defaultDuty(place string, t Tenant) {
+func (c *checker) defaultDuty(place string, t Team) {
 	if t.DefaultDuty == "" {
 		c.add(place, "missing")
 		return
@@ -164,7 +164,7 @@
 		c.add(place, "there is no duty %q", t.DefaultDuty)
 		return
 	}
-	if !slices.Contains(d.Tenants, t.Name) {
+	if !slices.Contains(d.Teams, t.Name) {
 		c.add(place, "duty %q does not list tenant %q", t.DefaultDuty, t.Name)
 	}
 }
@@ -181,7 +181,7 @@
 		c.notNegative(at+".limits.charge_cents", d.Limits.ChargeCents)
 		c.durationNotNegative(at+".limits.wall_time", d.Limits.WallTime)
 		c.durationNotNegative(at+".deadline", d.Deadline)
-		c.references(at+".tenants", "tenant", d.Tenants, func(n string) bool { return c.tenants[n] })
+		c.references(at+".tenants", "tenant", d.Teams, func(n string) bool { return c.teams[n] })
 		c.references(at+".pools", "pool", d.Pools, func(n string) bool { return c.pools[n] != nil })
 	}
 }
--- a/internal/manifest/diff.go
+++ b/internal/manifest/diff.go
@@ -105,7 +105,7 @@
 
 func elementKey(v reflect.Value) string {
 	switch e := v.Interface().(type) {
-	case Tenant:
+	case Team:
 		return e.Name
 	case Duty:
 		return e.Name
--- a/internal/manifest/index.go
+++ b/internal/manifest/index.go
@@ -11,38 +11,38 @@
 // concurrent use; the manifest must not be changed afterwards.
 type Index struct {
 	Manifest  *Manifest
-	tenants   map[string]*Tenant
+	teams     map[string]*Team
 	duties    map[string]*Duty
 	pools     map[string]*Pool
 	endpoints map[string]*Endpoint
 	byPool    map[string][]*Endpoint
 	services  map[string]*Service
-	keys      map[keyPrefix][]tenantKey
+	keys      map[keyPrefix][]teamKey
 }
 
 // keyPrefix selects the candidates of a key digest. Keys are secret, but the first bytes of their
 // SHA-256 tell nothing useful about them, so the time of the map look-up may depend on them.
 type keyPrefix [4]byte
 
-type tenantKey struct {
+type teamKey struct {
 	digest [sha256.Size]byte
-	tenant *Tenant
+	team   *Team
 }
 
 // NewIndex builds the index. Of entries with the same name, which Check refuses, the last one counts.
 func NewIndex(m *Manifest) *Index {
 	x := &Index{
 		Manifest:  m,
-		tenants:   make(map[string]*Tenant, len(m.Tenants)),
+		teams:     make(map[string]*Team, len(m.Teams)),
 		duties:    make(map[string]*Duty, len(m.Duties)),
 		pools:     make(map[string]*Pool, len(m.Pools)),
 		endpoints: make(map[string]*Endpoint, len(m.Endpoints)),
 		byPool:    make(map[string][]*Endpoint, len(m.Pools)),
 		services:  make(map[string]*Service, len(m.Services)),
-		keys:      make(map[keyPrefix][]tenantKey, len(m.Tenants)),
+		keys:      make(map[keyPrefix][]teamKey, len(m.Teams)),
 	}
-	for i := range m.Tenants {
-		x.addTenant(&m.Tenants[i])
+	for i := range m.Teams {
+		x.addTeam(&m.Teams[i])
 	}
 	for i := range m.Duties {
 		x.duties[m.Duties[i].Name] = &m.Duties[i]
@@ -61,26 +61,26 @@
 	return x
 }
 
-func (x *Index) addTenant(t *Tenant) {
-	x.tenants[t.Name] = t
+func (x *Index) addTeam(t *Team) {
+	x.teams[t.Name] = t
 	for _, text := range t.KeyDigests {
 		raw, err := hex.DecodeString(text)
 		if err != nil || len(raw) != sha256.Size {
 			continue // refused by Check; such a key matches nothing
 		}
-		k := tenantKey{digest: [sha256.Size]byte(raw), tenant: t}
+		k := teamKey{digest: [sha256.Size]byte(raw), team: t}
 		x.keys[keyPrefix(raw)] = append(x.keys[keyPrefix(raw)], k)
 	}
 }
 
-// TenantByKey returns the tenant of a bearer key, or nil. The comparison of digests takes constant
+// TeamByKey returns the team of a bearer key, or nil. The comparison of digests takes constant
 // time for each candidate.
-func (x *Index) TenantByKey(key string) *Tenant {
+func (x *Index) TeamByKey(key string) *Team {
 	sum := sha256.Sum256([]byte(key))
-	var found *Tenant
+	var found *Team
 	for _, k := range x.keys[keyPrefix(sum[:])] {
 		if subtle.ConstantTimeCompare(k.digest[:], sum[:]) == 1 {
-			found = k.tenant
+			found = k.team
 		}
 	}
 	return found
@@ -92,20 +92,20 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// Tenant returns the tenant of that name, or nil.
-func (x *Index) Tenant(name string) *Tenant { return x.tenants[name] }
+// Team returns the team of that name, or nil.
+func (x *Index) Team(name string) *Team { return x.teams[name] }
 
 // Duty returns the duty of that name, or nil.
 func (x *Index) Duty(name string) *Duty { return x.duties[name] }
 
-// DutyOf returns the duty if the tenant may use it, or nil. An empty name means the tenant's
+// DutyOf returns the duty if the team may use it, or nil. An empty name means the team's
 // default duty.
-func (x *Index) DutyOf(t *Tenant, name string) *Duty {
+func (x *Index) DutyOf(t *Team, name string) *Duty {
 	if name == "" {
 		name = t.DefaultDuty
 	}
 	d := x.duties[name]
-	if d == nil || !slices.Contains(d.Tenants, t.Name) {
+	if d == nil || !slices.Contains(d.Teams, t.Name) {
 		return nil
 	}
 	return d
--- a/internal/manifest/manifest_test.go
+++ b/internal/manifest/manifest_test.go
@@ -118,9 +118,9 @@
 	}{
 		{"none", func(*Manifest) {}, nil},
 		{"name with space", func(m *Manifest) { m.Deployment = "a b" }, []string{"deployment"}},
-		{"duplicate tenant", func(m *Manifest) { m.Tenants[3].Name = "drafting"; m.Duties[4].Tenants = []string{"drafting"} }, []string{"tenants[3].name"}},
-		{"key of two tenants", func(m *Manifest) { m.Tenants[1].KeyDigests[0] = m.Tenants[0].KeyDigests[0] }, []string{"tenants[1].key_digests[0]"}},
-		{"foreign default duty", func(m *Manifest) { m.Tenants[0].DefaultDuty = "orders" }, []string{"tenants[0].default_duty"}},
+		{"duplicate tenant", func(m *Manifest) { m.Teams[3].Name = "drafting"; m.Duties[4].Teams = []string{"drafting"} }, []string{"tenants[3].name"}},
+		{"key of two tenants", func(m *Manifest) { m.Teams[1].KeyDigests[0] = m.Teams[0].KeyDigests[0] }, []string{"tenants[1].key_digests[0]"}},
+		{"foreign default duty", func(m *Manifest) { m.Teams[0].DefaultDuty = "orders" }, []string{"tenants[0].default_duty"}},
 		{"share sum", func(m *Manifest) { m.Duties[0].Share = 0.5 }, []string{"pools[0]"}},
 		{"share sum at the limit", func(m *Manifest) { m.Duties[0].Share = 0.4 }, nil},
 		{"pool without endpoint", func(m *Manifest) { m.Endpoints = m.Endpoints[:16] }, []string{"pools[3]"}},
@@ -165,13 +165,13 @@
 	must.Len(t, 5, Diff(from, to))
 }
 
-// Guards against look-ups that let a tenant use what its duty does not list.
+// Guards against look-ups that let a team use what its duty does not list.
 func TestIndex(t *testing.T) {
 	x := NewIndex(parsed(t, "bindery.yaml"))
-	layout := x.TenantByKey("bindery-layout-example-key-next")
-	must.Eq(t, x.Tenant("layout"), layout)
-	must.Nil(t, x.TenantByKey("bindery-layout-example-key-other"))
-	must.Nil(t, x.TenantByKey(""))
+	layout := x.TeamByKey("bindery-layout-example-key-next")
+	must.Eq(t, x.Team("layout"), layout)
+	must.Nil(t, x.TeamByKey("bindery-layout-example-key-other"))
+	must.Nil(t, x.TeamByKey(""))
 	must.Eq(t, "family-talks", x.DutyOf(layout, "").Name)
 	must.Eq(t, "orders", x.DutyOf(layout, "orders").Name)
 	must.Nil(t, x.DutyOf(layout, "drafts"))
@@ -212,13 +212,13 @@
 	})
 }
 
-func BenchmarkTenantByKey(b *testing.B) {
+func BenchmarkTeamByKey(b *testing.B) {
 	m := &Manifest{}
 	for range 2500 {
-		m.Tenants = append(m.Tenants, Tenant{KeyDigests: []string{KeyDigest(strings.Repeat("k", len(m.Tenants)+1))}})
+		m.Teams = append(m.Teams, Team{KeyDigests: []string{KeyDigest(strings.Repeat("k", len(m.Teams)+1))}})
 	}
 	x := NewIndex(m)
 	for b.Loop() {
-		x.TenantByKey("kkkkkk")
+		x.TeamByKey("kkkkkk")
 	}
 }
--- a/internal/manifest/types.go
+++ b/internal/manifest/types.go
@@ -15,7 +15,7 @@
 	Deployment string     `json:"deployment" yaml:"deployment"`
 	Source     Source     `json:"source" yaml:"source"`
 	Weights    Weights    `json:"weights" yaml:"weights"`
-	Tenants    []Tenant   `json:"tenants" yaml:"tenants"`
+	Teams      []Team     `json:"tenants" yaml:"tenants"`
 	Duties     []Duty     `json:"duties" yaml:"duties"`
 	Pools      []Pool     `json:"pools" yaml:"pools"`
 	Endpoints  []Endpoint `json:"endpoints" yaml:"endpoints"`
@@ -35,8 +35,8 @@
 	WastedCache    float64 `json:"wasted_cache" yaml:"wasted_cache"`
 }
 
-// Tenant is a customer of the deployment.
-type Tenant struct {
+// Team is a customer of the deployment.
+type Team struct {
 	Name        string   `json:"name" yaml:"name"`
 	KeyDigests  []string `json:"key_digests" yaml:"key_digests"` // hex SHA-256 of each accepted bearer key
 	DefaultDuty string   `json:"default_duty" yaml:"default_duty"`
@@ -46,7 +46,7 @@
 // Duty is a named body of programs with the promises it must keep and its owed share.
 type Duty struct {
 	Name     string        `json:"name" yaml:"name"`
-	Tenants  []string      `json:"tenants" yaml:"tenants"`
+	Teams    []string      `json:"tenants" yaml:"tenants"`
 	Share    float64       `json:"share" yaml:"share"` // minimum share of each pool it uses, 0 to 1
 	Limits   record.Limits `json:"limits" yaml:"limits"`
 	Deadline time.Duration `json:"deadline,omitempty" yaml:"deadline"` // default program deadline; 0: none
--- a/internal/program/api.go
+++ b/internal/program/api.go
@@ -24,11 +24,11 @@
 // Event is an input of Step.
 type Event interface{ event() }
 
-// OpenProgram asks to start a program. The shell has authenticated the tenant.
+// OpenProgram asks to start a program. The shell has authenticated the team.
 type OpenProgram struct {
 	Req      ReqID
 	Program  id.Program // chosen by the shell in a slot this instance holds
-	Tenant   string
+	Team     string
 	Duty     string
 	Key      string
 	Limits   record.Limits // as asked by the caller; the core takes the smaller of these and the duty's
@@ -39,7 +39,7 @@
 // OpenBranch asks to start a sub-agent.
 type OpenBranch struct {
 	Req     ReqID
-	Tenant  string
+	Team    string
 	Program id.Program
 	Name    string
 	Parent  string
@@ -58,7 +58,7 @@
 // ModelCall asks for a chat completion.
 type ModelCall struct {
 	Req       ReqID
-	Tenant    string
+	Team      string
 	Program   id.Program
 	Branch    string
 	Key       string // empty: the shell has generated one
@@ -77,7 +77,7 @@
 // ServiceCall asks for an operation of a plain service.
 type ServiceCall struct {
 	Req       ReqID
-	Tenant    string
+	Team      string
 	Program   id.Program
 	Branch    string
 	Key       string
@@ -92,7 +92,7 @@
 // SettleCall closes an unknown outcome with what the caller found out.
 type SettleCall struct {
 	Req      ReqID
-	Tenant   string
+	Team     string
 	Program  id.Program
 	Key      string
 	Executed record.Executed
@@ -102,7 +102,7 @@
 // JoinCall asks for the recorded outcome or the stream under way of a key.
 type JoinCall struct {
 	Req      ReqID
-	Tenant   string
+	Team     string
 	Program  id.Program
 	Key      string
 	FromByte int64
@@ -111,14 +111,14 @@
 // EndProgram asks to end a program.
 type EndProgram struct {
 	Req     ReqID
-	Tenant  string
+	Team    string
 	Program id.Program
 }
 
 // ReadProgram asks for the state of a program; History includes the messages.
 type ReadProgram struct {
 	Req     ReqID
-	Tenant  string
+	Team    string
 	Program id.Program
 	Branch  string
 	History bool
@@ -127,7 +127,7 @@
 // ExplainProgram asks for the decisions taken for a program.
 type ExplainProgram struct {
 	Req     ReqID
-	Tenant  string // empty: an operator asks
+	Team    string // empty: an operator asks
 	Program id.Program
 }
 
--- a/internal/program/attempt.go
+++ b/internal/program/attempt.go
@@ -63,7 +63,7 @@
 	cl.state = stateWaiting
 	a := &attempt{id: id.NewAttempt(cl.id(), c.slots[p.slot].epoch, n), call: cl, prog: p, pool: cl.pool}
 	a.request = sched.Request{
-		ID: a.id, Owner: c.cfg.Session, Program: p.id, Branch: cl.branch, Tenant: st.Tenant, Duty: st.Duty,
+		ID: a.id, Owner: c.cfg.Session, Program: p.id, Branch: cl.branch, Team: st.Team, Duty: st.Duty,
 		Zone: c.cfg.Zone, PromptTokens: promptBound(b, cl.added), SharedTokens: b.LastTokens,
 		MaxTokens: cl.maxTokens, LastEndpoint: b.LastEndpoint, Attained: p.attained, Calls: st.Spent.Calls,
 		Waiting: depth(st, b), ProgramAge: max(0, c.wallNow().Sub(st.OpenedAt)),
--- a/internal/program/bench_test.go
+++ b/internal/program/bench_test.go
@@ -63,7 +63,7 @@
 		o.apply(record.Claim{Slot: s, Session: "a.1"})
 	}
 	for i := range programs {
-		o.step(OpenProgram{Program: benchProgram(i), Tenant: "t", Duty: "d", Now: testEpoch})
+		o.step(OpenProgram{Program: benchProgram(i), Team: "t", Duty: "d", Now: testEpoch})
 	}
 	return o
 }
@@ -74,7 +74,7 @@
 
 func (o *benchOwner) turn(i int, key string) {
 	r := o.step(ModelCall{
-		Tenant: "t", Program: benchProgram(i), Key: key, Model: "m", History: HistoryAppend,
+		Team: "t", Program: benchProgram(i), Key: key, Model: "m", History: HistoryAppend,
 		Messages: []record.Message{{Raw: []byte(`{"role":"user","content":"hello"}`)}},
 	})
 	o.step(Granted{sched.Grant{Request: r, Endpoint: "m1"}})
--- a/internal/program/budget.go
+++ b/internal/program/budget.go
@@ -161,6 +161,6 @@
 
 func sortOpenKeys(ks []openKey) {
 	slices.SortFunc(ks, func(a, b openKey) int {
-		return cmp.Or(cmp.Compare(a.tenant, b.tenant), cmp.Compare(a.key, b.key))
+		return cmp.Or(cmp.Compare(a.team, b.team), cmp.Compare(a.key, b.key))
 	})
 }
--- a/internal/program/call.go
+++ b/internal/program/call.go
@@ -66,7 +66,7 @@
 }
 
 func (c *Core) onModelCall(e ModelCall) {
-	p := c.admit(e.Req, e.Tenant, e.Program)
+	p := c.admit(e.Req, e.Team, e.Program)
 	if p == nil {
 		return
 	}
@@ -94,7 +94,7 @@
 }
 
 func (c *Core) onServiceCall(e ServiceCall) {
-	p := c.admit(e.Req, e.Tenant, e.Program)
+	p := c.admit(e.Req, e.Team, e.Program)
 	if p == nil {
 		return
 	}
@@ -240,7 +240,7 @@
 
 // onJoin answers a caller that lost its answer.
 func (c *Core) onJoin(e JoinCall) {
-	p := c.admit(e.Req, e.Tenant, e.Program)
+	p := c.admit(e.Req, e.Team, e.Program)
 	if p == nil {
 		return
 	}
--- a/internal/program/copies_test.go
+++ b/internal/program/copies_test.go
@@ -12,7 +12,7 @@
 func (w *world) openSub(o *owner, r record.Limits) *request {
 	pid := w.program(o, r)
 	req := w.oracle.ask(request{owner: o, program: pid, kind: "other"})
-	o.step(OpenBranch{Req: req, Tenant: "t", Program: pid, Name: "sub"})
+	o.step(OpenBranch{Req: req, Team: "t", Program: pid, Name: "sub"})
 	w.pump()
 	return w.oracle.reqs[req]
 }
--- a/internal/program/core.go
+++ b/internal/program/core.go
@@ -214,7 +214,7 @@
 	duties     map[string]manifest.Duty
 	operations map[opKey]manifest.Operation
 	endpoints  map[string]manifest.Endpoint
-	tenants    map[string]manifest.Tenant
+	teams      map[string]manifest.Team
 }
 
 type opKey struct{ service, operation string }
@@ -229,10 +229,10 @@
 		duties:     make(map[string]manifest.Duty, len(e.Manifest.Duties)),
 		operations: map[opKey]manifest.Operation{},
 		endpoints:  make(map[string]manifest.Endpoint, len(e.Manifest.Endpoints)),
-		tenants:    make(map[string]manifest.Tenant, len(e.Manifest.Tenants)),
+		teams:      make(map[string]manifest.Team, len(e.Manifest.Teams)),
 	}
-	for _, t := range e.Manifest.Tenants {
-		ix.tenants[t.Name] = t
+	for _, t := range e.Manifest.Teams {
+		ix.teams[t.Name] = t
 	}
 	for _, p := range e.Manifest.Pools {
 		ix.pools[p.Name] = p
--- a/internal/program/core_test.go
+++ b/internal/program/core_test.go
@@ -15,7 +15,7 @@
 	w.nextID++
 	pid := id.NewProgram(testSlot, fmt.Sprintf("%d", w.nextID))
 	req := w.oracle.ask(request{owner: o, program: pid, kind: "open"})
-	w.to(o, OpenProgram{Req: req, Program: pid, Tenant: "t", Duty: "d", Limits: limits, Now: w.wall()})
+	w.to(o, OpenProgram{Req: req, Program: pid, Team: "t", Duty: "d", Limits: limits, Now: w.wall()})
 	w.pump()
 	if !w.oracle.reqs[req].ok {
 		w.t.Fatalf("open %s: %+v", pid, w.oracle.reqs[req].problem)
@@ -36,7 +36,7 @@
 	req := w.oracle.ask(request{owner: o, program: pid, branch: branch, key: key, kind: "model"})
 	raw := fmt.Appendf(nil, `{"role":"user","content":"%s %s/%s"}`, key, pid, branch)
 	w.to(o, ModelCall{
-		Req: req, Tenant: "t", Program: pid, Branch: branch, Key: key, Digest: 7, Model: "m",
+		Req: req, Team: "t", Program: pid, Branch: branch, Key: key, Digest: 7, Model: "m",
 		Messages: []record.Message{{Raw: raw}}, History: HistoryAppend, MaxTokens: 20, Stream: stream,
 	})
 	return w.oracle.reqs[req]
@@ -45,7 +45,7 @@
 func (w *world) service(o *owner, pid id.Program, branch, key, op string) *request {
 	req := w.oracle.ask(request{owner: o, program: pid, branch: branch, key: key, kind: "service", body: key})
 	w.to(o, ServiceCall{
-		Req: req, Tenant: "t", Program: pid, Branch: branch, Key: key, Digest: 9, Service: "s", Operation: op,
+		Req: req, Team: "t", Program: pid, Branch: branch, Key: key, Digest: 9, Service: "s", Operation: op,
 		Body: []byte(key),
 	})
 	return w.oracle.reqs[req]
@@ -53,7 +53,7 @@
 
 func (w *world) end(o *owner, pid id.Program) *request {
 	req := w.oracle.ask(request{owner: o, program: pid, kind: "other"})
-	w.to(o, EndProgram{Req: req, Tenant: "t", Program: pid})
+	w.to(o, EndProgram{Req: req, Team: "t", Program: pid})
 	return w.oracle.reqs[req]
 }
 
--- a/internal/program/end.go
+++ b/internal/program/end.go
@@ -27,7 +27,7 @@
 }
 
 func (c *Core) onEnd(e EndProgram) {
-	p := c.admit(e.Req, e.Tenant, e.Program)
+	p := c.admit(e.Req, e.Team, e.Program)
 	if p == nil {
 		return
 	}
--- a/internal/program/explain.go
+++ b/internal/program/explain.go
@@ -13,7 +13,7 @@
 // the decisions are the last ones of the present owner.
 type explanation struct {
 	Program   id.Program    `json:"program"`
-	Tenant    string        `json:"tenant"`
+	Team      string        `json:"tenant"`
 	Duty      string        `json:"duty"`
 	State     string        `json:"state"` // open, or the cause of its end
 	Limits    record.Limits `json:"limits"`
@@ -37,7 +37,7 @@
 func (c *Core) explanation(p *prog) explanation {
 	st := c.fold.Program(p.id)
 	out := explanation{
-		Program: st.ID, Tenant: st.Tenant, Duty: st.Duty, State: "open", Limits: st.Limits, Spent: st.Spent, Lost: st.Lost,
+		Program: st.ID, Team: st.Team, Duty: st.Duty, State: "open", Limits: st.Limits, Spent: st.Spent, Lost: st.Lost,
 		Calls: []explained{}, Decisions: p.explain,
 	}
 	if st.Ended() {
--- a/internal/program/guarantee_test.go
+++ b/internal/program/guarantee_test.go
@@ -26,7 +26,7 @@
 	w, o := started(t, 1)
 	pid := w.program(o, record.Limits{})
 	second := w.oracle.ask(request{owner: o, program: pid, branch: "main", key: "k2", kind: "service", body: "k2"})
-	o.step(ServiceCall{Req: second, Tenant: "t", Program: pid, Key: "k2", Seq: 2, Digest: 9, Service: "s", Operation: "charge", Body: []byte("k2")})
+	o.step(ServiceCall{Req: second, Team: "t", Program: pid, Key: "k2", Seq: 2, Digest: 9, Service: "s", Operation: "charge", Body: []byte("k2")})
 	w.pump()
 	must.False(t, w.oracle.reqs[second].done)
 	must.Eq(t, 0, w.execs[execKey{pid, "k2"}])
@@ -88,7 +88,7 @@
 	user := record.Message{Raw: fmt.Appendf(nil, `{"role":"user","content":"k2 %s/main"}`, pid)}
 	call := func(key string, ms ...record.Message) *request {
 		req := w.oracle.ask(request{owner: o, program: pid, branch: "main", key: key, kind: "model"})
-		o.step(ModelCall{Req: req, Tenant: "t", Program: pid, Key: key, Digest: 1, Model: "m", Messages: ms})
+		o.step(ModelCall{Req: req, Team: "t", Program: pid, Key: key, Digest: 1, Model: "m", Messages: ms})
 		w.pump()
 		return w.oracle.reqs[req]
 	}
@@ -167,7 +167,7 @@
 	must.True(t, r.ok)
 	must.Eq(t, 1, w.ran[execKey{pid, "k1"}])
 	req := w.oracle.ask(request{owner: o, program: pid, key: "k1", kind: "model", from: 7})
-	o.step(JoinCall{Req: req, Tenant: "t", Program: pid, Key: "k1", FromByte: 7})
+	o.step(JoinCall{Req: req, Team: "t", Program: pid, Key: "k1", FromByte: 7})
 	must.Eq(t, string(r.got[7:]), string(w.oracle.reqs[req].got))
 }
 
@@ -217,7 +217,7 @@
 		pid := w.program(a, record.Limits{})
 		first := w.oracle.ask(request{owner: a, program: pid, branch: "main", key: "k1", kind: "service", body: "k1"})
 		a.step(ServiceCall{
-			Req: first, Tenant: "t", Program: pid, Key: "k1", Digest: 9, Service: "s", Operation: op,
+			Req: first, Team: "t", Program: pid, Key: "k1", Digest: 9, Service: "s", Operation: op,
 			Body: []byte("k1"), TimeLimit: time.Minute,
 		})
 		a.flush()
@@ -252,10 +252,10 @@
 	w.faults(map[string]int{"service": 7})
 	w.service(a, pid, "main", "k1", "charge")
 	w.pump()
-	a.step(SettleCall{Req: w.oracle.ask(request{owner: a, program: pid, kind: "other"}), Tenant: "t", Program: pid, Key: "k1", Executed: record.ExecutedNo})
+	a.step(SettleCall{Req: w.oracle.ask(request{owner: a, program: pid, kind: "other"}), Team: "t", Program: pid, Key: "k1", Executed: record.ExecutedNo})
 	w.pump()
 	a.step(ServiceCall{
-		Req: w.oracle.ask(request{owner: a, program: pid, branch: "main", key: "k1", kind: "service", body: "k1"}), Tenant: "t",
+		Req: w.oracle.ask(request{owner: a, program: pid, branch: "main", key: "k1", kind: "service", body: "k1"}), Team: "t",
 		Program: pid, Key: "k1", Digest: 9, Service: "s", Operation: "charge", Body: []byte("k1"), TimeLimit: time.Minute,
 	})
 	a.flush()
@@ -274,7 +274,7 @@
 func TestUnknownOutcomeBlocksBranch(t *testing.T) {
 	w, o := started(t, 1)
 	pid := w.program(o, record.Limits{})
-	o.step(OpenBranch{Req: w.oracle.ask(request{owner: o, program: pid, kind: "other"}), Tenant: "t", Program: pid, Name: "sub"})
+	o.step(OpenBranch{Req: w.oracle.ask(request{owner: o, program: pid, kind: "other"}), Team: "t", Program: pid, Name: "sub"})
 	w.pump()
 	w.faults(map[string]int{"service": 7})
 	r := w.service(o, pid, "main", "k1", "charge")
@@ -286,7 +286,7 @@
 	must.Eq(t, ProblemBlocked, blocked.problem.Type)
 	must.True(t, free.ok)
 	req := w.oracle.ask(request{owner: o, program: pid, kind: "other"})
-	o.step(SettleCall{Req: req, Tenant: "t", Program: pid, Key: "k1", Executed: record.ExecutedYes, Body: []byte(`{"done":"k1"}`)})
+	o.step(SettleCall{Req: req, Team: "t", Program: pid, Key: "k1", Executed: record.ExecutedYes, Body: []byte(`{"done":"k1"}`)})
 	again := w.service(o, pid, "main", "k1", "charge")
 	must.False(t, again.done) // the Settle was not read back
 	next := w.service(o, pid, "main", "k2", "charge")
@@ -295,8 +295,8 @@
 	must.Eq(t, 1, w.execs[execKey{pid, "k1"}])
 }
 
-// Guards against a key that answers for another body, and a program that another tenant can see.
-func TestKeysAndTenants(t *testing.T) {
+// Guards against a key that answers for another body, and a program that another team can see.
+func TestKeysAndTeams(t *testing.T) {
 	w, o := started(t, 1)
 	pid := w.program(o, record.Limits{})
 	w.service(o, pid, "main", "k1", "charge")
@@ -307,13 +307,13 @@
 		return w.oracle.reqs[req]
 	}
 	r := ask(func(q ReqID) Event {
-		return ServiceCall{Req: q, Tenant: "t", Program: pid, Key: "k1", Digest: 8, Service: "s", Operation: "charge"}
+		return ServiceCall{Req: q, Team: "t", Program: pid, Key: "k1", Digest: 8, Service: "s", Operation: "charge"}
 	})
 	must.Eq(t, 422, r.status)
-	foreign := ask(func(q ReqID) Event { return ReadProgram{Req: q, Tenant: "u", Program: pid} })
-	unknown := ask(func(q ReqID) Event { return ReadProgram{Req: q, Tenant: "u", Program: id.NewProgram(testSlot, "none")} })
+	foreign := ask(func(q ReqID) Event { return ReadProgram{Req: q, Team: "u", Program: pid} })
+	unknown := ask(func(q ReqID) Event { return ReadProgram{Req: q, Team: "u", Program: id.NewProgram(testSlot, "none")} })
 	must.Eq(t, unknown.problem, foreign.problem)
-	must.True(t, ask(func(q ReqID) Event { return ExplainProgram{Req: q, Tenant: "t", Program: pid} }).ok)
+	must.True(t, ask(func(q ReqID) Event { return ExplainProgram{Req: q, Team: "t", Program: pid} }).ok)
 }
 
 // Guards against a hand-over that cuts off a call or leaves the target without the state.
@@ -462,7 +462,7 @@
 	w.log.down = true
 	pid := id.NewProgram(testSlot, "x")
 	req := w.oracle.ask(request{owner: o, program: pid, kind: "open"})
-	o.step(OpenProgram{Req: req, Program: pid, Tenant: "t", Duty: "d", Now: w.wall()})
+	o.step(OpenProgram{Req: req, Program: pid, Team: "t", Duty: "d", Now: w.wall()})
 	w.advance(openTimeout + time.Second)
 	must.Eq(t, record.ExecutedNo, w.oracle.reqs[req].problem.Executed)
 	w.log.down = false
--- a/internal/program/guards_test.go
+++ b/internal/program/guards_test.go
@@ -60,7 +60,7 @@
 func TestBranchesShareTheBudget(t *testing.T) {
 	w, o := started(t, 2)
 	pid := w.program(o, record.Limits{ChargeCents: 15})
-	w.to(o, OpenBranch{Req: w.oracle.ask(request{owner: o, program: pid, kind: "other"}), Tenant: "t", Program: pid, Name: "b", Key: "b"})
+	w.to(o, OpenBranch{Req: w.oracle.ask(request{owner: o, program: pid, kind: "other"}), Team: "t", Program: pid, Name: "b", Key: "b"})
 	w.pump()
 	first := w.service(o, pid, "main", "k1", "charge")
 	second := w.service(o, pid, "b", "k2", "charge")
@@ -87,7 +87,7 @@
 	w.deliver(0) // the dispatch
 	must.MapLen(t, 1, w.runs)
 	var cancelled bool
-	for _, a := range o.core.Step(w.now, EndProgram{Req: w.oracle.ask(request{owner: o, program: pid, kind: "other"}), Tenant: "t", Program: pid}, nil) {
+	for _, a := range o.core.Step(w.now, EndProgram{Req: w.oracle.ask(request{owner: o, program: pid, kind: "other"}), Team: "t", Program: pid}, nil) {
 		_, release := a.(ReleaseCache)
 		must.False(t, release)
 		_, cancel := a.(CancelAttempt)
--- a/internal/program/limit_test.go
+++ b/internal/program/limit_test.go
@@ -11,18 +11,18 @@
 	"ragwortstile/internal/record"
 )
 
-// Guards against a tenant that opens programs without bound, and against ended ones that count.
-func TestTenantHasSoManyOpenPrograms(t *testing.T) {
+// Guards against a team that opens programs without bound, and against ended ones that count.
+func TestTeamHasSoManyOpenPrograms(t *testing.T) {
 	w, o := started(t, 1)
 	m := testManifest()
-	m.Tenants = []manifest.Tenant{{Name: "t", MaxPrograms: 2}}
+	m.Teams = []manifest.Team{{Name: "t", MaxPrograms: 2}}
 	o.step(SetManifest{Version: 2, Manifest: m})
 	first := w.program(o, record.Limits{})
 	w.program(o, record.Limits{})
 	open := func(suffix string) *request {
 		pid := id.NewProgram(testSlot, suffix)
 		req := w.oracle.ask(request{owner: o, program: pid, kind: "open"})
-		o.step(OpenProgram{Req: req, Program: pid, Tenant: "t", Duty: "d", Now: w.wall()})
+		o.step(OpenProgram{Req: req, Program: pid, Team: "t", Duty: "d", Now: w.wall()})
 		w.pump()
 		return w.oracle.reqs[req]
 	}
@@ -41,7 +41,7 @@
 	pid := w.program(a, record.Limits{})
 	req := w.oracle.ask(request{owner: a, program: pid, branch: "main", key: "k1", kind: "service", body: "k1"})
 	a.step(ServiceCall{
-		Req: req, Tenant: "t", Program: pid, Key: "k1", Digest: 9, Service: "s", Operation: "charge",
+		Req: req, Team: "t", Program: pid, Key: "k1", Digest: 9, Service: "s", Operation: "charge",
 		Body: []byte("k1"), TimeLimit: time.Minute,
 	})
 	a.flush()
--- a/internal/program/open.go
+++ b/internal/program/open.go
@@ -13,7 +13,7 @@
 // openTimeout is how long an open waits for its commit.
 const openTimeout = 5 * time.Second
 
-type openKey struct{ tenant, key string }
+type openKey struct{ team, key string }
 
 // opening is a program whose Open record was appended and not read back.
 type opening struct {
@@ -24,7 +24,7 @@
 }
 
 // admit finds the program of a request. When it returns nil the request was answered.
-func (c *Core) admit(req ReqID, tenant string, pid id.Program) *prog {
+func (c *Core) admit(req ReqID, team string, pid id.Program) *prog {
 	s, err := pid.Slot()
 	if err != nil {
 		c.refuse(req, notFound(), 0)
@@ -34,7 +34,7 @@
 		return nil
 	}
 	p := c.prog(pid)
-	if p == nil || c.stateOf(p).Tenant != tenant {
+	if p == nil || c.stateOf(p).Team != team {
 		c.refuse(req, notFound(), 0)
 		return nil
 	}
@@ -42,7 +42,7 @@
 	return p
 }
 
-// notFound is the same for an unknown program and for one of another tenant. It does not say that
+// notFound is the same for an unknown program and for one of another team. It does not say that
 // nothing was run: the program may have ended long ago.
 func notFound() *Problem {
 	return problem(ProblemNotFound, 404, record.ExecutedUnknown, "no such program")
@@ -70,7 +70,7 @@
 		c.refuse(e.Req, problem(ProblemNotFound, 400, record.ExecutedNo, err.Error()), 0)
 		return
 	}
-	k := openKey{tenant: e.Tenant, key: e.Key}
+	k := openKey{team: e.Team, key: e.Key}
 	if e.Key != "" && c.reopen(e, k) {
 		return
 	}
@@ -79,7 +79,7 @@
 	}
 	duty, known := c.pools.duties[e.Duty]
 	switch {
-	case !known || !slices.Contains(duty.Tenants, e.Tenant):
+	case !known || !slices.Contains(duty.Teams, e.Team):
 		c.refuse(e.Req, &Problem{Type: ProblemDutyUnknown, Status: 422, Detail: "the tenant has no such duty", Place: "duty", Executed: record.ExecutedNo}, 0)
 		return
 	case c.draining || c.slots[s].moveTo != "":
@@ -88,7 +88,7 @@
 	case c.fold.Program(e.Program) != nil || c.progs[e.Program] != nil:
 		c.refuse(e.Req, problem(ProblemConflict, 409, record.ExecutedNo, "the program ID is in use"), 0)
 		return
-	case c.atProgramLimit(e.Tenant):
+	case c.atProgramLimit(e.Team):
 		c.refuse(e.Req, problem(ProblemTooManyPrograms, 429, record.ExecutedNo, "the tenant has as many open programs as it may have"), RetryAfterPrograms)
 		return
 	}
@@ -101,7 +101,7 @@
 		deadline = e.Now.Add(d)
 	}
 	rec := record.Open{
-		Holder: c.holder(s), Program: e.Program, Tenant: e.Tenant, Duty: e.Duty, Key: e.Key,
+		Holder: c.holder(s), Program: e.Program, Team: e.Team, Duty: e.Duty, Key: e.Key,
 		Limits: limits, Mark: firstMark(limits), OpenedAt: e.Now, Deadline: deadline,
 	}
 	c.opening[k] = &opening{program: e.Program, slot: s, waiters: []ReqID{e.Req}, duty: e.Duty}
@@ -109,23 +109,23 @@
 	c.at(c.now+openTimeout, func() { c.openExpired(k, rec) })
 }
 
-// atProgramLimit counts the open programs of a tenant at all holders, as far as they were read, and
+// atProgramLimit counts the open programs of a team at all holders, as far as they were read, and
 // those that this holder is opening. Holders that open programs at the same time can exceed the limit
 // by what they have under way.
-func (c *Core) atProgramLimit(tenant string) bool {
-	limit := c.pools.tenants[tenant].MaxPrograms
+func (c *Core) atProgramLimit(team string) bool {
+	limit := c.pools.teams[team].MaxPrograms
 	if limit <= 0 {
 		return false
 	}
 	n := 0
 	for k := range c.opening {
-		if k.tenant == tenant {
+		if k.team == team {
 			n++
 		}
 	}
 	for s := range id.Slot(id.Slots) {
 		c.fold.Each(s, func(p *fsm.Program) {
-			if p.Tenant == tenant && !p.Ended() {
+			if p.Team == team && !p.Ended() {
 				n++
 			}
 		})
@@ -143,7 +143,7 @@
 		o.waiters = append(o.waiters, e.Req)
 		return true
 	}
-	pid, ok := c.fold.ByKey(e.Tenant, e.Key)
+	pid, ok := c.fold.ByKey(e.Team, e.Key)
 	if !ok {
 		return false
 	}
@@ -258,7 +258,7 @@
 }
 
 func (c *Core) onOpenBranch(e OpenBranch) {
-	p := c.admit(e.Req, e.Tenant, e.Program)
+	p := c.admit(e.Req, e.Team, e.Program)
 	if p == nil {
 		return
 	}
--- a/internal/program/problem.go
+++ b/internal/program/problem.go
@@ -12,7 +12,7 @@
 	ProblemNotHolder        = "not_holder"        // another instance holds the slot: the shell forwards the request
 	ProblemSlotNotReady     = "slot_not_ready"    // the slot was taken over and copies are being fetched
 	ProblemSlotMoving       = "slot_moving"       // the slot is being handed over
-	ProblemNotFound         = "program_not_found" // unknown, or opened by another tenant
+	ProblemNotFound         = "program_not_found" // unknown, or opened by another team
 	ProblemCallNotFound     = "call_not_found"
 	ProblemBranchNotFound   = "branch_not_found"
 	ProblemPoolNotFound     = "pool_not_found"
@@ -42,7 +42,7 @@
 // RetryAfterSlot is what a caller is told to wait while a slot moves.
 const RetryAfterSlot = 200 * time.Millisecond
 
-// RetryAfterPrograms is what a caller is told to wait while its tenant has too many open programs.
+// RetryAfterPrograms is what a caller is told to wait while its team has too many open programs.
 const RetryAfterPrograms = 5 * time.Second
 
 func problem(kind string, status int, x record.Executed, detail string) *Problem {
--- a/internal/program/rapid_test.go
+++ b/internal/program/rapid_test.go
@@ -69,7 +69,7 @@
 	pid := id.NewProgram(testSlot, fmt.Sprintf("%d", m.w.nextID))
 	limits := []record.Limits{{}, {Tokens: 2500, ChargeCents: 60, Calls: 12}, {Tokens: 20000, ChargeCents: 300, WallTime: 2 * time.Minute}}
 	req := m.w.oracle.ask(request{owner: o, program: pid, kind: "open"})
-	m.w.to(o, OpenProgram{Req: req, Program: pid, Tenant: "t", Duty: "d", Limits: limits[m.draw(3, "limits")], Now: m.w.wall()})
+	m.w.to(o, OpenProgram{Req: req, Program: pid, Team: "t", Duty: "d", Limits: limits[m.draw(3, "limits")], Now: m.w.wall()})
 	m.programs = append(m.programs, pid)
 	m.branches[pid] = []string{"main"}
 }
@@ -110,7 +110,7 @@
 	name := fmt.Sprintf("b%d", len(m.branches[pid]))
 	o := m.anyOwner()
 	req := m.w.oracle.ask(request{owner: o, program: pid, kind: "other", key: "branch " + name})
-	m.w.to(o, OpenBranch{Req: req, Tenant: "t", Program: pid, Name: name, Key: name})
+	m.w.to(o, OpenBranch{Req: req, Team: "t", Program: pid, Name: name, Key: name})
 	m.branches[pid] = append(m.branches[pid], name)
 }
 
@@ -137,7 +137,7 @@
 				x = record.ExecutedYes
 			}
 			req := m.w.oracle.ask(request{owner: o, program: pid, kind: "other", key: "settle " + key})
-			o.step(SettleCall{Req: req, Tenant: "t", Program: pid, Key: key, Executed: x, Body: fmt.Appendf(nil, `{"done":%q}`, key)})
+			o.step(SettleCall{Req: req, Team: "t", Program: pid, Key: key, Executed: x, Body: fmt.Appendf(nil, `{"done":%q}`, key)})
 		}
 	}
 }
--- a/internal/program/read.go
+++ b/internal/program/read.go
@@ -46,7 +46,7 @@
 }
 
 func (c *Core) onRead(e ReadProgram) {
-	p := c.admit(e.Req, e.Tenant, e.Program)
+	p := c.admit(e.Req, e.Team, e.Program)
 	if p == nil {
 		return
 	}
@@ -85,13 +85,13 @@
 }
 
 func (c *Core) onExplain(e ExplainProgram) {
-	tenant := e.Tenant
-	if tenant == "" {
+	team := e.Team
+	if team == "" {
 		if st := c.fold.Program(e.Program); st != nil {
-			tenant = st.Tenant
+			team = st.Team
 		}
 	}
-	p := c.admit(e.Req, tenant, e.Program)
+	p := c.admit(e.Req, team, e.Program)
 	if p == nil {
 		return
 	}
--- a/internal/program/service.go
+++ b/internal/program/service.go
@@ -274,7 +274,7 @@
 
 // onSettle closes an unknown outcome with what the caller found out.
 func (c *Core) onSettle(e SettleCall) {
-	p := c.admit(e.Req, e.Tenant, e.Program)
+	p := c.admit(e.Req, e.Team, e.Program)
 	if p == nil {
 		return
 	}
--- a/internal/program/world_test.go
+++ b/internal/program/world_test.go
@@ -187,7 +187,7 @@
 
 func testManifest() *manifest.Manifest {
 	return &manifest.Manifest{
-		Duties: []manifest.Duty{{Name: "d", Tenants: []string{"t", "u"}, Pools: []string{"m", "s"}}},
+		Duties: []manifest.Duty{{Name: "d", Teams: []string{"t", "u"}, Pools: []string{"m", "s"}}},
 		Pools: []manifest.Pool{
 			{Name: "m", Kind: manifest.PoolModel, MaxTokens: 50, Timeout: 20 * time.Second},
 			{Name: "s", Kind: manifest.PoolService, Timeout: 10 * time.Second},
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -94,9 +94,9 @@
 type Open struct {
 	Holder
 	Program  id.Program `msgpack:"p"`
-	Tenant   string     `msgpack:"t"`
+	Team     string     `msgpack:"t"`
 	Duty     string     `msgpack:"d"`
-	Key      string     `msgpack:"k"`  // the caller's idempotency key, unique in the tenant
+	Key      string     `msgpack:"k"`  // the caller's idempotency key, unique in the team
 	Limits   Limits     `msgpack:"l"`  // the smaller of the caller's and the manifest's
 	Mark     Spend      `msgpack:"hw"` // budget high-water mark
 	OpenedAt time.Time  `msgpack:"at"` // wall time of the opening instance
--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -15,7 +15,7 @@
 	maxRetryAfter  = 60 * time.Second
 	retryDeposit   = 0.1  // retries earned by a successful call
 	retryReserve   = 20.0 // retries that a pool without successes allows
-	tenantPart     = 4    // a duty and tenant may use this fraction (1/n) of the queue
+	teamPart       = 4    // a duty and team may use this fraction (1/n) of the queue
 )
 
 // resize sets the working set of a program.
@@ -94,8 +94,8 @@
 		if s.waiting >= s.cfg.QueueLimit {
 			return ReasonQueueFull, s.retryAfter(c.duty, s.waiting, r.ProgramAge)
 		}
-		if !s.opt.NoTenantFairness && c.tenant.waiting >= max(s.cfg.QueueLimit/tenantPart, 1) {
-			return ReasonTenantQueue, s.retryAfter(c.duty, c.tenant.waiting, r.ProgramAge)
+		if !s.opt.NoTeamFairness && c.team.waiting >= max(s.cfg.QueueLimit/teamPart, 1) {
+			return ReasonTeamQueue, s.retryAfter(c.duty, c.team.waiting, r.ProgramAge)
 		}
 	}
 	if r.Retry > 0 && !s.opt.NoRetryBudget {
--- a/internal/sched/api.go
+++ b/internal/sched/api.go
@@ -17,7 +17,7 @@
 	Owner         id.Session    `msgpack:"ow"`
 	Program       id.Program    `msgpack:"p"`
 	Branch        string        `msgpack:"b"`
-	Tenant        string        `msgpack:"t"`
+	Team          string        `msgpack:"t"`
 	Duty          string        `msgpack:"d"`
 	Zone          string        `msgpack:"z"`  // availability zone of the owner
 	PromptTokens  int64         `msgpack:"pt"` // whole prompt
--- a/internal/sched/cache.go
+++ b/internal/sched/cache.go
@@ -15,7 +15,7 @@
 type program struct {
 	id         id.Program
 	duty       *duty
-	tenant     *tenant
+	team       *team
 	started    bool // a call was granted, here or before
 	calls      int  // waiting and running
 	branches   []*branch
@@ -80,7 +80,7 @@
 	p := s.programs[r.Program]
 	if p == nil {
 		d := s.dutyOf(r.Duty)
-		p = &program{id: r.Program, duty: d, tenant: s.tenantOf(d, r.Tenant), first: s.now - r.ProgramAge}
+		p = &program{id: r.Program, duty: d, team: s.teamOf(d, r.Team), first: s.now - r.ProgramAge}
 		s.programs[r.Program] = p
 	}
 	p.seen = s.now
@@ -152,7 +152,7 @@
 // drop forgets a copy. An evicted or replaced copy counts its unread tokens as wasted.
 func (s *Scheduler) drop(p *prefix, wasted bool) {
 	if wasted {
-		p.branch.program.tenant.account.Wasted += p.unreused
+		p.branch.program.team.account.Wasted += p.unreused
 	}
 	p.ep.cache.unlink(p)
 	p.ep.cache.tokens -= p.tokens
--- a/internal/sched/fault_test.go
+++ b/internal/sched/fault_test.go
@@ -63,14 +63,14 @@
 }
 
 // request is the n-th call of a started program with its own ID.
-func request(n int, duty, tenant string) Request {
+func request(n int, duty, team string) Request {
 	p := id.Program(fmt.Sprintf("p00-%d", n))
 	return Request{ID: id.NewAttempt(id.Call{Program: p, Branch: "main", Seq: 1}, 1, 1), Owner: "i1.1", Program: p,
-		Branch: "main", Tenant: tenant, Duty: duty, PromptTokens: 1000, MaxTokens: 200, Calls: 1}
+		Branch: "main", Team: team, Duty: duty, PromptTokens: 1000, MaxTokens: 200, Calls: 1}
 }
 
-func (h *harness) submit(n int, duty, tenant string) id.Attempt {
-	r := request(n, duty, tenant)
+func (h *harness) submit(n int, duty, team string) id.Attempt {
+	r := request(n, duty, team)
 	h.step(Submit{r})
 	return r.ID
 }
@@ -175,8 +175,8 @@
 	must.Eq(t, 0, h.s.endpoints[0].cache.tokens)
 }
 
-// A flood of one tenant must neither fill the queue for others nor keep another tenant of the duty waiting.
-func TestTenantFlood(t *testing.T) {
+// A flood of one team must neither fill the queue for others nor keep another team of the duty waiting.
+func TestTeamFlood(t *testing.T) {
 	h := newHarness(t, config(1))
 	for i := range 200 {
 		h.submit(i, "a", "flood")
@@ -333,13 +333,13 @@
 	must.Positive(t, h.refused[r.ID].RetryAfter)
 }
 
-// The account of a tenant must hold what the results said.
+// The account of a team must hold what the results said.
 func TestAccount(t *testing.T) {
 	h := newHarness(t, config(1))
 	a := h.submit(1, "a", "t")
 	h.step(Done{ID: a, Endpoint: "e0", Result: ResultOK, PromptTokens: 1000, CachedTokens: 400, OutputTokens: 50,
 		FirstToken: time.Second, Total: 2 * time.Second})
-	must.Eq(t, Account{Tenant: "t", Filled: 650, Reused: 400}, h.s.Account("t"))
+	must.Eq(t, Account{Team: "t", Filled: 650, Reused: 400}, h.s.Account("t"))
 	h.step(LoadReport{Endpoint: "e0", Generation: 1})
 	h.step(LoadReport{Endpoint: "e0", Generation: 2})
 	must.Eq(t, int64(650), h.s.Account("t").Wasted)
--- a/internal/sched/grant.go
+++ b/internal/sched/grant.go
@@ -208,7 +208,7 @@
 	c.duty.outputTokens += 0.05 * (float64(d.OutputTokens) - c.duty.outputTokens)
 	s.poolPrefill += 0.02 * (c.ep.cost.prefillRate - s.poolPrefill)
 	s.poolUnit += 0.02 * (c.ep.cost.unitTime(float64(c.runningAtGrant)) - s.poolUnit)
-	a := c.tenant.account
+	a := c.team.account
 	a.Filled += uncached + d.OutputTokens
 	a.Reused += d.CachedTokens
 	tokens := d.PromptTokens + d.OutputTokens
--- a/internal/sched/leaving_test.go
+++ b/internal/sched/leaving_test.go
@@ -38,7 +38,7 @@
 		p := id.NewProgram(1, fmt.Sprint(n))
 		return step(Submit{Request: Request{
 			ID: id.NewAttempt(id.Call{Program: p, Branch: id.MainBranch, Seq: 1}, 1, 1), Owner: "a.1", Program: p,
-			Branch: id.MainBranch, Tenant: "t", Duty: "d", PromptTokens: 100, MaxTokens: 10, LastEndpoint: "e1",
+			Branch: id.MainBranch, Team: "t", Duty: "d", PromptTokens: 100, MaxTokens: 10, LastEndpoint: "e1",
 			SharedTokens: 90, Calls: 1, Idempotent: true, Avoid: avoid,
 		}})
 	}
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -12,7 +12,7 @@
 	maxBlockMove    = 6 * time.Second
 	returnMove      = time.Second // the program returns from a tool pause and holds cache
 	deadlineMove    = 30 * time.Second
-	maxTenantMove   = 20 * time.Second
+	maxTeamMove     = 20 * time.Second
 )
 
 // orderKey is the time that a call is ordered by; the smallest is served first. It does not change
@@ -20,8 +20,8 @@
 func (s *Scheduler) orderKey(c *call) time.Duration {
 	key := s.now
 	r := &c.req
-	if !s.opt.NoTenantFairness {
-		key += min(seconds(float64(c.tenant.waiting)*s.drainInterval), maxTenantMove)
+	if !s.opt.NoTeamFairness {
+		key += min(seconds(float64(c.team.waiting)*s.drainInterval), maxTeamMove)
 	}
 	if s.opt.NoProgramOrder {
 		return key
--- a/internal/sched/rapid_test.go
+++ b/internal/sched/rapid_test.go
@@ -65,7 +65,7 @@
 	r := Request{
 		ID: id.NewAttempt(id.Call{Program: p, Branch: "main", Seq: uint64(n)}, 1, 1), Program: p, Branch: "main",
 		Owner:        id.Session(fmt.Sprintf("i%d.1", rapid.IntRange(0, 2).Draw(t, "owner"))),
-		Tenant:       rapid.SampledFrom([]string{"t1", "t2"}).Draw(t, "tenant"),
+		Team:         rapid.SampledFrom([]string{"t1", "t2"}).Draw(t, "tenant"),
 		Duty:         rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "duty"),
 		PromptTokens: rapid.Int64Range(1, 60_000).Draw(t, "prompt"), MaxTokens: 500,
 		Attained:      time.Duration(rapid.IntRange(0, 300).Draw(t, "attained")) * time.Second,
--- a/internal/sched/reason.go
+++ b/internal/sched/reason.go
@@ -16,7 +16,7 @@
 // Reasons of refusals.
 const (
 	ReasonQueueFull   Reason = "queue_full"          // the pool's queue is full
-	ReasonTenantQueue Reason = "tenant_queue_full"   // the queue of the duty and tenant is full
+	ReasonTeamQueue   Reason = "tenant_queue_full"   // the queue of the duty and team is full
 	ReasonExpired     Reason = "caller_time_limit"   // the caller's time ended in the queue
 	ReasonWontFit     Reason = "time_limit_too_near" // the call cannot finish before the caller's limit
 	ReasonDeadline    Reason = "deadline_too_near"   // the program cannot finish before its deadline
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -53,7 +53,7 @@
 	expires   time.Duration // 0: never
 	key       time.Duration
 	duty      *duty
-	tenant    *tenant
+	team      *team
 	program   *program
 	branch    *branch
 	fresh     bool    // first call of a new program
@@ -229,7 +229,7 @@
 func (s *Scheduler) newCall(r Request) *call {
 	s.serial++
 	c := &call{req: r, serial: s.serial, submitted: s.now, duty: s.dutyOf(r.Duty), units: 1}
-	c.tenant = s.tenantOf(c.duty, r.Tenant)
+	c.team = s.teamOf(c.duty, r.Team)
 	prog := s.programs[r.Program]
 	c.fresh = !s.opt.NoAdmission && r.Calls == 0 && r.Retry == 0 && (prog == nil || !prog.started)
 	if s.cfg.Model {
@@ -245,7 +245,7 @@
 func (s *Scheduler) enqueue(c *call) {
 	s.waiting++
 	c.duty.waiting++
-	c.tenant.waiting++
+	c.team.waiting++
 	s.ready(c)
 }
 
@@ -263,7 +263,7 @@
 	c.heap.remove(c)
 	s.waiting--
 	c.duty.waiting--
-	c.tenant.waiting--
+	c.team.waiting--
 }
 
 // unpark sends the calls that wait for an endpoint back to their duties.
--- a/internal/sched/share.go
+++ b/internal/sched/share.go
@@ -30,11 +30,11 @@
 	programTime    float64  // s, recent mean time of a program from first submit to end
 	startInterval  float64  // s, recent mean time between program starts while programs waited
 	lastStart      time.Duration
-	tenants        map[string]*tenant
+	teams          map[string]*team
 }
 
-// tenant is the part of a duty's queue that belongs to one tenant.
-type tenant struct {
+// team is the part of a duty's queue that belongs to one team.
+type team struct {
 	name    string
 	waiting int
 	account *Account
@@ -43,18 +43,18 @@
 func (s *Scheduler) dutyOf(name string) *duty {
 	d := s.dutyByName[name]
 	if d == nil {
-		d = &duty{Duty: Duty{Name: name}, tenants: map[string]*tenant{}, outputTokens: 300}
+		d = &duty{Duty: Duty{Name: name}, teams: map[string]*team{}, outputTokens: 300}
 		s.dutyByName[name] = d
 		s.duties = append(s.duties, d)
 	}
 	return d
 }
 
-func (s *Scheduler) tenantOf(d *duty, name string) *tenant {
-	t := d.tenants[name]
+func (s *Scheduler) teamOf(d *duty, name string) *team {
+	t := d.teams[name]
 	if t == nil {
-		t = &tenant{name: name, account: s.accountOf(name)}
-		d.tenants[name] = t
+		t = &team{name: name, account: s.accountOf(name)}
+		d.teams[name] = t
 	}
 	return t
 }
@@ -136,9 +136,9 @@
 	return (total + tokens) / 2
 }
 
-// Account sums the prefix tokens of one tenant in the pool.
+// Account sums the prefix tokens of one team in the pool.
 type Account struct {
-	Tenant string
+	Team   string
 	Filled int64 // computed into a cache
 	Reused int64 // found in a cache
 	Wasted int64 // filled, then evicted or released before reuse, as the scheduler knows it
@@ -147,18 +147,18 @@
 func (s *Scheduler) accountOf(name string) *Account {
 	a := s.accounts[name]
 	if a == nil {
-		a = &Account{Tenant: name}
+		a = &Account{Team: name}
 		s.accounts[name] = a
 	}
 	return a
 }
 
-// Account returns the account of a tenant.
-func (s *Scheduler) Account(tenant string) Account {
-	if a := s.accounts[tenant]; a != nil {
+// Account returns the account of a team.
+func (s *Scheduler) Account(team string) Account {
+	if a := s.accounts[team]; a != nil {
 		return *a
 	}
-	return Account{Tenant: tenant}
+	return Account{Team: team}
 }
 
 // InFlight returns the number of calls that count against an endpoint's limit.
--- a/internal/sched/totals.go
+++ b/internal/sched/totals.go
@@ -26,7 +26,7 @@
 	}
 }
 
-// Totals returns the account of all tenants together.
+// Totals returns the account of all teams together.
 func (s *Scheduler) Totals() Account {
 	var sum Account
 	for _, a := range s.accounts {
--- a/internal/server/attention.go
+++ b/internal/server/attention.go
@@ -57,7 +57,7 @@
 
 func needsOf(p *fsm.Program, now time.Time) []wire.NeedsPerson {
 	var out []wire.NeedsPerson
-	need := wire.NeedsPerson{Program: p.ID, Tenant: p.Tenant, Duty: p.Duty}
+	need := wire.NeedsPerson{Program: p.ID, Team: p.Team, Duty: p.Duty}
 	for _, name := range slices.Sorted(maps.Keys(p.Branches)) {
 		b := p.Branches[name]
 		if b.Unknown == "" {
--- a/internal/server/death_test.go
+++ b/internal/server/death_test.go
@@ -85,7 +85,7 @@
 	var wg sync.WaitGroup
 	for n := range programs {
 		wg.Go(func() {
-			c := trial.NewCaller(tenantKey, d.Bases)
+			c := trial.NewCaller(teamKey, d.Bases)
 			defer c.Close()
 			prog, err := c.Open(ctx, "work", fmt.Sprintf("o%d", n))
 			if err != nil {
--- a/internal/server/drain_test.go
+++ b/internal/server/drain_test.go
@@ -72,7 +72,7 @@
 		must.NoError(t, d.Publish(ctx))
 		must.NoError(t, d.AddInstances(trial.Place{Name: "a", Zone: "z0"}, trial.Place{Name: "b", Zone: "z1"}))
 		must.NoError(t, d.AwaitReady(ctx))
-		c := trial.NewCaller(tenantKey, d.Bases)
+		c := trial.NewCaller(teamKey, d.Bases)
 		prog, err := c.Open(ctx, "work", "o")
 		must.NoError(t, err)
 		_, err = c.Model(ctx, trial.ModelCall{Program: prog, Key: "k", Model: "m", Say: "x", MaxTokens: 4, Stream: true})
--- a/internal/server/endpoint_test.go
+++ b/internal/server/endpoint_test.go
@@ -29,7 +29,7 @@
 	var wg sync.WaitGroup
 	for n := range 4 {
 		wg.Go(func() {
-			c := trial.NewCaller(tenantKey, d.Bases)
+			c := trial.NewCaller(teamKey, d.Bases)
 			defer c.Close()
 			for call := 0; ; call++ {
 				select {
--- a/internal/server/front_test.go
+++ b/internal/server/front_test.go
@@ -34,7 +34,7 @@
 	t.Parallel()
 	d := cluster(t, 2, nil)
 	ctx := waitContext(t)
-	one := openaiClient(d.Instance("a"), tenantKey)
+	one := openaiClient(d.Instance("a"), teamKey)
 	got, err := one.Chat.Completions.New(ctx, completion("hello"))
 	must.NoError(t, err)
 	must.NotEq(t, "", got.Choices[0].Message.Content)
@@ -52,7 +52,7 @@
 	must.NoError(t, err)
 	in := completion("first")
 	for n, i := range []string{"a", "b", "a"} {
-		client := openaiClient(d.Instance(i), tenantKey, option.WithHeader("X-Program", string(prog)), option.WithHeader("Idempotency-Key", fmt.Sprintf("k%d", n)))
+		client := openaiClient(d.Instance(i), teamKey, option.WithHeader("X-Program", string(prog)), option.WithHeader("Idempotency-Key", fmt.Sprintf("k%d", n)))
 		got, err := client.Chat.Completions.New(ctx, in)
 		must.NoError(t, err)
 		in.Messages = append(in.Messages, got.Choices[0].Message.ToParam(), openai.UserMessage("next"))
@@ -89,14 +89,14 @@
 	must.Eq(t, "authentication_error", apiErr.Type)
 	in := completion("x")
 	in.Model = "none"
-	right := openaiClient(d.Instance("a"), tenantKey, option.WithMaxRetries(0))
+	right := openaiClient(d.Instance("a"), teamKey, option.WithMaxRetries(0))
 	_, err = right.Chat.Completions.New(ctx, in)
 	must.True(t, errors.As(err, &apiErr))
 	must.Eq(t, "pool_not_found", apiErr.Code)
 	// The program's wall time ends in the middle of the stream.
 	prog, err := caller(t, d).OpenWith(ctx, "o", map[string]any{"limits": map[string]string{"wall_time": "600ms"}})
 	must.NoError(t, err)
-	client := openaiClient(d.Instance("b"), tenantKey, option.WithHeader("X-Program", string(prog)), option.WithJSONSet("want_tokens", 150))
+	client := openaiClient(d.Instance("b"), teamKey, option.WithHeader("X-Program", string(prog)), option.WithJSONSet("want_tokens", 150))
 	long := completion("x")
 	long.MaxTokens = openai.Int(150)
 	stream := client.Chat.Completions.NewStreaming(ctx, long)
@@ -108,9 +108,9 @@
 	must.ErrorContains(t, stream.Err(), "wall_time_exceeded")
 }
 
-// Guards against programs that another tenant can see, and against answers that tell whether a
+// Guards against programs that another team can see, and against answers that tell whether a
 // program of others exists.
-func TestTenantsAreApart(t *testing.T) {
+func TestTeamsAreApart(t *testing.T) {
 	t.Parallel()
 	d := cluster(t, 2, nil)
 	ctx := waitContext(t)
--- a/internal/server/grant_repeat_test.go
+++ b/internal/server/grant_repeat_test.go
@@ -25,7 +25,7 @@
 	c := newCore(inst)
 	inst.core = c
 	c.manifest = &manifest.Manifest{
-		Duties: []manifest.Duty{{Name: "d", Share: 1, Tenants: []string{"t"}, Pools: []string{"s"}}},
+		Duties: []manifest.Duty{{Name: "d", Share: 1, Teams: []string{"t"}, Pools: []string{"s"}}},
 		Pools:  []manifest.Pool{{Name: "s", Kind: manifest.PoolService, QueueLimit: 10}},
 		Endpoints: []manifest.Endpoint{
 			{Name: "s0", Pool: "s", MaxInFlight: 16}, {Name: "s1", Pool: "s", MaxInFlight: 16},
@@ -39,7 +39,7 @@
 // package whole at seed 6656.
 func TestRepeatedGrantAvoidsLeavingEndpoint(t *testing.T) {
 	c := loneCore()
-	c.submit("s", sched.Request{ID: "p01-x/main/1/e1.1", Owner: "a.1", Program: "p01-x", Branch: "main", Tenant: "t", Duty: "d", Calls: 1})
+	c.submit("s", sched.Request{ID: "p01-x/main/1/e1.1", Owner: "a.1", Program: "p01-x", Branch: "main", Team: "t", Duty: "d", Calls: 1})
 	s := c.submissions["p01-x/main/1/e1.1"]
 	granted := c.dispatchers["s"].grants["p01-x/main/1/e1.1"].Endpoint
 	must.NotEq(t, "", granted)
@@ -56,13 +56,13 @@
 // to leave: the owners would give each of these grants back and submit the call again.
 func TestDispatcherAvoidsLeavingEndpoint(t *testing.T) {
 	c := loneCore()
-	c.submit("s", sched.Request{ID: "p01-x/main/1/e1.1", Owner: "a.1", Program: "p01-x", Branch: "main", Tenant: "t", Duty: "d", Calls: 1})
+	c.submit("s", sched.Request{ID: "p01-x/main/1/e1.1", Owner: "a.1", Program: "p01-x", Branch: "main", Team: "t", Duty: "d", Calls: 1})
 	c.members.core.Step(c.inst.now(), membership.EndpointLeaving{Endpoint: "s0"})
 	c.followLeaving()
 	for n := range 3 {
 		p := id.NewProgram(2, string(rune('a'+n)))
 		a := id.NewAttempt(id.Call{Program: p, Branch: id.MainBranch, Seq: 1}, 1, 1)
-		c.submit("s", sched.Request{ID: a, Owner: "a.1", Program: p, Branch: id.MainBranch, Tenant: "t", Duty: "d", Calls: 1})
+		c.submit("s", sched.Request{ID: a, Owner: "a.1", Program: p, Branch: id.MainBranch, Team: "t", Duty: "d", Calls: 1})
 		c.events.drainOwn()
 		must.Eq(t, "s1", c.submissions[a].endpoint)
 	}
--- a/internal/server/helpers_test.go
+++ b/internal/server/helpers_test.go
@@ -62,7 +62,7 @@
 	t.Helper()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, at+m.Path(), bytes.NewReader(body))
 	must.NoError(t, err)
-	req.Header.Set("Authorization", "Bearer "+tenantKey)
+	req.Header.Set("Authorization", "Bearer "+teamKey)
 	req.Header.Set("Idempotency-Key", m.Key)
 	req.Header.Set("X-History", "append")
 	resp, err := http.DefaultClient.Do(req)
--- a/internal/server/log_test.go
+++ b/internal/server/log_test.go
@@ -130,7 +130,7 @@
 	})
 	for n := range 8 {
 		work.Go(func() {
-			c := trial.NewCaller(tenantKey, d.Bases)
+			c := trial.NewCaller(teamKey, d.Bases)
 			defer c.Close()
 			prog, err := c.Open(ctx, "work", fmt.Sprintf("o%d", n))
 			if err != nil {
--- a/internal/server/observe.go
+++ b/internal/server/observe.go
@@ -21,7 +21,7 @@
 	shareWindow = 30 * time.Second
 	// accountInterval is the time between reads of the dispatchers' accounts.
 	accountInterval = 5 * time.Second
-	// reclassifyInterval is the time between choices of the tenants with histograms of their own.
+	// reclassifyInterval is the time between choices of the teams with histograms of their own.
 	reclassifyInterval = 10 * time.Minute
 )
 
@@ -44,7 +44,7 @@
 // watched is a granted attempt.
 type watched struct {
 	call      id.Call
-	tenant    string
+	team      string
 	submitted time.Duration
 	granted   time.Duration
 	streamed  bool // bytes came before the end; otherwise its token times are not known
@@ -53,7 +53,7 @@
 // programTime is the time from the first call of a program to its latest answer. A program that was
 // taken over counts from its opening.
 type programTime struct {
-	tenant      string
+	team        string
 	first, last time.Duration
 }
 
@@ -106,7 +106,7 @@
 	}
 	if _, known := o.programs[r.Program]; !known {
 		now := o.inst.now()
-		o.programs[r.Program] = programTime{tenant: r.Tenant, first: now - o.earlier(r), last: now}
+		o.programs[r.Program] = programTime{team: r.Team, first: now - o.earlier(r), last: now}
 	}
 }
 
@@ -126,9 +126,9 @@
 
 // granted notes the decision of the dispatcher.
 func (o *observer) granted(g sched.Grant) {
-	o.metrics.Class(g.Request.Tenant).QueueWait(g.Waited)
+	o.metrics.Class(g.Request.Team).QueueWait(g.Waited)
 	call := callOf(g.Request)
-	o.attempts[g.Request.ID] = watched{call: call, tenant: g.Request.Tenant, submitted: o.calls[call], granted: o.inst.now()}
+	o.attempts[g.Request.ID] = watched{call: call, team: g.Request.Team, submitted: o.calls[call], granted: o.inst.now()}
 }
 
 // event notes the end of an attempt, which brings its token times.
@@ -152,7 +152,7 @@
 	if e.Result != sched.ResultOK || e.FirstToken <= 0 || !w.streamed {
 		return
 	}
-	class := o.metrics.Class(w.tenant)
+	class := o.metrics.Class(w.team)
 	class.FirstToken(w.granted - w.submitted + e.FirstToken)
 	if e.OutputTokens > 1 && e.Total > e.FirstToken {
 		class.BetweenTokens((e.Total - e.FirstToken) / time.Duration(e.OutputTokens-1))
@@ -175,7 +175,7 @@
 	case "end":
 		p, known := o.programs[d.Call.Program]
 		if known && p.last > p.first {
-			o.metrics.Class(p.tenant).ProgramLatency(p.last - p.first)
+			o.metrics.Class(p.team).ProgramLatency(p.last - p.first)
 		}
 		delete(o.programs, d.Call.Program)
 	}
--- a/internal/server/observe_accounts.go
+++ b/internal/server/observe_accounts.go
@@ -34,7 +34,7 @@
 	}
 }
 
-// reclassify chooses the tenants with histograms of their own, for the first time when there are calls.
+// reclassify chooses the teams with histograms of their own, for the first time when there are calls.
 func (o *observer) reclassify(now time.Duration) {
 	if o.classesAt > 0 && now-o.classesAt < reclassifyInterval {
 		return
--- a/internal/server/observe_test.go
+++ b/internal/server/observe_test.go
@@ -24,13 +24,13 @@
 // instanceSeries is the number of series that an instance has besides those of package telemetry.
 const instanceSeries = 8
 
-// targetManifest has the tenants and the models of the target scale.
-func targetManifest(t *testing.T, tenants, models int) *manifest.Manifest {
+// targetManifest has the teams and the models of the target scale.
+func targetManifest(t *testing.T, teams, models int) *manifest.Manifest {
 	t.Helper()
 	var b strings.Builder
 	b.WriteString("deployment: test\nsource: {revision: r1}\nweights: {program_latency: 0.5, wasted_cache: 0.5}\ntenants:\n")
 	var names, pools []string
-	for n := range tenants {
+	for n := range teams {
 		fmt.Fprintf(&b, "  - {name: t%d, key_digests: [%s], default_duty: work}\n", n, digestOf(fmt.Sprintf("key-of-t%d", n)))
 		names = append(names, fmt.Sprintf("t%d", n))
 	}
@@ -61,11 +61,11 @@
 	return string(text)
 }
 
-// Guards against a number of series of /metrics that grows with tenants or models: each of 2,500
-// tenants makes a call, over 39 models.
+// Guards against a number of series of /metrics that grows with teams or models: each of 2,500
+// teams makes a call, over 39 models.
 func TestSeriesBoundedAtTargetScale(t *testing.T) {
-	const tenants, models, callers = 2500, 39, 50
-	d := cluster(t, 1, func(s *trial.Settings) { s.Manifest = targetManifest(t, tenants, models) })
+	const teams, models, callers = 2500, 39, 50
+	d := cluster(t, 1, func(s *trial.Settings) { s.Manifest = targetManifest(t, teams, models) })
 	ctx := waitContext(t)
 	at := d.Bases()[0]
 	call := func(n int) {
@@ -80,7 +80,7 @@
 		var wg sync.WaitGroup
 		for first := range callers {
 			wg.Go(func() {
-				for n := first; n < tenants; n += callers {
+				for n := first; n < teams; n += callers {
 					call(n)
 				}
 			})
@@ -107,7 +107,7 @@
 		must.NoError(t, err)
 		total += n
 	}
-	must.GreaterEq(t, 2*tenants, total)
+	must.GreaterEq(t, 2*teams, total)
 	must.Len(t, telemetry.MaxClasses+1, waits)
 	for _, name := range []string{"ragwortstile_program_latency_seconds_count", "ragwortstile_first_token_seconds_count",
 		"ragwortstile_between_tokens_seconds_count", "ragwortstile_appends_total", "ragwortstile_append_bytes_total",
--- a/internal/server/security_test.go
+++ b/internal/server/security_test.go
@@ -15,9 +15,9 @@
 	"ragwortstile/internal/trial"
 )
 
-// Guards against a tenant that reads or changes another's program by any path, also through an
+// Guards against a team that reads or changes another's program by any path, also through an
 // instance that is not the owner, and against an answer that tells whether the program exists.
-func TestOtherTenantIsRefusedEverywhere(t *testing.T) {
+func TestOtherTeamIsRefusedEverywhere(t *testing.T) {
 	t.Parallel()
 	d := cluster(t, 2, nil)
 	ctx := waitContext(t)
@@ -49,13 +49,13 @@
 		}
 	}
 	must.Len(t, 2, texts(t, c, ctx, prog, ""))
-	// A key that another tenant used opens that tenant's own program.
+	// A key that another team used opens that team's own program.
 	own, err := other.Open(ctx, "work", "o")
 	must.NoError(t, err)
 	must.NotEq(t, prog, own)
 }
 
-// Guards against an operator's key that makes calls, a tenant's or no key at what it doesn't open, and
+// Guards against an operator's key that makes calls, a team's or no key at what it doesn't open, and
 // the key of the peer protocol as a caller's.
 func TestRolesAreToldApart(t *testing.T) {
 	t.Parallel()
@@ -81,14 +81,14 @@
 	}
 	must.Eq(t, http.StatusForbidden, status(trial.OperatorKey, http.MethodPost, "/v1/programs"))
 	must.Eq(t, http.StatusForbidden, status(trial.OperatorKey, http.MethodDelete, path))
-	for _, key := range []string{"", "wrong", trial.PeerKey, digestOf(tenantKey), digestOf(trial.OperatorKey)} {
+	for _, key := range []string{"", "wrong", trial.PeerKey, digestOf(teamKey), digestOf(trial.OperatorKey)} {
 		for _, p := range []string{path, path + "/history", path + "/explain", path + "/calls/k", "/v1/status", "/v1/models"} {
 			must.Eq(t, http.StatusUnauthorized, status(key, http.MethodGet, p))
 		}
 	}
 	// Endpoints and shares are the operator's.
-	tenant := caller(t, d)
-	for _, i := range statusAt(t, tenant, at).Instances {
+	team := caller(t, d)
+	for _, i := range statusAt(t, team, at).Instances {
 		for _, p := range i.Pools {
 			must.Len(t, 0, p.Endpoints)
 			must.Len(t, 0, p.Duties)
@@ -96,13 +96,13 @@
 	}
 }
 
-// Guards against a tenant that opens programs without end: with a limit of 3 the fourth is refused, a
+// Guards against a team that opens programs without end: with a limit of 3 the fourth is refused, a
 // repeated key is not, and an ended program makes room.
 func TestOpenProgramsAreLimited(t *testing.T) {
 	t.Parallel()
 	d := cluster(t, 1, func(s *trial.Settings) {
 		s.Manifest = smallManifest(t, 1, 1)
-		s.Manifest.Tenants[0].MaxPrograms = 3
+		s.Manifest.Teams[0].MaxPrograms = 3
 	})
 	ctx := waitContext(t)
 	c := caller(t, d)
--- a/internal/server/service_test.go
+++ b/internal/server/service_test.go
@@ -98,7 +98,7 @@
 	var wg sync.WaitGroup
 	for n := range 24 {
 		wg.Go(func() {
-			c := trial.NewCaller(tenantKey, d.Bases)
+			c := trial.NewCaller(teamKey, d.Bases)
 			defer c.Close()
 			prog, err := c.Open(ctx, "work", fmt.Sprintf("o%d", n))
 			if err != nil {
@@ -139,7 +139,7 @@
 	stop := make(chan struct{})
 	for n := range programs {
 		wg.Go(func() {
-			c := trial.NewCaller(tenantKey, d.Bases)
+			c := trial.NewCaller(teamKey, d.Bases)
 			defer c.Close()
 			for call := 0; ; call++ {
 				select {
--- a/internal/server/soak_test.go
+++ b/internal/server/soak_test.go
@@ -33,7 +33,7 @@
 	var wg sync.WaitGroup
 	for range callers {
 		wg.Go(func() {
-			c := trial.NewCaller(tenantKey, d.Bases)
+			c := trial.NewCaller(teamKey, d.Bases)
 			defer c.Close()
 			for n := range work {
 				if err := soakProgram(t, c, n); err != nil {
--- a/internal/server/status_fleet.go
+++ b/internal/server/status_fleet.go
@@ -31,7 +31,7 @@
 	Error           string     `json:"error,omitempty"` // why the instance did not answer
 }
 
-// PoolLine is the state of a pool at its dispatcher. Tenants don't get endpoints and duties.
+// PoolLine is the state of a pool at its dispatcher. Teams don't get endpoints and duties.
 type PoolLine struct {
 	Pool      string                `json:"pool"`
 	Waiting   int                   `json:"waiting"`
@@ -48,26 +48,26 @@
 	NeedsCount      int                `json:"programs_that_need_a_person_count"` // at least the length of the list
 }
 
-// Status implements api.Backend. It asks all live instances. A tenant sees its own programs only.
-func (i *Instance) Status(tenant string) any {
+// Status implements api.Backend. It asks all live instances. A team sees its own programs only.
+func (i *Instance) Status(team string) any {
 	answers := i.askStatus()
 	out := FleetStatus{Instances: []InstanceStatus{}, Needs: []wire.NeedsPerson{}}
 	for _, a := range answers {
 		out.DeclaredVersion = max(out.DeclaredVersion, a.status.DeclaredVersion, a.status.ManifestVersion)
 	}
 	for _, a := range answers {
-		line := statusLine(a.status, tenant == "")
+		line := statusLine(a.status, team == "")
 		line.Error = a.err
 		line.Behind = a.err == "" && line.ManifestVersion < out.DeclaredVersion
 		out.Instances = append(out.Instances, line)
 		for _, n := range a.status.Needs {
-			if tenant == "" || n.Tenant == tenant {
+			if team == "" || n.Team == team {
 				out.Needs = append(out.Needs, n)
 			}
 		}
 		out.NeedsCount += a.status.NeedsCount
 	}
-	if tenant != "" {
+	if team != "" {
 		out.NeedsCount = len(out.Needs)
 	}
 	slices.SortFunc(out.Instances, func(a, b InstanceStatus) int { return cmp.Compare(a.Session, b.Session) })
--- a/internal/server/status_test.go
+++ b/internal/server/status_test.go
@@ -23,7 +23,7 @@
 }
 
 // Guards against an unknown outcome that an operator can't find, at every instance, and against one
-// tenant that sees another's programs in the status or in explain. What a call cost is still told
+// team that sees another's programs in the status or in explain. What a call cost is still told
 // after the owner died.
 func TestUnknownOutcomeIsShown(t *testing.T) {
 	t.Parallel()
@@ -51,7 +51,7 @@
 		s := statusAt(t, operator, at)
 		n := s.Needs[0]
 		must.Eq(t, prog, n.Program)
-		must.Eq(t, "unknown_outcome main/2 p1 s/press one", n.Reason+" "+n.Branch+"/"+string('0'+rune(n.Seq))+" "+n.Key+" "+n.Service+"/"+n.Operation+" "+n.Tenant)
+		must.Eq(t, "unknown_outcome main/2 p1 s/press one", n.Reason+" "+n.Branch+"/"+string('0'+rune(n.Seq))+" "+n.Key+" "+n.Service+"/"+n.Operation+" "+n.Team)
 		must.Eq(t, 1, s.NeedsCount)
 		must.Eq(t, 1, s.DeclaredVersion)
 		must.Len(t, 3, s.Instances)
--- a/internal/server/thin_test.go
+++ b/internal/server/thin_test.go
@@ -17,8 +17,8 @@
 const testWait = 40 * time.Second
 
 const (
-	tenantKey = "tenant-key-one"
-	otherKey  = "tenant-key-two"
+	teamKey  = "tenant-key-one"
+	otherKey = "tenant-key-two"
 )
 
 // smallManifest is one model and one service with a number of endpoints each.
@@ -46,7 +46,7 @@
       - {name: charge, idempotent: false, can_be_asked: true, charge_cents: 400}
       - {name: press, idempotent: false}
 endpoints:
-`, digestOf(tenantKey), digestOf(otherKey))
+`, digestOf(teamKey), digestOf(otherKey))
 	for n := range engines {
 		fmt.Fprintf(&b, "  - {name: e%d, pool: m, url: \"http://127.0.0.1:%d\", zone: z%d, max_in_flight: 8, cache_tokens: 100000}\n", n, n+1, n)
 	}
@@ -106,7 +106,7 @@
 
 func caller(t *testing.T, d *trial.Deployment) *trial.Caller {
 	t.Helper()
-	c := trial.NewCaller(tenantKey, d.Bases)
+	c := trial.NewCaller(teamKey, d.Bases)
 	t.Cleanup(c.Close)
 	return c
 }
--- a/internal/telemetry/classes.go
+++ b/internal/telemetry/classes.go
@@ -6,14 +6,14 @@
 	"sync"
 )
 
-// Bounds of the choice of tenants with a class of their own.
+// Bounds of the choice of teams with a class of their own.
 const (
-	maxCounted   = 10_000 // tenants that are counted between two choices
-	challengeNum = 3      // a tenant takes another's place with more than 3/2 of its calls
+	maxCounted   = 10_000 // teams that are counted between two choices
+	challengeNum = 3      // a team takes another's place with more than 3/2 of its calls
 	challengeDen = 2
 )
 
-// traffic counts calls per tenant, to choose those with a class of their own.
+// traffic counts calls per team, to choose those with a class of their own.
 type traffic struct {
 	mu    sync.Mutex
 	calls map[string]uint64
@@ -21,15 +21,15 @@
 
 func newTraffic() *traffic { return &traffic{calls: make(map[string]uint64)} }
 
-func (t *traffic) count(tenant string) {
+func (t *traffic) count(team string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if _, known := t.calls[tenant]; known || len(t.calls) < maxCounted {
-		t.calls[tenant]++
+	if _, known := t.calls[team]; known || len(t.calls) < maxCounted {
+		t.calls[team]++
 	}
 }
 
-// choose returns the tenants with the most calls. A present one keeps its place unless another one
+// choose returns the teams with the most calls. A present one keeps its place unless another one
 // has clearly more, because a change ends its series. Older calls count half at each choice.
 func (t *traffic) choose(most int, present map[string]bool) []string {
 	t.mu.Lock()
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -91,8 +91,8 @@
 // Reason is the field "reason", a code.
 func Reason(r sched.Reason) Field { return Field{"reason", code(string(r))} }
 
-// Tenant is the field "tenant", a name of the manifest.
-func Tenant(n string) Field { return Field{"tenant", name(n)} }
+// Team is the field "team", a name of the manifest.
+func Team(n string) Field { return Field{"tenant", name(n)} }
 
 // Duty is the field "duty", a name of the manifest.
 func Duty(n string) Field { return Field{"duty", name(n)} }
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -11,7 +11,7 @@
 
 // Bounds of the label values that have series of their own. Everything else is counted as Other.
 const (
-	MaxClasses = 20  // tenants, those with the most calls; chosen again by Reclassify
+	MaxClasses = 20  // teams, those with the most calls; chosen again by Reclassify
 	MaxPools   = 64  // 39 models and the services; from the manifest
 	MaxShares  = 256 // pairs of pool and duty; from the manifest
 	MaxReasons = 32  // reasons of refusals, in the order of their first use
@@ -83,9 +83,9 @@
 	m.shares.set(keys)
 }
 
-// Reclassify chooses the tenants with a class of their own by the calls since the last choice. Call
-// it about every 10 min. Series of tenants that lose their class are removed. It returns how many
-// tenants have a class of their own.
+// Reclassify chooses the teams with a class of their own by the calls since the last choice. Call
+// it about every 10 min. Series of teams that lose their class are removed. It returns how many
+// teams have a class of their own.
 func (m *Metrics) Reclassify() int {
 	m.classes.mu.Lock()
 	present := maps.Clone(m.classes.values)
@@ -98,15 +98,15 @@
 // WritePrometheus writes all series in the text format.
 func (m *Metrics) WritePrometheus(w io.Writer) { m.set.WritePrometheus(w) }
 
-// Class is the histograms of one tenant or of Other. Get it anew for each call.
+// Class is the histograms of one team or of Other. Get it anew for each call.
 type Class struct {
 	latency, firstToken, between, queueWait *metrics.PrometheusHistogram
 }
 
-// Class counts a call of a tenant and returns the histograms of its class.
-func (m *Metrics) Class(tenant string) Class {
-	m.traffic.count(tenant)
-	class := m.classes.label(tenant)
+// Class counts a call of a team and returns the histograms of its class.
+func (m *Metrics) Class(team string) Class {
+	m.traffic.count(team)
+	class := m.classes.label(team)
 	histogram := func(metric string, bounds []float64) *metrics.PrometheusHistogram {
 		name := fmt.Sprintf("%s{class=%q}", metric, class)
 		m.classes.remember(class, name)
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -39,7 +39,7 @@
 		log := Typed(NewLog(&out, logrus.DebugLevel))
 		parseErr := json.Unmarshal([]byte(content+"x"), new(map[string]int))
 		log.Error(Event(content), Program(id.Program(content)), Call(id.Call{Branch: content}), Attempt(id.Attempt(content)),
-			Instance(id.Session(content)), Reason(sched.Reason(content)), Tenant(content), Duty(content), Pool(content),
+			Instance(id.Session(content)), Reason(sched.Reason(content)), Team(content), Duty(content), Pool(content),
 			Endpoint(content), Err(fmt.Errorf("turn: %w: %w", errors.New(content), parseErr)))
 		log.Error("failed", Err(errors.New(content)), Err(nil))
 		if strings.Contains(out.String(), word+"qzx") || strings.Count(out.String(), "\n") != 2 {
@@ -66,7 +66,7 @@
 	return strings.Count(out.String(), "\n"), out.String()
 }
 
-// Guards against a number of series that grows with tenants, models, duties or reasons, at the scale
+// Guards against a number of series that grows with teams, models, duties or reasons, at the scale
 // of two years and beyond, also after many changes of the traffic and of the manifest.
 func TestSeriesAreBounded(t *testing.T) {
 	m := NewMetrics()
@@ -82,9 +82,9 @@
 			}
 		}
 		m.SetNames(pools, shares)
-		for tenant := range 2500 {
-			for range 1 + (tenant+round*500)%2500/100 {
-				c := m.Class(fmt.Sprintf("tenant-%d", tenant))
+		for team := range 2500 {
+			for range 1 + (team+round*500)%2500/100 {
+				c := m.Class(fmt.Sprintf("tenant-%d", team))
 				c.ProgramLatency(time.Second)
 				c.FirstToken(time.Second)
 				c.BetweenTokens(time.Millisecond)
@@ -119,12 +119,12 @@
 	must.StrContains(t, text, "ragwortstile_control_bytes{direction=\"out\"} 2\n")
 }
 
-// Guards against classes that miss the busiest tenants or change with every small difference.
+// Guards against classes that miss the busiest teams or change with every small difference.
 func TestClassesFollowTraffic(t *testing.T) {
 	m := NewMetrics()
-	use := func(tenant string, calls int) {
+	use := func(team string, calls int) {
 		for range calls {
-			m.Class(tenant).QueueWait(time.Millisecond)
+			m.Class(team).QueueWait(time.Millisecond)
 		}
 	}
 	for i := range MaxClasses {
--- a/internal/trial/caller.go
+++ b/internal/trial/caller.go
@@ -42,7 +42,7 @@
 // Code returns the short code of the problem.
 func (p *Problem) Code() string { return p.Type[strings.LastIndexByte(p.Type, ':')+1:] }
 
-// Caller makes calls with a tenant's key. It repeats a call under its key at the next instance until
+// Caller makes calls with a team's key. It repeats a call under its key at the next instance until
 // it has a certain answer.
 type Caller struct {
 	Key   string
--- a/internal/trial/runner.go
+++ b/internal/trial/runner.go
@@ -15,7 +15,7 @@
 // Run is one program of the examples that has run, with what its caller saw.
 type Run struct {
 	Kind    string
-	Tenant  string
+	Team    string
 	Program id.Program
 	Calls   int
 	Repeats int64
@@ -40,7 +40,7 @@
 
 // RunProgram makes the calls of an example program one after the other and ends the program.
 func RunProgram(ctx context.Context, c *Caller, u examples.User, p examples.Program, serial int, find Finder) Run {
-	r := Run{Kind: p.Name, Tenant: u.Tenant, Said: map[string][]string{}}
+	r := Run{Kind: p.Name, Team: u.Team, Said: map[string][]string{}}
 	start := time.Now()
 	before := c.Repeats()
 	r.Err = r.steps(ctx, c, p, serial, find)
--- a/internal/whole/caller_test.go
+++ b/internal/whole/caller_test.go
@@ -119,7 +119,7 @@
 	}
 	c.opening = true
 	c.send(&request{what: "open " + string(c.pid), event: func(req program.ReqID) program.Request {
-		return program.OpenProgram{Req: req, Program: c.pid, Tenant: "t", Duty: "d", Limits: c.limits, Now: c.w.wall(), Key: "open " + string(c.pid)}
+		return program.OpenProgram{Req: req, Program: c.pid, Team: "t", Duty: "d", Limits: c.limits, Now: c.w.wall(), Key: "open " + string(c.pid)}
 	}, done: func(_ *request, res result) {
 		c.opening = false
 		c.next = c.w.now + 300*time.Millisecond
@@ -133,7 +133,7 @@
 func (c *caller) end() {
 	c.ending = true
 	c.send(&request{what: "end " + string(c.pid), event: func(req program.ReqID) program.Request {
-		return program.EndProgram{Req: req, Tenant: "t", Program: c.pid}
+		return program.EndProgram{Req: req, Team: "t", Program: c.pid}
 	}, done: func(_ *request, res result) {
 		c.ending = false
 		c.next = c.w.now + 300*time.Millisecond
@@ -147,7 +147,7 @@
 	l.waits = true
 	if !l.opened {
 		c.send(&request{what: "branch " + l.name, event: func(req program.ReqID) program.Request {
-			return program.OpenBranch{Req: req, Tenant: "t", Program: c.pid, Name: l.name, Parent: id.MainBranch, Key: "branch " + l.name}
+			return program.OpenBranch{Req: req, Team: "t", Program: c.pid, Name: l.name, Parent: id.MainBranch, Key: "branch " + l.name}
 		}, done: func(_ *request, res result) {
 			c.w.note("%s branch %s: broken %v, %+v", c.pid, l.name, res.broken, res.problem)
 			l.waits = false
@@ -168,10 +168,10 @@
 func (k *call) event(req program.ReqID) program.Request {
 	c := k.c
 	if k.kind == "model" || k.kind == "stream" {
-		return program.ModelCall{Req: req, Tenant: "t", Program: c.pid, Branch: k.branch, Key: k.key, Digest: 7, Model: "m",
+		return program.ModelCall{Req: req, Team: "t", Program: c.pid, Branch: k.branch, Key: k.key, Digest: 7, Model: "m",
 			Messages: []record.Message{{Raw: k.say()}}, History: program.HistoryAppend, MaxTokens: 20, Stream: k.kind == "stream"}
 	}
-	return program.ServiceCall{Req: req, Tenant: "t", Program: c.pid, Branch: k.branch, Key: k.key, Digest: 9, Service: "s",
+	return program.ServiceCall{Req: req, Team: "t", Program: c.pid, Branch: k.branch, Key: k.key, Digest: 9, Service: "s",
 		Operation: k.kind, Body: []byte(string(c.pid) + " " + k.key)}
 }
 
@@ -231,7 +231,7 @@
 		x = record.ExecutedYes
 	}
 	c.send(&request{what: "settle " + k.key, event: func(req program.ReqID) program.Request {
-		return program.SettleCall{Req: req, Tenant: "t", Program: c.pid, Key: k.key, Executed: x, Body: fmt.Appendf(nil, `{"done":%q}`, string(c.pid)+" "+k.key)}
+		return program.SettleCall{Req: req, Team: "t", Program: c.pid, Key: k.key, Executed: x, Body: fmt.Appendf(nil, `{"done":%q}`, string(c.pid)+" "+k.key)}
 	}, done: func(_ *request, res result) {
 		l.waits = false
 		l.next = c.w.now + 300*time.Millisecond
--- a/internal/whole/world_test.go
+++ b/internal/whole/world_test.go
@@ -126,7 +126,7 @@
 
 func wholeManifest() *manifest.Manifest {
 	m := &manifest.Manifest{
-		Duties: []manifest.Duty{{Name: "d", Share: 1, Tenants: []string{"t"}, Pools: []string{"m", "s"}}},
+		Duties: []manifest.Duty{{Name: "d", Share: 1, Teams: []string{"t"}, Pools: []string{"m", "s"}}},
 		Pools: []manifest.Pool{
 			{Name: "m", Kind: manifest.PoolModel, MaxTokens: 40, QueueLimit: 50, Timeout: 10 * time.Second},
 			{Name: "s", Kind: manifest.PoolService, QueueLimit: 50, Timeout: 8 * time.Second},
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -241,7 +241,7 @@
 
 // Explain asks an owner for the decisions taken for a program. Explained answers it.
 type Explain struct {
-	Tenant  string     `msgpack:"t"` // empty: an operator asks
+	Team    string     `msgpack:"t"` // empty: an operator asks
 	Program id.Program `msgpack:"p"`
 }
 
@@ -284,7 +284,7 @@
 // NeedsPerson is a program that goes on only after a person has acted, or should be looked at.
 type NeedsPerson struct {
 	Program   id.Program `msgpack:"p" json:"program"`
-	Tenant    string     `msgpack:"t" json:"tenant"`
+	Team      string     `msgpack:"t" json:"tenant"`
 	Duty      string     `msgpack:"d" json:"duty"`
 	Reason    string     `msgpack:"r" json:"reason"` // unknown_outcome, deadline_passed or budget_spent
 	Branch    string     `msgpack:"b" json:"branch,omitempty"`
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -40,7 +40,7 @@
 		CopyPut{Copy: Copy{Slot: 63, Epoch: 9, Session: "a.1", Ref: 7, Batch: []byte{1}}}, CopyGet{Slot: 1, Epoch: 2},
 		Copies{Copies: []Copy{{Slot: 1}}, More: true}, CopyDrop{Slot: 1, Session: "a.1", Refs: []uint64{1, 1 << 60}},
 		ManifestGet{Min: 3}, Manifest{Version: 4, Digest: "d", JSON: []byte("{}")},
-		Explain{Tenant: "t", Program: "p01-x"}, Explained{Decisions: []program.Decision{{Call: call, Executed: record.ExecutedYes}}},
+		Explain{Team: "t", Program: "p01-x"}, Explained{Decisions: []program.Decision{{Call: call, Executed: record.ExecutedYes}}},
 		TurnBegin{Part: 3, Begin: history.Begin{Program: "p", Turn: "t", Previous: "s", MaxTokens: 9, Likely: 4, Budget: 99, Limited: true, Known: true, Longest: time.Second}},
 		TurnBegun{Outcome: history.Granted, Body: []byte("x")}, TurnConfirm{Part: 3, Program: "p", Turn: "t"},
 		TurnEnd{Part: 3, End: history.End{Program: "p", Turn: "t", Whole: true, Input: []byte("i"), Output: []byte("o"), Tokens: 5, Most: 9, Keep: time.Minute}},
@@ -224,7 +224,7 @@
 func BenchmarkCallBytes(b *testing.B) {
 	attempt := id.NewAttempt(id.Call{Program: id.NewProgram(5, "6f2c9d1e8a"), Branch: "main", Seq: 42}, 17, 1)
 	request := sched.Request{
-		ID: attempt, Owner: "instance-07.5f3a9c21", Program: "p05-6f2c9d1e8a", Branch: "main", Tenant: "promoters",
+		ID: attempt, Owner: "instance-07.5f3a9c21", Program: "p05-6f2c9d1e8a", Branch: "main", Team: "promoters",
 		Duty: "promoter-answers", Zone: "norte", PromptTokens: 21_000, SharedTokens: 20_000, MaxTokens: 2048,
 		LastEndpoint: "cistern-3", Attained: time.Minute, Calls: 41, ProgramAge: time.Hour, CallTimeLimit: time.Minute,
 	}
