telemetry: the end of the log tells how many lines were dropped

Cause: since the log's end is a signal of its own, the writer could take it before the last queued lines and end without the line about those that were dropped. TestBoundedWriterNeverBlocks failed once in the tests of all packages.

Change: what is queued is written, then the count.

--- a/internal/telemetry/bounded.go
+++ b/internal/telemetry/bounded.go
@@ -57,15 +57,27 @@
 			_, _ = w.Write(line)
 		case <-b.closing:
 			b.flush(w)
+			b.tellDropped(w, told)
 			return
 		}
-		if n := b.dropped.Load(); n > told && time.Now().After(next) {
-			_, _ = fmt.Fprintf(w, "level=warning msg=\"log lines dropped\" count=%d\n", n-told)
+		if time.Now().Before(next) {
+			continue
+		}
+		if n := b.tellDropped(w, told); n > told {
 			told, next = n, time.Now().Add(dropNotice)
 		}
 	}
 }
 
+// tellDropped writes how many lines were dropped since it told so last, and returns how many were in all.
+func (b *BoundedWriter) tellDropped(w io.Writer, told int64) int64 {
+	n := b.dropped.Load()
+	if n > told {
+		_, _ = fmt.Fprintf(w, "level=warning msg=\"log lines dropped\" count=%d\n", n-told) // as above
+	}
+	return n
+}
+
 // flush writes what is queued now.
 func (b *BoundedWriter) flush(w io.Writer) {
 	for {
