gateway, ledger: one loop over endpoints for calls and turns; one way to the keepers of an instance

Cause: request.plain and turn.stream had the same loop of attempts, and the ledger took its keepers from under the lock in five places.

Change: request.tryEndpoints serves both; a stream counts as a request that may not be repeated there, as its own loop had it. Ledger.keeper and Ledger.held replace the copies of their lines. No change of behaviour.

Checked: vet, staticcheck, tests of breaks, gateway, ledger and platform under the race detector; no test was changed. The break "a call whose outcome is not known is sent again" now covers turns as well.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -258,33 +258,44 @@
 	}
 	ctx, cancel := context.WithDeadline(parent, q.ends)
 	defer cancel()
-	q.tried = make(map[string]bool)
 	service := q.target()
+	done := q.tryEndpoints(
+		func() (place, bool) { return q.pick(service, nil) },
+		func(e place) verdict { return q.plainAttempt(ctx, e) },
+	)
+	if !done {
+		q.giveUp(ctx)
+	}
+}
+
+// tryEndpoints makes attempts at one endpoint after the other, and tells whether one of them served the request.
+// After an attempt whose outcome is not known only a request that may be repeated is sent again.
+func (q *request) tryEndpoints(pick func() (place, bool), attempt func(place) verdict) bool {
+	q.tried = make(map[string]bool)
 	for unsent := 0; q.sends < q.route.MaxAttempts && unsent < maxUnsent; {
 		if q.mayRun && q.route.Kind != routing.Idempotent {
 			break
 		}
-		e, ok := q.pick(service, nil)
+		e, ok := pick()
 		if !ok {
 			break
 		}
 		q.tried[e.ID] = true
 		before := q.sends
-		switch q.plainAttempt(ctx, e) {
+		switch attempt(e) {
 		case served:
-			return
+			return true
 		case unsure:
 			q.mayRun = true
 		case over:
 			q.mayRun = q.mayRun || q.sends > before
-			q.giveUp(ctx)
-			return
+			return false
 		}
 		if q.sends == before {
 			unsent++
 		}
 	}
-	q.giveUp(ctx)
+	return false
 }
 
 // giveUp answers a request that no endpoint served.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -57,30 +57,14 @@
 		return
 	}
 	confirmed := t.confirm(ctx)
-	q.tried = make(map[string]bool)
-	for unsent := 0; q.sends < q.route.MaxAttempts && unsent < maxUnsent && !q.mayRun; {
-		e, ok := q.pick(service, q.g.affinity.saves(q.meta, t.prefix))
-		if !ok {
-			break
-		}
-		q.tried[e.ID] = true
-		before := q.sends
-		v := t.attempt(ctx, e, confirmed)
-		if v == served {
-			return
-		}
-		if v == unsure || (v == over && q.sends > before) {
-			q.mayRun = true
-		}
-		if v == over {
-			break
-		}
-		if q.sends == before {
-			unsent++
-		}
+	done := q.tryEndpoints(
+		func() (place, bool) { return q.pick(service, q.g.affinity.saves(q.meta, t.prefix)) },
+		func(e place) verdict { return t.attempt(ctx, e, confirmed) },
+	)
+	if !done {
+		t.settle()
+		q.giveUp(ctx)
 	}
-	t.settle()
-	q.giveUp(ctx)
 }
 
 // open gets leave to run the turn and the text before it. It answers requests that don't get it.
--- a/internal/ledger/copies.go
+++ b/internal/ledger/copies.go
@@ -358,9 +358,7 @@
 
 // Offer takes copies that a peer offers, if they are not known. It returns at once.
 func (l *Ledger) Offer(from peer.Remote, m wire.HistoryOffer) {
-	l.mu.Lock()
-	k := l.keepers[m.Part]
-	l.mu.Unlock()
+	k := l.keeper(m.Part)
 	if k == nil || !k.isServing() {
 		return
 	}
@@ -446,9 +444,7 @@
 // serveIndex tells the new holder of a partition which copies are here. A keeper of an earlier epoch ends
 // first, so that it adds no more.
 func (l *Ledger) serveIndex(m wire.HistoryIndex) wire.HistoryIndexed {
-	l.mu.Lock()
-	k := l.keepers[m.Part]
-	l.mu.Unlock()
+	k := l.keeper(m.Part)
 	if k != nil && k.olderThan(m.Epoch) {
 		k.cancel()
 		<-k.closed
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -408,15 +408,29 @@
 	l.cfg.Node.SetPeers(list)
 }
 
-func (l *Ledger) expire(ctx context.Context) {
+// held returns the keepers of this instance.
+func (l *Ledger) held() []*keeper {
 	l.mu.Lock()
-	held := make([]*keeper, 0, len(l.keepers))
+	defer l.mu.Unlock()
+	out := make([]*keeper, 0, len(l.keepers))
 	for _, k := range l.keepers {
-		held = append(held, k)
+		out = append(out, k)
 	}
+	return out
+}
+
+// keeper returns the own keeper of a partition; nil if there is none.
+func (l *Ledger) keeper(part int) *keeper {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.keepers[part]
+}
+
+func (l *Ledger) expire(ctx context.Context) {
+	l.mu.Lock()
 	keep := l.keep
 	l.mu.Unlock()
-	for _, k := range held {
+	for _, k := range l.held() {
 		k.expire(ctx, keep)
 	}
 }
@@ -644,23 +658,18 @@
 
 // search looks for a turn in the partitions held here.
 func (l *Ledger) search(ctx context.Context, turn string) wire.TurnFound {
-	l.mu.Lock()
-	held := make(map[int]*keeper, len(l.keepers))
-	for part, k := range l.keepers {
-		held[part] = k
-	}
-	l.mu.Unlock()
+	held := l.held()
 	found := wire.TurnFound{Doubtful: l.doubtful()}
-	for part, k := range held {
+	for _, k := range held {
 		body, ok, err := k.find(ctx, turn)
 		if ok {
 			return wire.TurnFound{Found: true, Body: body}
 		}
 		if err != nil {
-			l.cfg.Log.WithFields(logrus.Fields{"part": part, "reason": err.Error()}).Info("partition not searched")
+			l.cfg.Log.WithFields(logrus.Fields{"part": k.part.Part, "reason": err.Error()}).Info("partition not searched")
 			continue
 		}
-		found.Parts = append(found.Parts, part)
+		found.Parts = append(found.Parts, k.part.Part)
 		found.Doubtful = found.Doubtful || k.isNew(time.Now())
 	}
 	return found
@@ -697,9 +706,7 @@
 }
 
 func (l *Ledger) serve(part int, f func(*keeper) error) error {
-	l.mu.Lock()
-	k := l.keepers[part]
-	l.mu.Unlock()
+	k := l.keeper(part)
 	if k == nil {
 		return wire.Error{Code: wire.CodeNotHolder}
 	}
