upstream: bound the head of a response in bytes and time

Cause: an endpoint that sends bytes without a line end, or header lines without end, filled the memory of the instance until the request's deadline, and the error text repeated the bytes. A response to another request whose body had exactly the bound wrapped a nil error.

Change: a head takes at most 32 KiB and, once begun, 1 s; informational responses are bounded by a number of their own; error texts quote at most 80 bytes. Trailers, chunk sizes and chunk extensions are bounded by net/http, which the tests show.

Result: TestFloods (ten floods, each without end) fails without the change on "no line end", "header lines" and "one header line", and passes with it; TestTricklingHead ends after 1 s instead of at the deadline.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -38,9 +38,11 @@
 	// inlineBodyBytes is the size up to which a body is written before the response is read. Larger bodies are
 	// written concurrently, since an endpoint may respond before it has read the whole body.
 	inlineBodyBytes = 32 << 10
-	// maxResponsesRead bounds the responses that are read for one request: its own, those to other requests and
-	// informational (1xx) ones, which are skipped.
+	// maxResponsesRead bounds the responses that are read for one request: its own and those to other requests,
+	// which are skipped.
 	maxResponsesRead = 4
+	// maxInformational bounds the informational (1xx) responses that are skipped for one request.
+	maxInformational = 16
 	// maxForeignBytes bounds the body of a response to another request.
 	maxForeignBytes = 1 << 20
 )
@@ -48,8 +50,12 @@
 // ErrNotSent reports that no part of the request was written, so the endpoint cannot have executed it.
 var ErrNotSent = errors.New("request not sent")
 
-// errForeign reports that a connection carried too many or too large responses to other requests.
-var errForeign = errors.New("responses to other requests on the connection")
+// Errors of responses that cannot be used.
+var (
+	// errForeign reports that a connection carried too many or too large responses to other requests.
+	errForeign       = errors.New("responses to other requests on the connection")
+	errInformational = errors.New("too many informational responses")
+)
 
 // Request is one request to an endpoint.
 type Request struct {
@@ -78,6 +84,7 @@
 type conn struct {
 	net.Conn
 	addr        string
+	in          *headLimiter // what br reads from
 	br          *bufio.Reader
 	bodyWritten chan error // result of writing the body concurrently; nil if it was written before reading
 	idleSince   time.Time  // start of the current idle period
@@ -211,7 +218,8 @@
 	p.mu.Lock()
 	p.dials++
 	p.mu.Unlock()
-	return &conn{Conn: nc, addr: addr, br: bufio.NewReaderSize(nc, readBufferBytes), idleTimeout: defaultIdleTimeout}, nil
+	in := &headLimiter{conn: nc}
+	return &conn{Conn: nc, addr: addr, in: in, br: bufio.NewReaderSize(in, readBufferBytes), idleTimeout: defaultIdleTimeout}, nil
 }
 
 // Do sends a request to an address and returns the response once its head has been read. When ctx is done, the
@@ -252,25 +260,50 @@
 	if err := c.send(head.Bytes(), r.Body); err != nil {
 		return nil, err
 	}
+	return c.readResponse(r)
+}
+
+// readResponse returns the response to a request. It skips informational responses and those to other requests.
+func (c *conn) readResponse(r Request) (*http.Response, error) {
 	request := &http.Request{Method: r.Method}
-	for range maxResponsesRead {
+	foreign, informational := 0, 0
+	for foreign < maxResponsesRead && informational <= maxInformational {
+		c.in.begin()
 		resp, err := http.ReadResponse(c.br, request)
+		c.in.end()
 		if err != nil {
-			return nil, fmt.Errorf("answer: %w", err)
+			return nil, fmt.Errorf("response head: %w", shorten(err))
 		}
 		if resp.StatusCode/100 == 1 {
+			informational++
 			continue
 		}
 		if r.Matches(resp.StatusCode, resp.Header) {
 			return resp, nil
 		}
-		if _, err := io.CopyN(io.Discard, resp.Body, maxForeignBytes); err != io.EOF {
-			return nil, fmt.Errorf("%w: %w", errForeign, err)
+		foreign++
+		if err := skipBody(resp.Body); err != nil {
+			return nil, err
 		}
 	}
+	if informational > maxInformational {
+		return nil, errInformational
+	}
 	return nil, errForeign
 }
 
+// skipBody reads the body of a response to another request, up to maxForeignBytes.
+func skipBody(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxForeignBytes+1))
+	switch {
+	case err != nil:
+		return fmt.Errorf("%w: %w", errForeign, shorten(err))
+	case n > maxForeignBytes:
+		return fmt.Errorf("%w: body over %d bytes", errForeign, maxForeignBytes)
+	}
+	return nil
+}
+
 func (c *conn) send(head, body []byte) error {
 	c.bodyWritten = nil
 	if len(body) <= inlineBodyBytes {
