gateway, history: account budgets on routes that keep no turns

Cause: the ledger was asked only on routes that keep turns.

Change: history and budget are two properties of a request. Any turn with a budget is permitted and accounted by the holder of its program's partition, with the ceiling in the store; only the end record of a turn that is kept carries its text, and its caller alone waits for that record. Accounts live for the longest retention of the configuration.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -54,7 +54,7 @@
 	}
 	ctx, cancel := context.WithDeadline(q.r.Context(), q.deadline)
 	defer cancel()
-	if q.route.KeepsHistory() && !t.openTurn(ctx) {
+	if t.inLedger() && !t.openTurn(ctx) {
 		return
 	}
 	confirmed := t.confirm(ctx)
@@ -68,18 +68,28 @@
 	}
 }
 
+// inLedger reports whether the ledger has to permit the turn: to keep it in the history, or to count its tokens
+// against the budget of its program.
+func (t *turn) inLedger() bool {
+	return t.route.History || t.meta.HasBudget && t.meta.Program != ""
+}
+
 // openTurn gets permission from the ledger to run the turn, and the text before the turn. If the permission is
 // not granted, it refuses the request and returns false.
 func (t *turn) openTurn(ctx context.Context) bool {
 	q := t.request
-	if q.meta.BadPrevious {
+	if q.route.History && q.meta.BadPrevious {
 		q.refuse(http.StatusNotFound, reasonNoTurn)
 		return false
 	}
-	prefix, known := q.g.prefixes.get(q.meta.Previous)
+	previous := ""
+	if q.route.History {
+		previous = q.meta.Previous
+	}
+	prefix, known := q.g.prefixes.get(previous)
 	t.prefix = prefix
 	t.begin = history.Begin{
-		Program: q.meta.Program, Turn: q.meta.ID, Previous: q.meta.Previous, HasChain: known,
+		Program: q.meta.Program, Turn: q.meta.ID, Previous: previous, HasChain: known,
 		MaxTokens: q.meta.MaxTokensOut, ExpectedTokens: q.meta.ExpectedTokensOut, Budget: q.meta.Budget, EnforceBudget: q.meta.HasBudget,
 		MaxDuration: time.Until(q.deadline) + reservationSlack,
 	}
@@ -112,7 +122,7 @@
 // channel delivers the result.
 func (t *turn) confirm(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
-	if !t.route.KeepsHistory() {
+	if !t.inLedger() {
 		done <- nil
 		return done
 	}
@@ -120,9 +130,9 @@
 	return done
 }
 
-// reportEnd reports to the ledger, in the background, that the turn ended incomplete.
+// reportEnd reports to the ledger, in the background, that the attempt ended without a turn to keep.
 func (t *turn) reportEnd() {
-	if !t.route.KeepsHistory() {
+	if !t.inLedger() {
 		return
 	}
 	end := history.End{Program: t.meta.Program, Turn: t.meta.ID, Tokens: t.events * t.tokensPerEvent, Reserved: t.meta.MaxTokensOut}
@@ -216,10 +226,12 @@
 	q.g.mu.Unlock()
 	q.attemptEnded(e, balance.Served, took)
 	ended := time.Now()
-	if q.route.KeepsHistory() {
+	if q.route.History {
 		if err := t.recordTurn(ctx); err != nil {
 			t.breakOff(err)
 		}
+	} else {
+		t.reportEnd()
 	}
 	q.log.WithFields(logrus.Fields{
 		"endpoint": e.ID, "bytes": sent, "first": firstAt.Milliseconds(), "waited": time.Since(ended).Milliseconds(), "events": t.events,
@@ -243,7 +255,7 @@
 	flusher := http.NewResponseController(t.w)
 	for {
 		t.events++
-		if t.route.KeepsHistory() {
+		if t.route.History {
 			t.output = append(append(t.output, e.data...), '\n')
 		}
 		if _, err := t.w.Write(e.raw); err != nil {
--- a/internal/history/history_test.go
+++ b/internal/history/history_test.go
@@ -28,11 +28,11 @@
 	s := NewState()
 	endTurn(s, "a", "", start)
 	endTurn(s, "b", "a", start.Add(50*time.Second))
-	s.Expire(start.Add(100 * time.Second))
+	s.Expire(start.Add(100*time.Second), time.Minute)
 	body, ok := s.Body("b")
 	must.True(t, ok)
 	must.Eq(t, "in-aout-ain-bout-b", string(body))
-	s.Expire(start.Add(130 * time.Second))
+	s.Expire(start.Add(130*time.Second), time.Minute)
 	must.Eq(t, 0, s.Turns())
 }
 
@@ -48,6 +48,18 @@
 	must.Eq(t, OverBudget, reserve(s, "p", "3", 60, 100, start))
 }
 
+// A program whose turns are not kept may come back within the retention of its route, with the same budget.
+func TestBudgetIsKeptWithoutTurns(t *testing.T) {
+	s := NewState()
+	must.Eq(t, Granted, reserve(s, "p", "1", 60, 100, start))
+	s.End(End{Program: "p", Turn: "1", Tokens: 60}, start)
+	s.Expire(start.Add(time.Hour), 0) // the configuration is not known yet
+	s.Expire(start.Add(time.Minute), time.Minute)
+	must.Eq(t, OverBudget, reserve(s, "p", "2", 60, 100, start.Add(time.Minute)))
+	s.Expire(start.Add(3*time.Minute), time.Minute)
+	must.MapLen(t, 0, s.accounts)
+}
+
 // The end of an attempt may never be reported. Its whole reservation then counts as spent.
 func TestAttemptWithoutAnEndCountsInFull(t *testing.T) {
 	s := NewState()
--- a/internal/history/state.go
+++ b/internal/history/state.go
@@ -109,7 +109,7 @@
 	turns        map[string]*turn
 	accounts     map[string]*account
 	epoch        int64         // of the newest claim
-	maxRetention time.Duration // longest retention of any turn so far
+	maxRetention time.Duration // longest retention so far
 }
 
 // NewState returns an empty State.
@@ -382,8 +382,10 @@
 }
 
 // Expire drops turns whose retention is over, and accounts without running attempts that were not used for the
-// longest retention.
-func (s *State) Expire(now time.Time) {
+// longest retention. retention is the longest one of the configuration, which also covers programs that keep
+// no turns; while it is 0, because the configuration is not known yet, no account is dropped.
+func (s *State) Expire(now time.Time, retention time.Duration) {
+	s.maxRetention = max(s.maxRetention, retention)
 	for id, t := range s.turns {
 		if t.expires.Before(now) {
 			delete(s.turns, id)
@@ -391,7 +393,7 @@
 	}
 	for program, a := range s.accounts {
 		s.expireReservations(a, now)
-		if len(a.reserved) == 0 && a.lastUsed.Add(s.maxRetention+retentionSlack).Before(now) {
+		if retention > 0 && len(a.reserved) == 0 && a.lastUsed.Add(s.maxRetention+retentionSlack).Before(now) {
 			delete(s.accounts, program)
 		}
 	}
--- a/internal/ledger/leader.go
+++ b/internal/ledger/leader.go
@@ -806,7 +806,7 @@
 func (ld *leader) expire(ctx context.Context, retention time.Duration) {
 	now := time.Now()
 	ld.mu.Lock()
-	ld.state.Expire(now)
+	ld.state.Expire(now, retention)
 	for program, e := range ld.latestGrants {
 		if e.finished && e.err == nil {
 			delete(ld.latestGrants, program)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -43,7 +43,9 @@
 	Priority      int           // 0 is the highest priority
 	MaxAttempts   int           // greatest number of endpoints that one request may be sent to
 	Sticky        bool
-	Retention     time.Duration // how long complete turns are kept; 0 for routes without history
+	History       bool          // complete turns are kept, so that a request carries only the new input of its turn
+	Resumable     bool          // a stream that broke off may continue at another endpoint after its last event
+	Retention     time.Duration // how long complete turns, and what programs have spent of their budgets, are kept
 	Targets       []Target      // at least one
 }
 
@@ -53,10 +55,6 @@
 	Weight  int
 }
 
-// KeepsHistory reports whether complete turns are kept, so that a request of the route carries only the
-// new input of its turn.
-func (r *Route) KeepsHistory() bool { return r.Retention > 0 }
-
 // Pick returns the service for a request with the given hash. As long as the weights do not change, the
 // same hash selects the same service.
 func (r *Route) Pick(hash uint64) string {
@@ -138,7 +136,7 @@
 	return nil
 }
 
-// MaxRetention returns the longest retention of turns of all routes.
+// MaxRetention returns the longest retention of all routes.
 func (t *Table) MaxRetention() time.Duration {
 	var longest time.Duration
 	for i := range t.Routes {
