gateway: continue resumable streams at another endpoint; bound what endpoints send

Cause: a resumable stream that broke off was cut off at the caller; a stalled one held its caller until the deadline. An endpoint could send events without end: programs passed their budget and the text of the turn grew. Bodies of 8 MiB were read for any number of requests at once, and an error body over 8 MiB was cut unnoticed.

Change: internal/resume decides, without I/O, which events the caller still needs, when a pause is a stall and whether the stream goes on elsewhere, within the attempts of its route. Comments are no events. A stream ends visibly once it exceeds the tokens of its turn.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -7,8 +7,8 @@
 	"io"
 )
 
-// maxEventBytes bounds one event of a stream. Events of endpoints are under 1 KB.
-const maxEventBytes = 1 << 20
+// maxEventBytes bounds one event of a stream, with the blank lines before it. Events of endpoints are under 1 KB.
+const maxEventBytes = 64 << 10
 
 // errTruncatedEvent reports that a stream ended within an event.
 var errTruncatedEvent = errors.New("stream ended within an event")
@@ -16,12 +16,16 @@
 // eventReader splits a stream of server-sent events without changing its bytes.
 type eventReader struct{ br *bufio.Reader }
 
-// event is one event: its bytes as received, and the joined values of its data fields.
+// event is one event: its bytes as received, the joined values of its data fields, and its ID.
 type event struct {
 	raw  []byte
 	data []byte
+	id   string // of the last id field; empty if there is none
 }
 
+// empty reports whether the event carries nothing, like the comments that keep a connection alive.
+func (e event) empty() bool { return e.id == "" && e.data == nil }
+
 // next returns the next event, including the blank line that ends it. At the end of the stream it returns io.EOF
 // and the blank lines that remained.
 func (r *eventReader) next() (event, error) {
@@ -43,11 +47,17 @@
 			continue // blank lines before an event belong to its raw bytes
 		}
 		hasField = true
+		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
+			e.id = string(bytes.TrimSpace(value))
+		}
 		if value, ok := bytes.CutPrefix(text, []byte("data:")); ok {
 			if hasData {
 				e.data = append(e.data, '\n')
 			}
 			e.data = append(e.data, bytes.TrimPrefix(value, []byte(" "))...)
+			if e.data == nil {
+				e.data = []byte{}
+			}
 			hasData = true
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,17 +57,18 @@
 
 // Gateway is one instance.
 type Gateway struct {
-	settings Settings
-	protocol Protocol
-	log      logrus.FieldLogger
-	view     *storeView
-	ledger   *ledger.Ledger
-	node     *peer.Node
-	pool     *upstream.Pool
-	prefixes *prefixCache
-	affinity *affinity
-	metrics  *instanceMetrics
-	storeDep *dependency
+	settings  Settings
+	protocol  Protocol
+	log       logrus.FieldLogger
+	view      *storeView
+	ledger    *ledger.Ledger
+	node      *peer.Node
+	pool      *upstream.Pool
+	responses *responseBuffers
+	prefixes  *prefixCache
+	affinity  *affinity
+	metrics   *instanceMetrics
+	storeDep  *dependency
 
 	active   atomic.Int64
 	stopping atomic.Bool
@@ -81,7 +82,7 @@
 func New(s Settings, protocol Protocol, topics Topics, store Store, log logrus.FieldLogger, nonce string) (*Gateway, error) {
 	g := &Gateway{
 		settings: s, protocol: protocol, log: log,
-		pool: upstream.NewPool(), prefixes: newPrefixCache(), affinity: newAffinity(), metrics: newInstanceMetrics(),
+		pool: upstream.NewPool(), responses: newResponseBuffers(s.MemoryBytes), prefixes: newPrefixCache(), affinity: newAffinity(), metrics: newInstanceMetrics(),
 		balancer: balance.New(s.Zone, uint64(time.Now().UnixNano())),
 		storeDep: &dependency{name: "store", log: log},
 	}
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -24,6 +24,7 @@
 	ExpectedTokensOut int64         // the caller's estimate; 0 if not given
 	Timeout           time.Duration // how long the caller waits for the response; 0 if not given
 	ProgramTimeout    time.Duration // time until the program should be finished; 0 if not given
+	LastEvent         string        // ID of the event after which the caller wants a stream to continue
 	Affinity          string        // key of the object that the request concerns
 	PromptParts       []PromptPart  // shared parts of the prompt, in order
 }
@@ -34,6 +35,13 @@
 	Tokens int64
 }
 
+// Attempt is what the headers of a request to an endpoint state about the attempt.
+type Attempt struct {
+	Endpoint  string        // ID, so that another endpoint that has taken over the address rejects the request
+	Remaining time.Duration // time left until the deadline
+	LastEvent string        // ID of the event after which a stream continues; empty for a whole stream
+}
+
 // Reply is the information that the headers of a response carry.
 type Reply struct {
 	ID           string // of the request that is answered
@@ -44,9 +52,8 @@
 // Protocol decodes and encodes the platform's headers of requests and responses.
 type Protocol interface {
 	Decode(h http.Header) Meta
-	// Encode returns the headers of the request to an endpoint. They name the endpoint, so that another one
-	// that has taken over its address rejects the request. remaining is the time left until the deadline.
-	Encode(h http.Header, endpoint string, remaining time.Duration) http.Header
+	// Encode returns the headers of the request to an endpoint, from those of the caller's request.
+	Encode(h http.Header, a Attempt) http.Header
 	DecodeReply(status int, h http.Header) Reply
 	// EncodeReply copies the headers of an endpoint's response to the response for the caller.
 	EncodeReply(dst, src http.Header)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -18,8 +18,6 @@
 )
 
 const (
-	// maxResponseBytes bounds the responses that are buffered to be checked before the caller gets them.
-	maxResponseBytes = 8 << 20
 	// maxUnsentAttempts bounds the attempts of a request that fail before anything is sent to an endpoint.
 	maxUnsentAttempts = 4
 	// minRetryAfter is the minimum Retry-After of a 503 response.
@@ -226,12 +224,12 @@
 }
 
 // send sends the request to an endpoint and returns the head of the response.
-func (q *request) send(ctx context.Context, e target, body []byte) (*upstream.Response, Reply, error) {
+func (q *request) send(ctx context.Context, e target, body []byte, lastEvent string) (*upstream.Response, Reply, error) {
 	var reply Reply
-	remaining := time.Until(q.deadline)
+	attempt := Attempt{Endpoint: e.ID, Remaining: time.Until(q.deadline), LastEvent: lastEvent}
 	resp, err := q.g.pool.Do(ctx, e.Addr, upstream.Request{
 		Method: q.r.Method, URI: q.r.RequestURI, Host: q.r.Host,
-		Header: q.g.protocol.Encode(q.r.Header, e.ID, remaining), Body: body,
+		Header: q.g.protocol.Encode(q.r.Header, attempt), Body: body,
 		Matches: func(status int, h http.Header) bool {
 			reply = q.g.protocol.DecodeReply(status, h)
 			return reply.ID == q.meta.ID || (reply.ID == "" && reply.NotExecuted)
@@ -273,12 +271,12 @@
 }
 
 // tryEndpoints tries one endpoint after the other and reports whether one of them served the request. After an
-// attempt with an unknown outcome only an idempotent request is sent again, since any other could be executed
+// attempt with an unknown outcome only a repeatable request is sent again, since any other could be executed
 // twice.
 func (q *request) tryEndpoints(pick func() (target, bool), attempt func(target) attemptResult) bool {
 	q.tried = make(map[string]bool)
 	for unsent := 0; q.sends < q.route.MaxAttempts && unsent < maxUnsentAttempts; {
-		if q.mayHaveRun && q.route.Kind != routing.Idempotent {
+		if q.mayHaveRun && !q.route.Repeatable() {
 			break
 		}
 		e, ok := pick()
@@ -322,15 +320,16 @@
 
 func (q *request) bufferedAttempt(ctx context.Context, e target) attemptResult {
 	begun := time.Now()
-	resp, reply, err := q.send(ctx, e, q.body)
+	resp, reply, err := q.send(ctx, e, q.body, "")
 	if err != nil {
 		return q.attemptFailed(ctx, e, err)
 	}
 	if reply.NotExecuted {
 		return q.attemptRefused(e, resp)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err != nil || !reply.FromEndpoint || len(body) > maxResponseBytes || resp.Header.Get("Content-Encoding") != "" {
+	body, release, err := q.g.responses.read(resp.Body)
+	defer release()
+	if err != nil || !reply.FromEndpoint || resp.Header.Get("Content-Encoding") != "" {
 		resp.Discard()
 		return q.attemptFailed(ctx, e, errors.Join(errUnusable, err))
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -15,6 +16,7 @@
 	"ragwortstile/internal/balance"
 	"ragwortstile/internal/history"
 	"ragwortstile/internal/ledger"
+	"ragwortstile/internal/resume"
 	"ragwortstile/internal/upstream"
 )
 
@@ -38,14 +40,18 @@
 	begin          history.Begin
 	prefix         []byte // text of all turns before this one
 	output         []byte // data of the events received
-	events         int64
-	tokensPerEvent int64 // tokens that each event carries
+	events         int64  // events that the caller got
+	tokensPerEvent int64  // tokens that each event carries
+	progress       *resume.Stream
+	responding     bool // the response to the caller has begun
 }
 
 // serveStream serves a request whose response is forwarded event by event. The request is sent to a second
-// endpoint only after the first has stated that it did not execute it.
+// endpoint only after the first has stated that it did not execute it, or if its stream may be resumed.
 func (q *request) serveStream() {
-	t := &turn{request: q, tokensPerEvent: 1}
+	t := &turn{request: q, tokensPerEvent: 1, progress: resume.New(resume.Policy{
+		Resumable: q.route.Resumable, MaxAttempts: q.route.MaxAttempts, TargetGap: q.route.TargetGap,
+	}, q.meta.LastEvent)}
 	service := q.pickService()
 	if table := q.g.view.table.Load(); table != nil {
 		if s := table.Services[service]; s.Engine != nil {
@@ -62,10 +68,14 @@
 		func() (target, bool) { return q.pick(service, q.g.affinity.savings(q.meta, t.prefix)) },
 		func(e target) attemptResult { return t.attempt(ctx, e, confirmed) },
 	)
-	if !done {
-		t.reportEnd()
-		q.giveUp(ctx)
+	if done {
+		return
 	}
+	t.reportEnd()
+	if t.responding {
+		t.breakOff(errNotResumed)
+	}
+	q.giveUp(ctx)
 }
 
 // inLedger reports whether the ledger has to permit the turn: to keep it in the history, or to count its tokens
@@ -155,14 +165,14 @@
 	if len(t.prefix) > 0 {
 		body = append(t.prefix[:len(t.prefix):len(t.prefix)], q.body...)
 	}
-	resp, reply, err := q.send(ctx, e, body)
+	resp, reply, err := q.send(ctx, e, body, t.progress.LastID())
 	if err != nil {
 		return q.attemptFailed(ctx, e, err)
 	}
 	if reply.NotExecuted {
 		return q.attemptRefused(e, resp)
 	}
-	if !reply.FromEndpoint || resp.Header.Get("Content-Encoding") != "" {
+	if !reply.FromEndpoint || resp.Header.Get("Content-Encoding") != "" || t.responding && resp.Status != http.StatusOK {
 		resp.Discard()
 		return q.attemptFailed(ctx, e, errUnusable)
 	}
@@ -170,29 +180,31 @@
 		return t.forwardFailure(ctx, e, resp)
 	}
 	reader := &eventReader{br: bufio.NewReaderSize(resp.Body, eventBufferBytes)}
-	first, err := reader.next()
+	first, err := t.readEvent(reader, resp)
 	if err != nil {
 		resp.Discard()
 		return q.attemptFailed(ctx, e, errors.Join(errUnusable, err))
 	}
 	q.responseStarted(e)
-	select {
-	case err = <-confirmed:
-	case <-ctx.Done():
-		err = ctx.Err()
-	}
-	if err != nil {
-		resp.Discard()
-		return q.attemptFailed(ctx, e, err)
+	if !t.responding {
+		select {
+		case err = <-confirmed:
+		case <-ctx.Done():
+			err = ctx.Err()
+		}
+		if err != nil {
+			resp.Discard()
+			return q.attemptFailed(ctx, e, err)
+		}
 	}
 	q.g.affinity.record(q.meta, e.ID)
-	t.forwardStream(ctx, e, resp, reader, first, begun, len(body))
-	return served
+	return t.forwardStream(ctx, e, resp, reader, first, begun, len(body))
 }
 
 // forwardFailure forwards an error response of the endpoint to the caller.
 func (t *turn) forwardFailure(ctx context.Context, e target, resp *upstream.Response) attemptResult {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	body, release, err := t.g.responses.read(resp.Body)
+	defer release()
 	if err != nil {
 		resp.Discard()
 		return t.attemptFailed(ctx, e, errors.Join(errUnusable, err))
@@ -204,25 +216,34 @@
 	return served
 }
 
-// forwardStream forwards the events to the caller. Once the response has begun, it either ends complete or the
-// caller's connection is closed, so that a truncated response cannot look complete.
+// forwardStream forwards the events of an endpoint to the caller. If they end early, the stream continues at another
+// endpoint where its route allows that. Otherwise the caller's connection is closed, so that a truncated response
+// cannot look complete.
 func (t *turn) forwardStream(
 	ctx context.Context, e target, resp *upstream.Response, reader *eventReader, first event, begun time.Time, sent int,
-) {
+) attemptResult {
 	q := t.request
-	q.copyHeaders(resp)
-	q.w.WriteHeader(resp.Status)
-	firstAt, firstTook := time.Since(q.start), time.Since(begun)
-	err := t.copyEvents(reader, first)
+	if !t.responding {
+		t.responding = true
+		q.copyHeaders(resp)
+		q.w.WriteHeader(resp.Status)
+	}
+	firstAt, firstTook, before := time.Since(q.start), time.Since(begun), t.events
+	err := t.copyEvents(reader, resp, first)
 	if err != nil {
 		resp.Discard()
-		t.attemptFailed(ctx, e, err)
+		result := t.attemptFailed(ctx, e, err)
+		if result == unknownOutcome && t.progress.Resume(q.sends, time.Until(q.deadline)) {
+			q.log.WithFields(logrus.Fields{"endpoint": e.ID, "reason": err.Error(), "last": t.progress.LastID(), "attempt": q.sends, "age": time.Since(q.start).Milliseconds()}).
+				Info("stream continues at another endpoint")
+			return unknownOutcome
+		}
 		t.reportEnd()
 		t.breakOff(err)
 	}
 	resp.Reuse()
 	q.g.mu.Lock()
-	took := q.g.balancer.StreamTime(firstTook, time.Since(begun), t.events)
+	took := q.g.balancer.StreamTime(firstTook, time.Since(begun), t.events-before)
 	q.g.mu.Unlock()
 	q.attemptEnded(e, balance.Served, took)
 	ended := time.Now()
@@ -237,6 +258,7 @@
 		"endpoint": e.ID, "bytes": sent, "first": firstAt.Milliseconds(), "waited": time.Since(ended).Milliseconds(), "events": t.events,
 	}).Info("stream forwarded")
 	q.logEnd(resp.Status, "")
+	return served
 }
 
 // breakOff logs the failure of a response that has begun and closes the caller's connection.
@@ -245,27 +267,53 @@
 	if t.callerGone() {
 		reason = reasonCallerLeft
 	}
-	t.log.WithField("reason", err.Error()).Info("stream broken off")
+	t.log.WithFields(logrus.Fields{"reason": err.Error(), "last": t.progress.LastID(), "events": t.events}).Info("stream broken off")
 	t.logEnd(0, reason)
 	panic(http.ErrAbortHandler)
 }
 
-// copyEvents forwards each event as it arrives, until the stream ends with a complete event.
-func (t *turn) copyEvents(reader *eventReader, e event) error {
-	flusher := http.NewResponseController(t.w)
+// Errors of streams.
+var (
+	errStalled       = errors.New("stream stalled")
+	errMissingEvents = errors.New("events are missing")
+	errTooLong       = errors.New("stream exceeds the maximum tokens of its turn")
+	errNotResumed    = errors.New("no endpoint continued the stream")
+)
+
+// readEvent reads the next event. It fails when the stream stalls; comments do not count as progress.
+func (t *turn) readEvent(reader *eventReader, resp *upstream.Response) (event, error) {
+	stall := t.progress.Stall(t.sends)
+	if stall == 0 {
+		return reader.next()
+	}
+	var stalled atomic.Bool
+	watch := time.AfterFunc(stall, func() {
+		stalled.Store(true)
+		resp.Interrupt()
+	})
+	defer watch.Stop()
 	for {
-		t.events++
-		if t.route.History {
-			t.output = append(append(t.output, e.data...), '\n')
+		e, err := reader.next()
+		switch {
+		case stalled.Load():
+			return e, errStalled
+		case err != nil || !e.empty():
+			return e, err
 		}
-		if _, err := t.w.Write(e.raw); err != nil {
-			return err
+		if err := t.write(e.raw); err != nil {
+			return e, err
 		}
-		if err := flusher.Flush(); err != nil {
+	}
+}
+
+// copyEvents forwards each event as it arrives, until the stream ends with a complete event.
+func (t *turn) copyEvents(reader *eventReader, resp *upstream.Response, e event) error {
+	for {
+		if err := t.forwardEvent(e); err != nil {
 			return err
 		}
 		var err error
-		e, err = reader.next()
+		e, err = t.readEvent(reader, resp)
 		if err == io.EOF {
 			_, err := t.w.Write(e.raw)
 			return err
@@ -276,6 +324,36 @@
 	}
 }
 
+// forwardEvent writes an event to the caller unless the caller has it already.
+func (t *turn) forwardEvent(e event) error {
+	if e.empty() {
+		return t.write(e.raw)
+	}
+	switch t.progress.Event(e.id, time.Now()) {
+	case resume.Skip:
+		return nil
+	case resume.Missing:
+		return errMissingEvents
+	}
+	// The last event may carry fewer tokens than the others.
+	if limit := t.meta.MaxTokensOut; limit > 0 && t.events*t.tokensPerEvent >= limit+t.tokensPerEvent {
+		return errTooLong
+	}
+	t.events++
+	if t.route.History {
+		t.output = append(append(t.output, e.data...), '\n')
+	}
+	return t.write(e.raw)
+}
+
+// write writes to the caller at once.
+func (t *turn) write(data []byte) error {
+	if _, err := t.w.Write(data); err != nil {
+		return err
+	}
+	return http.NewResponseController(t.w).Flush()
+}
+
 // recordTurn writes the complete turn to the history. The response to the caller ends only after that, so that a
 // caller with a complete response can continue the turn.
 func (t *turn) recordTurn(ctx context.Context) error {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -55,6 +55,11 @@
 	Weight  int
 }
 
+// Repeatable reports whether a request of the route may run again after an attempt whose outcome is unknown.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
+}
+
 // Pick returns the service for a request with the given hash. As long as the weights do not change, the
 // same hash selects the same service.
 func (r *Route) Pick(hash uint64) string {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -332,6 +332,10 @@
 	}
 }
 
+// Interrupt closes the connection, so that a read of the body in another goroutine ends. The response must still be
+// finished.
+func (r *Response) Interrupt() { r.conn.abort() }
+
 // Discard closes the connection, which makes the endpoint cancel the request if it is still running.
 func (r *Response) Discard() {
 	r.stop()
