--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -91,11 +91,18 @@
 // SetUnavailable records that the list cannot be read.
 func (l *List) SetUnavailable() { l.unavailable, l.wasUnavailable = true, true }
 
-// SetAvailable records that the list was read.
+// SetAvailable records that the list was read. The grace period of entries that became suspect during the outage
+// begins now, however long the outage was.
 func (l *List) SetAvailable(now time.Time) {
-	if l.unavailable {
-		l.unavailable = false
-		l.availableAt = now
+	if !l.unavailable {
+		return
+	}
+	l.unavailable = false
+	l.availableAt = now
+	for _, e := range l.entries {
+		if e.suspect {
+			e.suspectUntil = now.Add(l.suspectGrace)
+		}
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,12 +8,14 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -246,36 +248,56 @@
 			continue
 		}
 		g.dialSeeds(ctx)
-		remotes := g.node.Connected()
-		rand.Shuffle(len(remotes), func(i, j int) { remotes[i], remotes[j] = remotes[j], remotes[i] })
-		for _, r := range remotes[:min(len(remotes), peerFetchTries)] {
-			if g.fetchFromPeer(ctx, r.Session, known) {
-				break
-			}
+		for _, v := range g.peerViews(ctx) {
+			g.view.applyPeerView(v.StoreView, string(v.from))
+			g.ledger.LearnHolders(v.Claims)
 		}
 	}
 }
 
-// fetchFromPeer asks a peer for its configuration, endpoint list and partition holders and applies them. known
-// tells that this instance already has a configuration and endpoints; then it accepts only those of a peer that
-// has read the store within Settings.ConfigApplyTimeout.
-func (g *Gateway) fetchFromPeer(ctx context.Context, from id.Session, known bool) bool {
-	actx, cancel := context.WithTimeout(ctx, peerFetchInterval)
+// peerView is what a peer knows of the configuration, the endpoints and the holders of partitions.
+type peerView struct {
+	wire.StoreView
+	from id.Session
+}
+
+// peerViews asks some peers for what this instance lacks and returns their answers, the newest first. Peers may be
+// cut off from the store too, so that the first answer to arrive can be out of date.
+func (g *Gateway) peerViews(ctx context.Context) []peerView {
+	remotes := g.node.Connected()
+	rand.Shuffle(len(remotes), func(i, j int) { remotes[i], remotes[j] = remotes[j], remotes[i] })
+	remotes = remotes[:min(len(remotes), peerFetchTries)]
+	ctx, cancel := context.WithTimeout(ctx, peerFetchInterval)
 	defer cancel()
-	reply, err := g.node.Request(actx, from, wire.StoreViewGet{})
+	answers := make(chan *peerView, len(remotes))
+	have := g.view.have()
+	for _, r := range remotes {
+		go func() { answers <- g.askPeerView(ctx, r.Session, have) }()
+	}
+	var views []peerView
+	for range remotes {
+		if v := <-answers; v != nil {
+			views = append(views, *v)
+		}
+	}
+	slices.SortFunc(views, func(a, b peerView) int {
+		return cmp.Or(cmp.Compare(b.EndpointOffset, a.EndpointOffset), cmp.Compare(a.Age, b.Age))
+	})
+	return views
+}
+
+func (g *Gateway) askPeerView(ctx context.Context, from id.Session, have wire.StoreViewGet) *peerView {
+	reply, err := g.node.Request(ctx, from, have)
 	if err != nil {
 		g.log.WithFields(logrus.Fields{"peer": string(from), "reason": err.Error()}).Debug("peer did not return its configuration and endpoints")
-		return false
-	}
-	b, ok := reply.(wire.StoreView)
-	if !ok || known && b.Age > g.settings.ConfigApplyTimeout {
-		return false
+		return nil
 	}
-	if !g.view.applyPeerView(b, string(from)) {
-		return false
+	v, ok := reply.(wire.StoreView)
+	if !ok {
+		g.log.WithFields(logrus.Fields{"peer": string(from), "name": reply.Kind().String()}).Warn("unexpected reply of a peer")
+		return nil
 	}
-	g.ledger.LearnHolders(b.Claims)
-	return true
+	return &peerView{StoreView: v, from: from}
 }
 
 // dialSeeds connects to the seed addresses if no peer is connected.
@@ -372,8 +394,8 @@
 
 // Serve implements peer.Handler.
 func (h *peerHandler) Serve(ctx context.Context, _ peer.Remote, m wire.Message, r *peer.Replier) error {
-	if _, ok := m.(wire.StoreViewGet); ok {
-		b := h.view.snapshot()
+	if get, ok := m.(wire.StoreViewGet); ok {
+		b := h.view.snapshot(get)
 		b.Claims = h.ledger.Holders()
 		return r.SendLast(ctx, b)
 	}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -14,20 +14,16 @@
 	Seeds         []string // addresses of some peers; may be out of date
 	PeerKey       []byte   // pre-shared key that instances authenticate each other with
 
-	MemoryBytes int64   // memory that the process may use
-	CoreShare   float64 // CPU share of the process, times the relative CPU speed if that is above 1
+	MemoryBytes int64 // memory that the process may use
 
 	StopGrace            time.Duration // from the stop signal to the end of the process
 	EndpointDrainTimeout time.Duration // from the listing of an endpoint as draining to the last new request to it
 	ConfigApplyTimeout   time.Duration // from a configuration change until it must be applied
-	AddressReuse         time.Duration // minimum time before an address is reused by another endpoint
-	EndpointHeartbeat    time.Duration // interval at which endpoints renew their entries
 
 	StoreAddr        string
 	StoreParts       int           // partitions of a topic
 	StoreRecordBytes int           // limit of a record
 	StoreCallBytes   int           // limit of a call
-	StoreRetention   time.Duration // how long the store keeps records
 	StoreMinTTL      time.Duration // shortest TTL of a group membership
 }
 
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -54,6 +54,7 @@
 	list            *discovery.List
 	configRecord    []byte            // encoded as in the store
 	endpointRecords map[string][]byte // by endpoint ID, encoded as in the store
+	endpointOffset  int64             // end of the topic as of the list, also of a list that came from a peer
 }
 
 // processStart is the origin of times that are kept as integers.
@@ -121,6 +122,9 @@
 		} else {
 			onSnapshot(records)
 		}
+		if topic == v.topics.EndpointTopic {
+			v.endpointOffset = max(v.endpointOffset, offset)
+		}
 		v.mu.Unlock()
 		loaded = true
 		if pause > 0 {
@@ -180,15 +184,20 @@
 
 // followEndpoints keeps the endpoint list up to date, reading it several times per drainTimeout.
 func (v *storeView) followEndpoints(ctx context.Context, drainTimeout time.Duration) error {
-	applyChanges := func(records []store.KeyedRecord) {
-		now := time.Now()
-		changed := false
-		for _, r := range records {
-			changed = v.applyEndpoint(r, now) || changed
+	return v.follow(ctx, v.topics.EndpointTopic, 0, drainTimeout/endpointPollDivisor, v.applyEndpointList, v.applyEndpointChanges)
+}
+
+// applyEndpointChanges applies records that follow those read before. The caller holds the lock.
+func (v *storeView) applyEndpointChanges(records []store.KeyedRecord) {
+	now := time.Now()
+	changed := false
+	for _, r := range records {
+		if r.Offset < v.endpointOffset {
+			continue // the list of a peer already includes it
 		}
-		v.publish(now, changed)
+		changed = v.applyEndpoint(r, now) || changed
 	}
-	return v.follow(ctx, v.topics.EndpointTopic, 0, drainTimeout/endpointPollDivisor, v.applyEndpointList, applyChanges)
+	v.publish(now, changed)
 }
 
 // applyEndpoint applies the new entry or the removal of an endpoint. It reports whether the endpoint list changed.
@@ -227,34 +236,56 @@
 	return "ready"
 }
 
-// snapshot returns the configuration and the endpoint list for a peer that cannot read the store.
-func (v *storeView) snapshot() wire.StoreView {
+// snapshot returns what a peer that cannot read the store lacks of the configuration and the endpoint list.
+func (v *storeView) snapshot(have wire.StoreViewGet) wire.StoreView {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	m := wire.StoreView{Config: v.configRecord, Age: v.configAge()}
+	m := wire.StoreView{Age: v.configAge(), EndpointOffset: v.endpointOffset}
+	if t := v.table.Load(); t != nil && t.Version > have.ConfigVersion {
+		m.Config = v.configRecord
+	}
+	if v.endpointOffset <= have.EndpointOffset {
+		return m
+	}
 	for key, value := range v.endpointRecords {
 		m.Endpoints = append(m.Endpoints, wire.KeyedRecord{Key: key, Value: value})
 	}
 	return m
 }
 
-// applyPeerView applies the configuration and the endpoint list of a peer. It returns false if the peer lacks
-// either.
-func (v *storeView) applyPeerView(m wire.StoreView, from string) bool {
-	if len(m.Config) == 0 || len(m.Endpoints) == 0 {
-		return false
+// have returns what this instance has of the configuration and the endpoint list, for a request to a peer.
+func (v *storeView) have() wire.StoreViewGet {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	m := wire.StoreViewGet{EndpointOffset: v.endpointOffset}
+	if t := v.table.Load(); t != nil {
+		m.ConfigVersion = t.Version
 	}
+	return m
+}
+
+// applyPeerView applies the configuration and the endpoint list of a peer where they are newer than those of this
+// instance. An older list is ignored, since endpoints that have left since would be used again.
+func (v *storeView) applyPeerView(m wire.StoreView, from string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.log.WithFields(logrus.Fields{"peer": from, "age": m.Age.Milliseconds(), "count": len(m.Endpoints)}).Info("beliefs borrowed, the store is out of reach")
-	v.applyConfig(store.KeyedRecord{Key: v.topics.ConfigKey, Value: m.Config})
-	records := make([]store.KeyedRecord, 0, len(m.Endpoints))
-	for _, r := range m.Endpoints {
-		records = append(records, store.KeyedRecord{Key: r.Key, Value: r.Value})
+	newer := len(m.Endpoints) > 0 && (m.EndpointOffset > v.endpointOffset || v.endpoints.Load() == nil)
+	if newer || len(m.Config) > 0 {
+		v.log.WithFields(logrus.Fields{"peer": from, "age": m.Age.Milliseconds(), "count": len(m.Endpoints), "offset": m.EndpointOffset}).
+			Info("beliefs borrowed, the store is out of reach")
+	}
+	if len(m.Config) > 0 {
+		v.applyConfig(store.KeyedRecord{Key: v.topics.ConfigKey, Value: m.Config})
+	}
+	if newer {
+		records := make([]store.KeyedRecord, 0, len(m.Endpoints))
+		for _, r := range m.Endpoints {
+			records = append(records, store.KeyedRecord{Key: r.Key, Value: r.Value})
+		}
+		v.applyEndpointList(records)
+		v.endpointOffset = m.EndpointOffset
+		v.list.SetUnavailable()
 	}
-	v.applyEndpointList(records)
-	v.list.SetUnavailable()
-	return v.complete()
 }
 
 // applyEndpointList replaces the endpoint list by a complete one.
--- /dev/null
+++ b/internal/gateway/view_test.go
@@ -0,0 +1,97 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
+
+	"ragwortstile/internal/discovery"
+	"ragwortstile/internal/routing"
+	"ragwortstile/internal/store"
+	"ragwortstile/internal/wire"
+)
+
+func newTestView() *storeView {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	topics := Topics{
+		ConfigTopic: "c", ConfigKey: "k", EndpointTopic: "e",
+		DecodeConfig: func(data []byte) (routing.Config, error) {
+			if len(data) == 0 {
+				return routing.Config{}, errors.New("empty")
+			}
+			return routing.Config{Version: int64(data[0])}, nil
+		},
+		DecodeEndpoint: func(id string, data []byte) (discovery.Endpoint, error) {
+			return discovery.Endpoint{ID: id, Service: "s", Addr: id, Slots: 1, Draining: string(data) == "draining"}, nil
+		},
+	}
+	v := newStoreView(topics, nil, log, &dependency{log: log})
+	v.onConfig = func(*routing.Table) {}
+	v.onEndpoints = func(_, _ map[string]bool) {}
+	return v
+}
+
+// peerWith returns the view of a peer with a configuration version and the endpoints of its list.
+func peerWith(version byte, offset int64, endpoints ...string) wire.StoreView {
+	m := wire.StoreView{Config: []byte{version}, EndpointOffset: offset}
+	for _, e := range endpoints {
+		m.Endpoints = append(m.Endpoints, wire.KeyedRecord{Key: e, Value: []byte("ready")})
+	}
+	return m
+}
+
+// Guards against an endpoint that has left being used again because a peer whose list is older returns it.
+func TestOlderListOfAPeerIsIgnored(t *testing.T) {
+	v := newTestView()
+	v.applyPeerView(peerWith(3, 40, "1", "2"), "b")
+	must.Len(t, 2, v.candidates("s"))
+	v.applyPeerView(peerWith(2, 30, "1", "2", "left"), "c")
+	must.Len(t, 2, v.candidates("s"))
+	must.Eq(t, int64(3), v.table.Load().Version)
+	v.applyPeerView(peerWith(4, 30), "c") // its configuration may be newer all the same
+	must.Eq(t, int64(4), v.table.Load().Version)
+	v.applyPeerView(peerWith(2, 50, "1", "2", "3"), "d")
+	must.Len(t, 3, v.candidates("s"))
+}
+
+// Changes that a peer's list includes must not be applied again when the store is back: they would bring back an
+// entry as it was before it left.
+func TestChangesOfAPeerListAreNotAppliedAgain(t *testing.T) {
+	v := newTestView()
+	v.applyPeerView(peerWith(3, 40, "1"), "b")
+	v.applyEndpointChanges([]store.KeyedRecord{{Key: "left", Value: []byte("ready"), Offset: 39}, {Key: "new", Value: []byte("ready"), Offset: 40}})
+	must.Len(t, 2, v.candidates("s"))
+	for _, e := range v.candidates("s") {
+		must.NotEq(t, "left", e.ID)
+	}
+}
+
+// A peer returns only what is newer than what the requester has.
+func TestSnapshotReturnsWhatIsNewer(t *testing.T) {
+	v := newTestView()
+	v.applyPeerView(peerWith(3, 40, "1"), "b")
+	full := v.snapshot(wire.StoreViewGet{})
+	must.Len(t, 1, full.Endpoints)
+	must.SliceNotEmpty(t, full.Config)
+	must.SliceEmpty(t, v.snapshot(v.have()).Endpoints)
+	must.SliceEmpty(t, v.snapshot(v.have()).Config)
+}
+
+// An entry that lapses in a long outage has the whole grace period after it to come back.
+func TestEntryLapsesInALongOutage(t *testing.T) {
+	l := discovery.NewList(lapseGrace)
+	l.Put(discovery.Endpoint{ID: "1", Service: "s"})
+	l.SetUnavailable()
+	now := time.Now()
+	l.Remove("1", now)
+	now = now.Add(10 * lapseGrace)
+	l.SetAvailable(now)
+	must.SliceEmpty(t, l.Expire(now))
+	must.Len(t, 1, l.Usable()["s"])
+	must.Eq(t, []string{"1"}, l.Expire(now.Add(lapseGrace)))
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -230,13 +230,15 @@
 	return out
 }
 
-// LearnHolders takes the holders from a peer while they cannot be read from the store.
+// LearnHolders takes the holders from a peer while they cannot be read from the store, unless newer claims are known.
 func (l *Ledger) LearnHolders(holders []wire.PartitionClaims) {
 	var peers []peer.Peer
 	l.mu.Lock()
 	for _, h := range holders {
 		for _, c := range h.Claims {
-			l.holders[c.Part], l.claims[c.Part] = h.Member, max(c.Epoch, l.claims[c.Part])
+			if c.Epoch >= l.claims[c.Part] {
+				l.holders[c.Part], l.claims[c.Part] = h.Member, c.Epoch
+			}
 		}
 		if p, ok := splitMember(h.Member); ok && p.Instance != l.cfg.Instance {
 			peers = append(peers, p)
--- a/internal/wire/turn.go
+++ b/internal/wire/turn.go
@@ -140,15 +140,19 @@
 }
 
 // StoreViewGet asks a peer for the configuration and the endpoints that it uses, for an instance that cannot read the
-// store. The reply is StoreView.
-type StoreViewGet struct{}
+// store. It states what the instance has; a field is 0 if it has none. The reply is StoreView.
+type StoreViewGet struct {
+	ConfigVersion  int64 `msgpack:"v,omitempty"`
+	EndpointOffset int64 `msgpack:"o,omitempty"`
+}
 
 // StoreView is the reply to StoreViewGet. Its records have the encoding that they have in the store.
 type StoreView struct {
-	Config    []byte            `msgpack:"c"` // empty if the peer has none
-	Age       time.Duration     `msgpack:"a"` // time since the configuration was known to be the latest
-	Endpoints []KeyedRecord     `msgpack:"e"`
-	Claims    []PartitionClaims `msgpack:"h"` // known leaders of the partitions
+	Config         []byte            `msgpack:"c"`           // empty if the peer has none that is newer than the requested one
+	Age            time.Duration     `msgpack:"a"`           // time since the configuration was known to be the latest
+	Endpoints      []KeyedRecord     `msgpack:"e"`           // empty if the peer has no list that is newer than the requested one
+	Claims         []PartitionClaims `msgpack:"h"`           // known leaders of the partitions
+	EndpointOffset int64             `msgpack:"o,omitempty"` // end of the topic in the store as of the list; 0: unknown
 }
 
 // KeyedRecord is a record of the store with its key.
