admission: queues that decide when a turn is sent, waits or is rejected

Cause: no decision knew programs.

Change: internal/admission holds, per service, the turns that wait at an instance. Turns of programs that have begun go first, by the time left to their program; programs begin only while the endpoints that are fast enough have room for the next turns of those that have begun, and are rejected early otherwise, with a Retry-After. While turns wait, an instance sends one for each of its own that ends and its share of the room that it sees. balance bounds the load of an endpoint, avoids far slower ones, keeps running sums over peers, and learns the speed of an endpoint from the second event of a stream. A refusal that names its request no longer costs the connection.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -51,6 +51,12 @@
 	dialPenalty = 0.1
 	// coldFactor is how much longer an endpoint takes while it warms up after its start.
 	coldFactor = 1.5
+	// maxCostRatio is how many times the cost of the best endpoint another one with room may have. A request that
+	// would take longer than that waits for a faster endpoint.
+	maxCostRatio = 2
+	// maxLatencyRatio is how many times the latency of the fastest endpoint that of another one may be for its slots
+	// to count in Occupancy.
+	maxLatencyRatio = 3
 	// defaultSeconds is the assumed time of a request, in seconds, until one has been observed.
 	defaultSeconds = 0.1
 )
@@ -108,8 +114,14 @@
 
 // peerReport is the newest load report of a peer.
 type peerReport struct {
-	loads map[string]Load
-	at    time.Time
+	Report
+	at time.Time
+}
+
+// Report is what an instance reports to its peers.
+type Report struct {
+	Loads   map[string]Load // by endpoint ID
+	Waiting int             // turns that wait at the instance
 }
 
 // Balancer tracks the load and the speed of endpoints for one instance. It is not safe for concurrent use.
@@ -119,13 +131,22 @@
 	zone       string
 	states     map[string]*endpointState // by endpoint ID
 	peers      map[string]peerReport     // by instance
+	oldestPeer time.Time                 // no report of a peer is older
+	peerLoads  map[string]peerLoad       // sums over all peers, by endpoint ID
+	peersWait  int                       // turns that wait at peers
 	rand       *rand.Rand
 }
 
+// peerLoad is the load that all peers together put on an endpoint.
+type peerLoad struct {
+	running int
+	overdue int // peers with an overdue request there
+}
+
 // New returns a Balancer for an instance in an availability zone.
 func New(zone string, seed uint64) *Balancer {
 	return &Balancer{
-		zone: zone, states: make(map[string]*endpointState), peers: make(map[string]peerReport),
+		zone: zone, states: make(map[string]*endpointState), peers: make(map[string]peerReport), peerLoads: make(map[string]peerLoad),
 		rand: rand.New(rand.NewPCG(seed, seed)),
 	}
 }
@@ -146,27 +167,38 @@
 	Savings    map[string]float64 // by endpoint: share of its time, 0 to 1, that the request saves there
 	// Connected reports whether a request to an address needs no new connection. nil means that none does.
 	Connected func(addr string) bool
+	// MaxLoad, if positive, is the load, as a multiple of its slots, from which on an endpoint gets no request.
+	MaxLoad float64
+	// AnySpeed allows endpoints that are far slower than the best one although MaxLoad is set.
+	AnySpeed bool
 }
 
 // Pick returns the endpoint that is expected to finish the request first, and the number of requests at
-// that endpoint. It returns false when all candidates have been tried.
+// that endpoint. It returns false when all candidates have been tried or, with MaxLoad, are loaded or far slower
+// than the best one.
 func (b *Balancer) Pick(q Query, now time.Time) (Endpoint, int, bool) {
+	b.expirePeers(now)
 	usual := b.usual(q.Candidates)
 	best, bestCost, bestLoad := -1, 0.0, 0
+	leastCost := math.Inf(1)
 	for i, e := range q.Candidates {
 		if q.Tried[e.ID] {
 			continue
 		}
-		load := b.load(e.ID, now)
+		load := b.load(e.ID)
 		cost := b.cost(e, load, usual, q.Savings[e.ID], now)
 		if q.Connected != nil && !q.Connected(e.Addr) {
 			cost += usual * dialPenalty
 		}
+		leastCost = min(leastCost, cost)
+		if q.MaxLoad > 0 && float64(load) >= q.MaxLoad*float64(e.Slots) {
+			continue
+		}
 		if best < 0 || cost < bestCost {
 			best, bestCost, bestLoad = i, cost, load
 		}
 	}
-	if best < 0 {
+	if best < 0 || q.MaxLoad > 0 && !q.AnySpeed && bestCost > maxCostRatio*leastCost {
 		return Endpoint{}, 0, false
 	}
 	return q.Candidates[best], bestLoad, true
@@ -182,7 +214,7 @@
 		latency = usual
 	}
 	cost := latency*(1-saved) + failureCost*s.failureRate(now) + s.overdue(usual, now) +
-		peerOverduePenalty*float64(b.peersOverdue(e.ID, now))
+		peerOverduePenalty*float64(b.peerLoads[e.ID].overdue)
 	if e.ColdRemaining > 0 {
 		cost *= coldFactor
 	}
@@ -199,17 +231,6 @@
 	return cost * (1 + costJitter*b.rand.Float64())
 }
 
-// peersOverdue returns the number of peers that have an overdue request at an endpoint.
-func (b *Balancer) peersOverdue(id string, now time.Time) int {
-	n := 0
-	for _, r := range b.peers {
-		if now.Sub(r.at) < peerLoadTTL && r.loads[id].Overdue {
-			n++
-		}
-	}
-	return n
-}
-
 // usual returns the mean latency of the candidates for which one is known, in seconds.
 func (b *Balancer) usual(candidates []Endpoint) float64 {
 	sum, n := 0.0, 0
@@ -226,28 +247,48 @@
 }
 
 // load returns the number of requests at an endpoint, from this instance and from the recent reports of peers.
-func (b *Balancer) load(id string, now time.Time) int {
-	load := 0
+func (b *Balancer) load(id string) int {
+	load := b.peerLoads[id].running
 	if s := b.states[id]; s != nil {
-		load = s.running
-	}
-	for _, r := range b.peers {
-		if now.Sub(r.at) < peerLoadTTL {
-			load += r.loads[id].Running
-		}
+		load += s.running
 	}
 	return load
 }
 
-// Occupancy returns the number of requests running at the candidates and the number that they can serve at once.
-func (b *Balancer) Occupancy(candidates []Endpoint, now time.Time) (running, slots int) {
+// Occupancy returns the load of the candidates and the turns that wait for them as a share of their slots, without
+// those that are far slower than the fastest one, which requests avoid.
+func (b *Balancer) Occupancy(candidates []Endpoint, waiting int, now time.Time) float64 {
+	b.expirePeers(now)
+	least := math.Inf(1)
+	for _, e := range candidates {
+		if s := b.states[e.ID]; s != nil && s.latency > 0 {
+			least = min(least, s.latency)
+		}
+	}
+	load, slots := waiting, 0
 	for _, e := range candidates {
-		running += b.load(e.ID, now)
+		if s := b.states[e.ID]; s != nil && s.latency > maxLatencyRatio*least {
+			continue
+		}
+		load += b.load(e.ID)
 		slots += e.Slots
 	}
-	return running, slots
+	return float64(load) / float64(max(slots, 1))
+}
+
+// Room returns how many requests the candidates can take until each has maxLoad times its slots.
+func (b *Balancer) Room(candidates []Endpoint, maxLoad float64, now time.Time) float64 {
+	b.expirePeers(now)
+	room := 0.0
+	for _, e := range candidates {
+		room += max(maxLoad*float64(e.Slots)-float64(b.load(e.ID)), 0)
+	}
+	return room
 }
 
+// PeersWaiting returns the number of turns that wait at peers.
+func (b *Balancer) PeersWaiting() int { return b.peersWait }
+
 // Sent records that a request was sent to an endpoint. It returns a number that identifies the request.
 func (b *Balancer) Sent(id string, now time.Time) int64 {
 	s := b.endpointState(id)
@@ -265,6 +306,14 @@
 	delete(b.endpointState(id).sentAt, number)
 }
 
+// Observe records the expected duration of a request that has not ended yet, so that an endpoint that turns slow is
+// noticed before its first requests end.
+func (b *Balancer) Observe(id string, expected time.Duration) {
+	if s := b.endpointState(id); s.latency > 0 && expected > 0 {
+		s.latency += smoothing * (expected.Seconds() - s.latency)
+	}
+}
+
 // Result is how a request ended at an endpoint.
 type Result uint8
 
@@ -312,6 +361,12 @@
 		b.events = float64(events)
 	}
 	b.events += smoothing * (float64(events) - b.events)
+	return b.ExpectedTime(first, last, events)
+}
+
+// ExpectedTime returns the time that a stream of average length takes at the event rate of a stream of which the
+// given number of events have arrived. It returns 0 if the rate is not known.
+func (b *Balancer) ExpectedTime(first, last time.Duration, events int64) time.Duration {
 	if events < 2 {
 		return 0
 	}
@@ -330,22 +385,59 @@
 	return loads
 }
 
-// SetPeerLoads stores the load report of a peer, which replaces the previous one.
-func (b *Balancer) SetPeerLoads(name string, loads map[string]Load, now time.Time) {
-	b.peers[name] = peerReport{loads: loads, at: now}
+// SetPeerReport stores the report of a peer, which replaces the previous one.
+func (b *Balancer) SetPeerReport(name string, r Report, now time.Time) {
+	b.dropPeer(name)
+	if len(b.peers) == 0 || now.Before(b.oldestPeer) {
+		b.oldestPeer = now
+	}
+	b.peers[name] = peerReport{Report: r, at: now}
+	b.addPeer(r, 1)
+}
+
+func (b *Balancer) dropPeer(name string) {
+	if r, ok := b.peers[name]; ok {
+		delete(b.peers, name)
+		b.addPeer(r.Report, -1)
+	}
 }
 
-// Prune forgets endpoints that are not listed and have no requests of this instance, and peer reports that
-// are too old to be used.
-func (b *Balancer) Prune(listed map[string]bool, now time.Time) {
-	for id, s := range b.states {
-		if !listed[id] && s.running == 0 {
-			delete(b.states, id)
+// addPeer adds a report to the sums over all peers; with sign -1 it removes it.
+func (b *Balancer) addPeer(r Report, sign int) {
+	b.peersWait += sign * r.Waiting
+	for id, load := range r.Loads {
+		sum := b.peerLoads[id]
+		sum.running += sign * load.Running
+		if load.Overdue {
+			sum.overdue += sign
 		}
+		if b.peerLoads[id] = sum; sum == (peerLoad{}) {
+			delete(b.peerLoads, id)
+		}
+	}
+}
+
+// expirePeers drops the reports that are too old to be used.
+func (b *Balancer) expirePeers(now time.Time) {
+	if now.Sub(b.oldestPeer) < peerLoadTTL {
+		return
 	}
+	oldest := now
 	for name, r := range b.peers {
-		if now.Sub(r.at) > peerLoadTTL {
-			delete(b.peers, name)
+		if now.Sub(r.at) >= peerLoadTTL {
+			b.dropPeer(name)
+		} else if r.at.Before(oldest) {
+			oldest = r.at
+		}
+	}
+	b.oldestPeer = oldest
+}
+
+// Prune forgets endpoints that are not listed and have no requests of this instance.
+func (b *Balancer) Prune(listed map[string]bool) {
+	for id, s := range b.states {
+		if !listed[id] && s.running == 0 {
+			delete(b.states, id)
 		}
 	}
 }
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -57,17 +57,40 @@
 func TestLoadOfPeers(t *testing.T) {
 	b := New("z", 1)
 	q := Query{Candidates: endpoints("1", "2")}
-	b.SetPeerLoads("p", map[string]Load{"1": {Running: 9}}, now)
+	b.SetPeerReport("p", Report{Loads: map[string]Load{"1": {Running: 9}}, Waiting: 2}, now)
 	must.Eq(t, map[string]int{"2": 50}, counts(b, q, 50))
 	e, load, ok := b.Pick(Query{Candidates: endpoints("1")}, now)
 	must.True(t, ok)
 	must.Eq(t, "1", e.ID)
 	must.Eq(t, 9, load)
-	running, slots := b.Occupancy(q.Candidates, now)
-	must.Eq(t, 9, running)
-	must.Eq(t, 8, slots)
-	_, load, _ = b.Pick(Query{Candidates: endpoints("1")}, now.Add(peerLoadTTL))
+	must.Eq(t, 4, b.Room(q.Candidates, 1, now))
+	must.Eq(t, 2, b.PeersWaiting())
+	b.SetPeerReport("p", Report{Loads: map[string]Load{"2": {Running: 1, Overdue: true}}}, now) // replaces the first one
+	must.Eq(t, 7, b.Room(q.Candidates, 1, now))
+	must.Eq(t, 0, b.PeersWaiting())
+	_, load, _ = b.Pick(Query{Candidates: endpoints("2")}, now.Add(peerLoadTTL))
 	must.Eq(t, 0, load)
+	must.MapLen(t, 0, b.peers)
+	must.MapLen(t, 0, b.peerLoads)
+}
+
+// With a bound on the load, a request goes to an endpoint with room that is not far slower than the best one.
+func TestBoundOnTheLoad(t *testing.T) {
+	b := New("z", 1)
+	q := Query{Candidates: endpoints("fast", "usual", "slow"), MaxLoad: 1}
+	learn(b, "fast", 50*time.Millisecond)
+	learn(b, "usual", 100*time.Millisecond)
+	learn(b, "slow", 500*time.Millisecond)
+	for range 4 {
+		b.Sent("fast", now)
+	}
+	must.Eq(t, map[string]int{"usual": 20}, counts(b, q, 20))
+	for range 4 {
+		b.Sent("usual", now)
+	}
+	must.MapLen(t, 0, counts(b, q, 20))
+	q.MaxLoad = 0
+	must.MapLen(t, 1, counts(b, q, 20))
 }
 
 func TestFailedAndRefusingEndpointsAreAvoided(t *testing.T) {
@@ -128,9 +151,10 @@
 	b := New("z", 1)
 	learn(b, "1", time.Second)
 	b.Sent("2", now)
-	b.SetPeerLoads("p", nil, now)
-	b.Prune(map[string]bool{}, now.Add(time.Second))
+	b.SetPeerReport("p", Report{}, now)
+	b.Prune(map[string]bool{})
 	must.MapLen(t, 1, b.states) // endpoint 2 still has a request
+	b.Room(nil, 1, now.Add(time.Second))
 	must.MapLen(t, 0, b.peers)
 	must.Eq(t, map[string]Load{"2": {Running: 1}}, b.LocalLoads(now))
 }
@@ -151,7 +175,7 @@
 	loads := b.LocalLoads(late)
 	must.True(t, loads["1"].Overdue)
 	peer := New("z", 1)
-	peer.SetPeerLoads("p", loads, late)
+	peer.SetPeerReport("p", Report{Loads: loads}, late)
 	for range 50 {
 		e, _, _ := peer.Pick(q, late)
 		must.Eq(t, "2", e.ID)
--- /dev/null
+++ b/internal/gateway/admission.go
@@ -0,0 +1,242 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"ragwortstile/internal/admission"
+	"ragwortstile/internal/balance"
+)
+
+// Callers of a stream leave after a pause of callerPatience, or of these multiples of the route's targets if one of
+// them is longer.
+const (
+	callerPatience        = 2 * time.Second
+	patienceTargetLatency = 4
+	patienceTargetGap     = 8
+)
+
+// turnstile carries out the decisions of the admission queues, one for each service. Its fields are protected by
+// Gateway.mu.
+type turnstile struct {
+	queues map[string]*admission.Queue
+	calls  map[*admission.Ticket]*admissionCall
+	timer  *time.Timer // runs plan when the first waiting turn expires
+}
+
+// admissionCall is a turn that waits for its decision.
+type admissionCall struct {
+	query   balance.Query
+	target  target
+	load    int // of the target
+	decided chan struct{}
+}
+
+func newTurnstile() *turnstile {
+	return &turnstile{queues: make(map[string]*admission.Queue), calls: make(map[*admission.Ticket]*admissionCall)}
+}
+
+// slot is the permission to send a turn to an endpoint, at which it is registered already.
+type slot struct {
+	g       *Gateway
+	service string
+	target  target
+	used    bool
+}
+
+// use returns the endpoint, once.
+func (s *slot) use() (target, bool) {
+	first := !s.used
+	s.used = true
+	return s.target, first
+}
+
+// release tells the balancer and the waiting turns that the turn has ended, or that it was not sent.
+func (s *slot) release() {
+	now := time.Now()
+	s.g.mu.Lock()
+	defer s.g.mu.Unlock()
+	if !s.used {
+		s.g.balancer.Ended(s.target.ID, s.target.number, balance.Abandoned, 0, now)
+	}
+	if queue := s.g.turnstile.queues[s.service]; queue != nil {
+		queue.Ended(now)
+		s.g.planTurns(now)
+	}
+}
+
+// rejection is the reason why a turn is not sent, and when its caller may come back.
+type rejection struct {
+	reason     string
+	retryAfter time.Duration
+}
+
+// admitTurn waits until the turn may be sent. It returns neither a slot nor a rejection if ctx ends before.
+func (q *request) admitTurn(ctx context.Context, service string, begun bool, savings map[string]float64) (*slot, *rejection) {
+	now := time.Now()
+	turn := admission.Turn{
+		Begun: begun, Priority: q.route.Priority, Target: q.route.TargetLatency, Deadline: q.deadline, EnqueuedAt: now,
+		Patience: max(callerPatience, patienceTargetLatency*q.route.TargetLatency, patienceTargetGap*q.route.TargetGap),
+	}
+	if q.meta.HasProgramTimeout {
+		turn.Due = q.start.Add(q.meta.ProgramTimeout)
+	}
+	call := &admissionCall{query: q.query(service, savings), decided: make(chan struct{})}
+	if len(call.query.Candidates) == 0 {
+		return nil, &rejection{reasonNoEndpoint, minRetryAfter}
+	}
+	g := q.g
+	g.mu.Lock()
+	queue := g.turnstile.queues[service]
+	if queue == nil {
+		queue = &admission.Queue{}
+		g.turnstile.queues[service] = queue
+	}
+	ticket := queue.Add(turn, now, func(_ *admission.Ticket, b admission.Bounds) bool { return g.place(call, b, now) })
+	if ticket.Action == admission.Wait {
+		g.turnstile.calls[ticket] = call
+		g.setPlanTimer(now)
+	}
+	g.mu.Unlock()
+	if ticket.Action == admission.Wait {
+		select {
+		case <-call.decided:
+		case <-ctx.Done():
+			if !g.withdraw(queue, ticket) {
+				<-call.decided
+			}
+		}
+	}
+	return q.admitted(service, ticket, call)
+}
+
+// admitted logs the decision on a turn and returns it.
+func (q *request) admitted(service string, ticket *admission.Ticket, call *admissionCall) (*slot, *rejection) {
+	waited := time.Since(ticket.EnqueuedAt)
+	q.g.metrics.turnDecided(service, ticket, waited)
+	fields := logrus.Fields{"rank": ticket.Rank.String(), "waiting": ticket.Waiting, "waited": waited.Milliseconds()}
+	if !ticket.Due.IsZero() {
+		fields["slack"] = time.Until(ticket.Due).Milliseconds()
+	}
+	switch ticket.Action {
+	case admission.Send:
+		q.logChosen(call.target, call.load, fields)
+		return &slot{g: q.g, service: service, target: call.target}, nil
+	case admission.Reject:
+		q.log.WithFields(fields).WithField("retry", ticket.RetryAfter.Milliseconds()).Info("turn rejected, endpoints are full")
+		return nil, &rejection{reasonOverload, ticket.RetryAfter}
+	default:
+		return nil, nil
+	}
+}
+
+// withdraw takes back a waiting turn. It returns false if the turn was decided meanwhile.
+func (g *Gateway) withdraw(queue *admission.Queue, ticket *admission.Ticket) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.turnstile.calls[ticket] == nil {
+		return false
+	}
+	delete(g.turnstile.calls, ticket)
+	queue.Remove(ticket)
+	return true
+}
+
+// place chooses an endpoint within the bounds and registers an attempt at it. The caller holds the lock.
+func (g *Gateway) place(call *admissionCall, b admission.Bounds, now time.Time) bool {
+	if b.MaxTotal > 0 && g.balancer.Occupancy(call.query.Candidates, g.turnsWaiting()+g.balancer.PeersWaiting(), now) >= b.MaxTotal {
+		return false
+	}
+	call.query.MaxLoad, call.query.AnySpeed = b.MaxLoad, b.AnySpeed
+	e, load, ok := g.balancer.Pick(call.query, now)
+	if ok {
+		call.target, call.load = target{Endpoint: e, number: g.balancer.Sent(e.ID, now)}, load
+	}
+	return ok
+}
+
+// planTurns decides on waiting turns. The caller holds the lock.
+func (g *Gateway) planTurns(now time.Time) {
+	for _, queue := range g.turnstile.queues {
+		if queue.Len() == 0 {
+			continue
+		}
+		decided := queue.Plan(now, func(t *admission.Ticket, b admission.Bounds) bool {
+			return g.place(g.turnstile.calls[t], b, now)
+		})
+		for _, t := range decided {
+			close(g.turnstile.calls[t].decided)
+			delete(g.turnstile.calls, t)
+		}
+	}
+	g.setPlanTimer(now)
+}
+
+// setPlanTimer runs planTurns when the first waiting turn expires. The caller holds the lock.
+func (g *Gateway) setPlanTimer(now time.Time) {
+	var first time.Time
+	for _, queue := range g.turnstile.queues {
+		if at := queue.NextExpiry(); !at.IsZero() && (first.IsZero() || at.Before(first)) {
+			first = at
+		}
+	}
+	if first.IsZero() {
+		return
+	}
+	if g.turnstile.timer == nil {
+		g.turnstile.timer = time.AfterFunc(first.Sub(now), func() {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			g.planTurns(time.Now())
+		})
+		return
+	}
+	g.turnstile.timer.Reset(first.Sub(now))
+}
+
+// shareRoom gives each queue the part of the room at its endpoints that falls to this instance, by the number of
+// turns that wait here and at peers. The caller holds the lock.
+func (g *Gateway) shareRoom(now time.Time) {
+	own := g.turnsWaiting()
+	if own == 0 {
+		return
+	}
+	share := float64(own) / float64(own+g.balancer.PeersWaiting())
+	for service, queue := range g.turnstile.queues {
+		if queue.Len() > 0 {
+			queue.AddCredit(share * g.balancer.Room(g.view.candidates(service), admission.MaxLimit, now))
+		}
+	}
+	g.planTurns(now)
+}
+
+// turnsWaiting returns the number of turns that wait at this instance. The caller holds the lock.
+func (g *Gateway) turnsWaiting() int {
+	n := 0
+	for _, queue := range g.turnstile.queues {
+		n += queue.Len()
+	}
+	return n
+}
+
+// pruneQueues forgets the queues of services that have no endpoints.
+func (g *Gateway) pruneQueues() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for service, queue := range g.turnstile.queues {
+		if queue.Len() == 0 && len(g.view.candidates(service)) == 0 {
+			delete(g.turnstile.queues, service)
+		}
+	}
+}
+
+// turnDecided records the decision on a turn and the time that it took.
+func (c *instanceMetrics) turnDecided(service string, t *admission.Ticket, waited time.Duration) {
+	service = c.routes.label(service)
+	action := [...]string{"left", "sent", "rejected"}[t.Action]
+	c.set.GetOrCreateCounter(fmt.Sprintf("ragwortstile_turns_decided_total{service=%q,rank=%q,action=%q}", service, t.Rank, action)).Inc()
+	c.set.GetOrCreateHistogram(fmt.Sprintf("ragwortstile_turn_wait_seconds{service=%q,rank=%q}", service, t.Rank)).Update(waited.Seconds())
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,6 +77,7 @@
 
 	mu           sync.Mutex
 	balancer     *balance.Balancer
+	turnstile    *turnstile
 	reportedLoad bool // the last load report was not empty
 }
 
@@ -85,7 +86,7 @@
 	g := &Gateway{
 		settings: s, protocol: protocol, log: log,
 		pool: upstream.NewPool(), responses: newResponseBuffers(s.MemoryBytes), prefixes: newPrefixCache(), affinity: newAffinity(), metrics: newInstanceMetrics(),
-		balancer: balance.New(s.Zone, uint64(time.Now().UnixNano())),
+		balancer: balance.New(s.Zone, uint64(time.Now().UnixNano())), turnstile: newTurnstile(),
 		storeDep: &dependency{name: "store", log: log},
 	}
 	keys, err := peer.NewKeyring(s.PeerKey)
@@ -108,7 +109,7 @@
 	g.view.onEndpoints = func(listed, addrs map[string]bool) {
 		g.pool.CloseUnlisted(addrs)
 		g.mu.Lock()
-		g.balancer.Prune(listed, time.Now())
+		g.balancer.Prune(listed)
 		g.mu.Unlock()
 	}
 	return g, nil
@@ -326,6 +327,7 @@
 			g.pool.Prune(now)
 			g.prefixes.prune(now)
 			g.affinity.prune(now)
+			g.pruneQueues()
 		}
 	}
 }
@@ -341,14 +343,16 @@
 			return ctx.Err()
 		case <-tick.C:
 			g.mu.Lock()
-			own := g.balancer.LocalLoads(time.Now())
+			now := time.Now()
+			g.shareRoom(now)
+			own, waiting := g.balancer.LocalLoads(now), g.turnsWaiting()
 			due := len(own) > 0 || g.reportedLoad
 			g.reportedLoad = len(own) > 0
 			g.mu.Unlock()
 			if !due {
 				continue
 			}
-			report := wire.LoadReport{Endpoints: make([]wire.EndpointLoad, 0, len(own))}
+			report := wire.LoadReport{Endpoints: make([]wire.EndpointLoad, 0, len(own)), Waiting: waiting}
 			for id, load := range own {
 				report.Endpoints = append(report.Endpoints, wire.EndpointLoad{ID: id, Running: load.Running, Overdue: load.Overdue})
 			}
@@ -385,7 +389,7 @@
 			loads[e.ID] = balance.Load{Running: e.Running, Overdue: e.Overdue}
 		}
 		h.mu.Lock()
-		h.balancer.SetPeerLoads(r.Session.Instance(), loads, time.Now())
+		h.balancer.SetPeerReport(r.Session.Instance(), balance.Report{Loads: loads, Waiting: m.Waiting}, time.Now())
 		h.mu.Unlock()
 	default:
 		h.log.WithFields(logrus.Fields{"peer": string(r.Session), "name": m.Kind().String()}).Debug("ignoring peer message of unexpected kind")
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -23,7 +23,8 @@
 	MaxTokensOut      int64
 	ExpectedTokensOut int64         // the caller's estimate; 0 if not given
 	Timeout           time.Duration // how long the caller waits for the response; 0 if not given
-	ProgramTimeout    time.Duration // time until the program should be finished; 0 if not given
+	HasProgramTimeout bool
+	ProgramTimeout    time.Duration // time until the program should be finished; 0 if that has passed
 	LastEvent         string        // ID of the event after which the caller wants a stream to continue
 	Affinity          string        // key of the object that the request concerns
 	PromptParts       []PromptPart  // shared parts of the prompt, in order
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -18,6 +18,8 @@
 )
 
 const (
+	// maxRefusalBytes bounds the body of an endpoint's refusal after which its connection is used again.
+	maxRefusalBytes = 4 << 10
 	// maxUnsentAttempts bounds the attempts of a request that fail before anything is sent to an endpoint.
 	maxUnsentAttempts = 4
 	// minRetryAfter is the minimum Retry-After of a 503 response.
@@ -38,6 +40,7 @@
 	reasonTooLarge       = "body_too_large"
 	reasonBadBody        = "body_unreadable"
 	reasonNoEndpoint     = "no_endpoint"
+	reasonOverload       = "endpoints_full"
 	reasonNotExecuted    = "refused_by_endpoints"
 	reasonUnknownOutcome = "outcome_unknown"
 	reasonTimeout        = "time_over"
@@ -143,9 +146,16 @@
 // refuse responds with a status that this instance generates itself. 503 promises the caller that the request
 // has not been executed and never will be.
 func (q *request) refuse(status int, reason string) {
-	var retryAfter time.Duration
+	q.refuseFor(status, reason, minRetryAfter)
+}
+
+// refuseFor is refuse with the time after which the caller of a request that may be repeated should come back. A
+// random part is added, so that callers do not all come back at once.
+func (q *request) refuseFor(status int, reason string, retryAfter time.Duration) {
 	if status == http.StatusServiceUnavailable {
-		retryAfter = minRetryAfter + rand.N(retryAfterSpread)
+		retryAfter += rand.N(max(retryAfter, retryAfterSpread))
+	} else {
+		retryAfter = 0
 	}
 	h := q.w.Header()
 	q.g.protocol.EncodeRefusal(h, q.meta.ID, retryAfter)
@@ -181,22 +191,34 @@
 	number int64 // ID of the attempt in the balancer
 }
 
-// pick chooses an endpoint of a service and registers an attempt at it with the balancer. savings is by endpoint
-// the fraction of its time that the request is expected to save there.
+// query returns the query to the balancer for an endpoint of a service. savings is by endpoint the fraction of its
+// time that the request is expected to save there.
+func (q *request) query(service string, savings map[string]float64) balance.Query {
+	return balance.Query{Candidates: q.g.view.candidates(service), Tried: q.tried, Savings: savings, Connected: q.g.pool.HasIdle}
+}
+
+// pick chooses an endpoint of a service and registers an attempt at it with the balancer.
 func (q *request) pick(service string, savings map[string]float64) (target, bool) {
-	candidates := q.g.view.candidates(service)
+	query := q.query(service, savings)
+	now := time.Now()
 	q.g.mu.Lock()
-	e, load, ok := q.g.balancer.Pick(balance.Query{Candidates: candidates, Tried: q.tried, Savings: savings, Connected: q.g.pool.HasIdle}, time.Now())
-	number := int64(0)
+	e, load, ok := q.g.balancer.Pick(query, now)
+	t := target{Endpoint: e}
 	if ok {
-		number = q.g.balancer.Sent(e.ID, time.Now())
+		t.number = q.g.balancer.Sent(e.ID, now)
 	}
 	q.g.mu.Unlock()
 	if ok {
-		q.log.WithFields(logrus.Fields{"endpoint": e.ID, "zone": e.Zone, "load": load, "config": q.configVersion, "attempt": q.sends + 1, "age": time.Since(q.start).Milliseconds()}).
-			Info("endpoint chosen")
+		q.logChosen(t, load, nil)
 	}
-	return target{Endpoint: e, number: number}, ok
+	return t, ok
+}
+
+// logChosen logs the endpoint of an attempt. load is the number of requests there, and more are fields of the
+// decision.
+func (q *request) logChosen(e target, load int, more logrus.Fields) {
+	q.log.WithFields(logrus.Fields{"endpoint": e.ID, "zone": e.Zone, "load": load, "config": q.configVersion, "attempt": q.sends + 1, "age": time.Since(q.start).Milliseconds()}).
+		WithFields(more).Info("endpoint chosen")
 }
 
 // responseStarted tells the balancer that the response has begun.
@@ -325,7 +347,7 @@
 		return q.attemptFailed(ctx, e, err)
 	}
 	if reply.NotExecuted {
-		return q.attemptRefused(e, resp)
+		return q.attemptRefused(e, resp, reply)
 	}
 	body, release, err := q.g.responses.read(resp.Body)
 	defer release()
@@ -341,9 +363,15 @@
 
 var errUnusable = errors.New("unusable response")
 
-// attemptRefused records that an endpoint has rejected the request without executing it.
-func (q *request) attemptRefused(e target, resp *upstream.Response) attemptResult {
-	resp.Discard()
+// attemptRefused records that an endpoint has rejected the request without executing it. The connection is used
+// again only if the refusal names the request: otherwise a late second copy of it would be taken for a refusal of
+// the next request, which may have run.
+func (q *request) attemptRefused(e target, resp *upstream.Response, reply Reply) attemptResult {
+	if _, err := io.CopyN(io.Discard, resp.Body, maxRefusalBytes); err == io.EOF && reply.ID == q.meta.ID {
+		resp.Reuse()
+	} else {
+		resp.Discard()
+	}
 	q.attemptEnded(e, balance.Refused, 0)
 	q.log.WithFields(logrus.Fields{"endpoint": e.ID, "http": resp.Status}).Info("endpoint refused")
 	return notExecuted
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -44,6 +44,7 @@
 	tokensPerEvent int64  // tokens that each event carries
 	progress       *resume.Stream
 	responding     bool // the response to the caller has begun
+	begun          bool // an earlier turn of the program was served
 }
 
 // serveStream serves a request whose response is forwarded event by event. The request is sent to a second
@@ -60,12 +61,39 @@
 	}
 	ctx, cancel := context.WithDeadline(q.r.Context(), q.deadline)
 	defer cancel()
+	// Whether a program has begun is known from its turn where turns are kept, and from the ledger elsewhere. A turn
+	// that is rejected costs the ledger nothing in the first case.
+	var slot *slot
+	if q.route.History {
+		t.begun = q.meta.Previous != "" || q.meta.BadPrevious
+		if slot = t.takeSlot(ctx, service); slot == nil {
+			return
+		}
+		defer slot.release()
+	}
 	if t.inLedger() && !t.openTurn(ctx) {
 		return
 	}
+	if slot == nil {
+		if slot = t.takeSlot(ctx, service); slot == nil {
+			return
+		}
+		defer slot.release()
+	}
+	t.run(ctx, service, slot)
+}
+
+// run sends the turn to endpoints until one of them has served it.
+func (t *turn) run(ctx context.Context, service string, slot *slot) {
+	q := t.request
 	confirmed := t.confirm(ctx)
 	done := q.tryEndpoints(
-		func() (target, bool) { return q.pick(service, q.g.affinity.savings(q.meta, t.prefix)) },
+		func() (target, bool) {
+			if e, ok := slot.use(); ok {
+				return e, true
+			}
+			return q.pick(service, q.g.affinity.savings(q.meta, t.prefix))
+		},
 		func(e target) attemptResult { return t.attempt(ctx, e, confirmed) },
 	)
 	if done {
@@ -78,6 +106,25 @@
 	q.giveUp(ctx)
 }
 
+// takeSlot waits until the turn may be sent to an endpoint. It ends the request and returns nil if the turn is
+// rejected or its caller leaves.
+func (t *turn) takeSlot(ctx context.Context, service string) *slot {
+	q := t.request
+	slot, rejected := q.admitTurn(ctx, service, t.begun, q.g.affinity.savings(q.meta, t.prefix))
+	if slot != nil {
+		return slot
+	}
+	if t.begin.Turn != "" {
+		t.reportEnd()
+	}
+	if rejected != nil {
+		q.refuseFor(http.StatusServiceUnavailable, rejected.reason, rejected.retryAfter)
+	} else {
+		q.giveUp(ctx)
+	}
+	return nil
+}
+
 // inLedger reports whether the ledger has to permit the turn: to keep it in the history, or to count its tokens
 // against the budget of its program.
 func (t *turn) inLedger() bool {
@@ -105,12 +152,13 @@
 	}
 	bctx, cancel := context.WithTimeout(ctx, time.Duration(beginTimeFraction*float64(time.Until(q.deadline))))
 	defer cancel()
-	body, err := q.g.ledger.Begin(bctx, t.begin)
+	permit, err := q.g.ledger.Begin(bctx, t.begin)
 	switch {
 	case err == nil:
 		if !known {
-			t.prefix = body
+			t.prefix = permit.Body
 		}
+		t.begun = t.begun || permit.Begun
 		return true
 	case errors.Is(err, ledger.ErrUnknownTurn):
 		q.refuse(http.StatusNotFound, reasonNoTurn)
@@ -170,7 +218,7 @@
 		return q.attemptFailed(ctx, e, err)
 	}
 	if reply.NotExecuted {
-		return q.attemptRefused(e, resp)
+		return q.attemptRefused(e, resp, reply)
 	}
 	if !reply.FromEndpoint || resp.Header.Get("Content-Encoding") != "" || t.responding && resp.Status != http.StatusOK {
 		resp.Discard()
@@ -229,7 +277,13 @@
 		q.w.WriteHeader(resp.Status)
 	}
 	firstAt, firstTook, before := time.Since(q.start), time.Since(begun), t.events
-	err := t.copyEvents(reader, resp, first)
+	err := t.copyEvents(reader, resp, first, func() {
+		if t.events == before+2 {
+			q.g.mu.Lock()
+			q.g.balancer.Observe(e.ID, q.g.balancer.ExpectedTime(firstTook, time.Since(begun), 2))
+			q.g.mu.Unlock()
+		}
+	})
 	if err != nil {
 		resp.Discard()
 		result := t.attemptFailed(ctx, e, err)
@@ -306,12 +360,14 @@
 	}
 }
 
-// copyEvents forwards each event as it arrives, until the stream ends with a complete event.
-func (t *turn) copyEvents(reader *eventReader, resp *upstream.Response, e event) error {
+// copyEvents forwards each event as it arrives, until the stream ends with a complete event. It calls onEvent after
+// each of them.
+func (t *turn) copyEvents(reader *eventReader, resp *upstream.Response, e event, onEvent func()) error {
 	for {
 		if err := t.forwardEvent(e); err != nil {
 			return err
 		}
+		onEvent()
 		var err error
 		e, err = t.readEvent(reader, resp)
 		if err == io.EOF {
--- a/internal/history/state.go
+++ b/internal/history/state.go
@@ -190,6 +190,12 @@
 	}
 }
 
+// Begun reports whether a program has spent part of its budget.
+func (s *State) Begun(program string) bool {
+	a := s.accounts[program]
+	return a != nil && (a.spent > 0 || a.unaccounted > 0)
+}
+
 // HasReservation reports whether this state granted an attempt that is still running.
 func (s *State) HasReservation(program, turn string) bool {
 	a := s.accounts[program]
--- a/internal/ledger/leader.go
+++ b/internal/ledger/leader.go
@@ -597,14 +597,14 @@
 	}
 }
 
-// begin decides whether an attempt may run. It returns the text of the chain unless the caller has it.
-func (ld *leader) begin(ctx context.Context, b history.Begin) (history.Outcome, []byte, error) {
+// begin decides whether an attempt may run.
+func (ld *leader) begin(ctx context.Context, b history.Begin) (history.Outcome, Permit, error) {
 	if err := ld.awaitReady(ctx); err != nil {
-		return 0, nil, err
+		return 0, Permit{}, err
 	}
 	logged := false
 	for verified := false; ; {
-		outcome, body, attemptEnded, covered, err := ld.tryBegin(b)
+		outcome, permit, attemptEnded, covered, err := ld.tryBegin(b)
 		if !covered && !logged {
 			logged = true
 			ld.logger.WithFields(logrus.Fields{"program": b.Program, "call": b.Turn}).Info("turn waits, the store holds too little of its program's budget")
@@ -612,21 +612,21 @@
 		if err == nil && outcome == history.UnknownTurn && !verified {
 			// A holder that was replaced does not have the newest turns.
 			if err := ld.barrier(ctx); err != nil {
-				return 0, nil, err
+				return 0, Permit{}, err
 			}
 			verified = true
 			continue
 		}
 		if err != nil || outcome != history.MustWait {
-			return outcome, body, err
+			return outcome, permit, err
 		}
 		select {
 		case <-attemptEnded:
 		case <-time.After(overdueCheckInterval): // other attempts may pass their deadline without an event
 		case <-ld.closed:
-			return 0, nil, errNotHolder
+			return 0, Permit{}, errNotHolder
 		case <-ctx.Done():
-			return history.MustWait, nil, nil
+			return history.MustWait, Permit{}, nil
 		}
 	}
 }
@@ -636,31 +636,32 @@
 
 // tryBegin makes one decision. covered is false if the attempt has to wait because the ceiling in the store
 // does not cover it during an outage.
-func (ld *leader) tryBegin(b history.Begin) (outcome history.Outcome, body []byte, attemptEnded <-chan struct{}, covered bool, err error) {
+func (ld *leader) tryBegin(b history.Begin) (outcome history.Outcome, permit Permit, attemptEnded <-chan struct{}, covered bool, err error) {
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
 	if ld.isClosed() {
-		return 0, nil, nil, true, errNotHolder
+		return 0, Permit{}, nil, true, errNotHolder
 	}
 	if b.Previous != "" && !b.HasChain {
 		var ok bool
-		if body, ok = ld.state.Body(b.Previous); !ok {
-			return history.UnknownTurn, nil, nil, true, nil
+		if permit.Body, ok = ld.state.Body(b.Previous); !ok {
+			return history.UnknownTurn, Permit{}, nil, true, nil
 		}
 	}
 	if !ld.stalledSince.IsZero() && time.Since(ld.stalledSince) >= stallThreshold && !ld.state.AllowedInOutage(b) {
-		return history.MustWait, nil, ld.attemptEnded, false, nil
+		return history.MustWait, Permit{}, ld.attemptEnded, false, nil
 	}
+	permit.Begun = ld.state.Begun(b.Program)
 	outcome, record := ld.state.Begin(b, time.Now())
 	if outcome != history.Granted || record == nil {
-		return outcome, body, ld.attemptEnded, true, nil
+		return outcome, permit, ld.attemptEnded, true, nil
 	}
 	e, err := ld.enqueue(*record, false)
 	if err != nil {
-		return 0, nil, nil, true, err
+		return 0, Permit{}, nil, true, err
 	}
 	ld.latestGrants[b.Program] = e
-	return outcome, body, nil, true, nil
+	return outcome, permit, nil, true, nil
 }
 
 // recentlyClaimed reports whether peers that were out of reach at the claim may still offer copies.
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -521,46 +521,51 @@
 	return nil
 }
 
-// Begin requests to run an attempt. It returns the text of the chain before the turn, unless b.HasChain is set.
-// The attempt may be sent to an endpoint at once, but its caller must get no part of the response before Confirm
+// Permit is the permission to run an attempt.
+type Permit struct {
+	Body  []byte // text of the chain before the turn; empty if the requester has it
+	Begun bool   // the program has spent part of its budget already
+}
+
+// Begin requests to run an attempt. The attempt may be sent to an endpoint at once, but its caller must get no part of the response before Confirm
 // has returned.
-func (l *Ledger) Begin(ctx context.Context, b history.Begin) ([]byte, error) {
+func (l *Ledger) Begin(ctx context.Context, b history.Begin) (Permit, error) {
 	part := l.part(b.Program)
 	for adopted := false; ; adopted = true {
-		outcome, body, err := l.begin(ctx, part, b)
+		outcome, permit, err := l.begin(ctx, part, b)
 		if err != nil {
-			return nil, err
+			return Permit{}, err
 		}
 		switch outcome {
 		case history.Granted:
-			return body, nil
+			return permit, nil
 		case history.OverBudget:
-			return nil, ErrOverBudget
+			return Permit{}, ErrOverBudget
 		case history.MustWait:
-			return nil, fmt.Errorf("%w: the budget is taken up by running turns", ErrUnavailable)
+			return Permit{}, fmt.Errorf("%w: the budget is taken up by running turns", ErrUnavailable)
 		}
 		if adopted {
-			return nil, fmt.Errorf("%w: the adopted turn is missing", ErrUnavailable)
+			return Permit{}, fmt.Errorf("%w: the adopted turn is missing", ErrUnavailable)
 		}
 		if err := l.adopt(ctx, part, b.Previous); err != nil {
-			return nil, err
+			return Permit{}, err
 		}
 	}
 }
 
-func (l *Ledger) begin(ctx context.Context, part int, b history.Begin) (outcome history.Outcome, body []byte, err error) {
+func (l *Ledger) begin(ctx context.Context, part int, b history.Begin) (outcome history.Outcome, permit Permit, err error) {
 	err = l.ask(ctx, part, func(ctx context.Context, ld *leader) (err error) {
-		outcome, body, err = ld.begin(ctx, b)
+		outcome, permit, err = ld.begin(ctx, b)
 		return err
 	}, wire.TurnBegin{Part: part, Begin: b}, func(m wire.Message) error {
 		begun, ok := m.(wire.TurnBegun)
 		if !ok {
 			return fmt.Errorf("%w: %s", errUnexpectedReply, m.Kind())
 		}
-		outcome, body = begun.Outcome, begun.Body
+		outcome, permit = begun.Outcome, Permit{Body: begun.Body, Begun: begun.Begun}
 		return nil
 	})
-	return outcome, body, err
+	return outcome, permit, err
 }
 
 // Confirm waits until the grant of an attempt is in the store or, during an outage, held as copies by peers. If
@@ -689,11 +694,11 @@
 	switch m := m.(type) {
 	case wire.TurnBegin:
 		return true, l.withLeader(m.Part, func(ld *leader) error {
-			outcome, body, err := ld.begin(ctx, m.Begin)
+			outcome, permit, err := ld.begin(ctx, m.Begin)
 			if err != nil {
 				return err
 			}
-			return r.SendLast(ctx, wire.TurnBegun{Outcome: outcome, Body: body})
+			return r.SendLast(ctx, wire.TurnBegun{Outcome: outcome, Body: permit.Body, Begun: permit.Begun})
 		})
 	case wire.TurnConfirm:
 		return true, l.withLeaderAck(ctx, r, m.Part, func(ld *leader) error { return ld.confirm(ctx, m.Program, m.Turn) })
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -103,14 +103,14 @@
 	b := history.Begin{
 		Program: program, Turn: turn, Previous: previous, MaxTokens: 10, Budget: 1000, EnforceBudget: true, MaxDuration: time.Minute,
 	}
-	body, err := i.Begin(ctx, b)
+	permit, err := i.Begin(ctx, b)
 	must.NoError(t, err)
 	must.NoError(t, i.Confirm(ctx, b))
 	must.NoError(t, i.End(ctx, history.End{
 		Program: program, Turn: turn, Previous: previous, Complete: true,
 		Input: []byte("in-" + turn + ";"), Output: []byte("out-" + turn + ";"), Tokens: 5, Retention: testRetention,
 	}))
-	return string(body)
+	return string(permit.Body)
 }
 
 func TestTurnsAreFoundThroughEveryInstance(t *testing.T) {
--- a/internal/wire/turn.go
+++ b/internal/wire/turn.go
@@ -16,7 +16,8 @@
 // TurnBegun is the reply to TurnBegin.
 type TurnBegun struct {
 	Outcome history.Outcome `msgpack:"o"`
-	Body    []byte          `msgpack:"bd"` // encoded chain of previous turns, unless the requester already has it
+	Body    []byte          `msgpack:"bd"`           // encoded chain of previous turns, unless the requester already has it
+	Begun   bool            `msgpack:"bg,omitempty"` // the program has spent part of its budget already
 }
 
 // TurnConfirm asks whether the grant of a running turn is in the store. The reply is Ack, sent once it is.
@@ -60,6 +61,7 @@
 // LoadReport tells a peer how many requests the sender is running at each endpoint. It is one-way.
 type LoadReport struct {
 	Endpoints []EndpointLoad `msgpack:"e"`
+	Waiting   int            `msgpack:"w,omitempty"` // turns that wait at the sender
 }
 
 // EndpointLoad is the part of an endpoint's load that the sender causes.
