--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -24,8 +24,8 @@
 	// although loads of other instances are known with a lag.
 	onTimeLimit = 1.25
 	lateLimit   = 1.1
-	// firstLimit and lowFirstLimit bound the load of all endpoints together, with the turns that wait, at which
-	// programs may begin. They leave room for the next turns of those that have begun.
+	// firstLimit and lowFirstLimit bound the load of all endpoints together, with the turns of begun programs that
+	// wait, at which programs may begin. They leave room for the next turns of those that have begun.
 	firstLimit    = 0.85
 	lowFirstLimit = 0.7
 	// lowShare is the share of the first turns of low priority that get the limit of the others, so that a flood of
@@ -36,7 +36,7 @@
 const (
 	// firstWaitFraction of its latency target is how long a first turn waits before it is rejected. Its program
 	// has lost nothing then.
-	firstWaitFraction = 0.2
+	firstWaitFraction = 0.1
 	// begunWaitFraction of its caller's patience is how long another turn waits. The rest is left for the endpoint.
 	begunWaitFraction = 0.6
 	// minRetryAfter and maxRetryAfter bound what callers are told to wait. Callers with a deadline of seconds can
@@ -138,7 +138,7 @@
 // Bounds are what an endpoint has to fulfil to get a turn.
 type Bounds struct {
 	MaxLoad  float64 // of the endpoint, as a multiple of its slots
-	MaxTotal float64 // of all endpoints together with the turns that wait, as a multiple of the slots; 0: any
+	MaxTotal float64 // of all endpoints, with the turns of begun programs that wait, as a multiple of the slots; 0: any
 	AnySpeed bool    // the endpoint may be far slower than the others
 }
 
@@ -154,6 +154,17 @@
 // Len returns the number of waiting turns.
 func (q *Queue) Len() int { return len(q.waiting) }
 
+// Begun returns the number of waiting turns of programs that have begun.
+func (q *Queue) Begun() int {
+	n := 0
+	for _, t := range q.waiting {
+		if t.Begun {
+			n++
+		}
+	}
+	return n
+}
+
 // Add decides on a new turn. If its Action is Wait, a later call of Plan decides.
 func (q *Queue) Add(turn Turn, now time.Time, place Place) *Ticket {
 	t := &Ticket{Turn: turn, Rank: turn.rank(now), index: -1}
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -120,8 +120,14 @@
 
 // Report is what an instance reports to its peers.
 type Report struct {
-	Loads   map[string]Load // by endpoint ID
-	Waiting int             // turns that wait at the instance
+	Loads map[string]Load // by endpoint ID
+	Turns
+}
+
+// Turns counts turns that are not at an endpoint.
+type Turns struct {
+	Waiting int // turns that wait at an instance
+	Begun   int // those of them whose program has begun
 }
 
 // Balancer tracks the load and the speed of endpoints for one instance. It is not safe for concurrent use.
@@ -133,7 +139,7 @@
 	peers      map[string]peerReport     // by instance
 	oldestPeer time.Time                 // no report of a peer is older
 	peerLoads  map[string]peerLoad       // sums over all peers, by endpoint ID
-	peersWait  int                       // turns that wait at peers
+	peerTurns  Turns                     // sums over all peers
 	rand       *rand.Rand
 }
 
@@ -255,8 +261,8 @@
 	return load
 }
 
-// Occupancy returns the load of the candidates and the turns that wait for them as a share of their slots, without
-// those that are far slower than the fastest one, which requests avoid.
+// Occupancy returns the load of the candidates and a number of turns that wait for them, as a share of the slots. It
+// leaves out the endpoints that are far slower than the fastest one, which requests avoid.
 func (b *Balancer) Occupancy(candidates []Endpoint, waiting int, now time.Time) float64 {
 	b.expirePeers(now)
 	least := math.Inf(1)
@@ -286,8 +292,8 @@
 	return room
 }
 
-// PeersWaiting returns the number of turns that wait at peers.
-func (b *Balancer) PeersWaiting() int { return b.peersWait }
+// PeerTurns returns the sums over the reports of all peers.
+func (b *Balancer) PeerTurns() Turns { return b.peerTurns }
 
 // Sent records that a request was sent to an endpoint. It returns a number that identifies the request.
 func (b *Balancer) Sent(id string, now time.Time) int64 {
@@ -404,7 +410,8 @@
 
 // addPeer adds a report to the sums over all peers; with sign -1 it removes it.
 func (b *Balancer) addPeer(r Report, sign int) {
-	b.peersWait += sign * r.Waiting
+	b.peerTurns.Waiting += sign * r.Waiting
+	b.peerTurns.Begun += sign * r.Begun
 	for id, load := range r.Loads {
 		sum := b.peerLoads[id]
 		sum.running += sign * load.Running
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -57,17 +57,17 @@
 func TestLoadOfPeers(t *testing.T) {
 	b := New("z", 1)
 	q := Query{Candidates: endpoints("1", "2")}
-	b.SetPeerReport("p", Report{Loads: map[string]Load{"1": {Running: 9}}, Waiting: 2}, now)
+	b.SetPeerReport("p", Report{Loads: map[string]Load{"1": {Running: 9}}, Turns: Turns{Waiting: 2}}, now)
 	must.Eq(t, map[string]int{"2": 50}, counts(b, q, 50))
 	e, load, ok := b.Pick(Query{Candidates: endpoints("1")}, now)
 	must.True(t, ok)
 	must.Eq(t, "1", e.ID)
 	must.Eq(t, 9, load)
 	must.Eq(t, 4, b.Room(q.Candidates, 1, now))
-	must.Eq(t, 2, b.PeersWaiting())
+	must.Eq(t, Turns{Waiting: 2}, b.PeerTurns())
 	b.SetPeerReport("p", Report{Loads: map[string]Load{"2": {Running: 1, Overdue: true}}}, now) // replaces the first one
 	must.Eq(t, 7, b.Room(q.Candidates, 1, now))
-	must.Eq(t, 0, b.PeersWaiting())
+	must.Eq(t, Turns{}, b.PeerTurns())
 	_, load, _ = b.Pick(Query{Candidates: endpoints("2")}, now.Add(peerLoadTTL))
 	must.Eq(t, 0, load)
 	must.MapLen(t, 0, b.peers)
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -101,6 +101,7 @@
 			explainCommand(stdio),
 			benchCommand(stdio),
 			capacityCommand(stdio),
+			replayCommand(stdio),
 			standinCommand(stdio),
 			versionCommand(stdio),
 		},
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -36,7 +36,9 @@
 }
 
 func newTurnstile() *turnstile {
-	return &turnstile{queues: make(map[string]*admission.Queue), calls: make(map[*admission.Ticket]*admissionCall)}
+	return &turnstile{
+		queues: make(map[string]*admission.Queue), calls: make(map[*admission.Ticket]*admissionCall),
+	}
 }
 
 // slot is the permission to send a turn to an endpoint, at which it is registered already.
@@ -147,8 +149,11 @@
 
 // place chooses an endpoint within the bounds and registers an attempt at it. The caller holds the lock.
 func (g *Gateway) place(call *admissionCall, b admission.Bounds, now time.Time) bool {
-	if b.MaxTotal > 0 && g.balancer.Occupancy(call.query.Candidates, g.turnsWaiting()+g.balancer.PeersWaiting(), now) >= b.MaxTotal {
-		return false
+	if b.MaxTotal > 0 {
+		begun := g.ownTurns().Begun + g.balancer.PeerTurns().Begun
+		if g.balancer.Occupancy(call.query.Candidates, begun, now) >= b.MaxTotal {
+			return false
+		}
 	}
 	call.query.MaxLoad, call.query.AnySpeed = b.MaxLoad, b.AnySpeed
 	e, load, ok := g.balancer.Pick(call.query, now)
@@ -200,11 +205,11 @@
 // shareRoom gives each queue the part of the room at its endpoints that falls to this instance, by the number of
 // turns that wait here and at peers. The caller holds the lock.
 func (g *Gateway) shareRoom(now time.Time) {
-	own := g.turnsWaiting()
-	if own == 0 {
+	own := g.ownTurns()
+	if own.Waiting == 0 {
 		return
 	}
-	share := float64(own) / float64(own+g.balancer.PeersWaiting())
+	share := float64(own.Waiting) / float64(own.Waiting+g.balancer.PeerTurns().Waiting)
 	for service, queue := range g.turnstile.queues {
 		if queue.Len() > 0 {
 			queue.AddCredit(share * g.balancer.Room(g.view.candidates(service), admission.MaxLimit, now))
@@ -213,13 +218,14 @@
 	g.planTurns(now)
 }
 
-// turnsWaiting returns the number of turns that wait at this instance. The caller holds the lock.
-func (g *Gateway) turnsWaiting() int {
-	n := 0
+// ownTurns counts the turns that wait at this instance. The caller holds the lock.
+func (g *Gateway) ownTurns() balance.Turns {
+	var turns balance.Turns
 	for _, queue := range g.turnstile.queues {
-		n += queue.Len()
+		turns.Waiting += queue.Len()
+		turns.Begun += queue.Begun()
 	}
-	return n
+	return turns
 }
 
 // pruneQueues forgets the queues of services that have no endpoints.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -345,14 +345,15 @@
 			g.mu.Lock()
 			now := time.Now()
 			g.shareRoom(now)
-			own, waiting := g.balancer.LocalLoads(now), g.turnsWaiting()
-			due := len(own) > 0 || g.reportedLoad
-			g.reportedLoad = len(own) > 0
+			own := g.balancer.LocalLoads(now)
+			turns := g.ownTurns()
+			due := len(own) > 0 || turns.Waiting > 0 || g.reportedLoad
+			g.reportedLoad = len(own) > 0 || turns.Waiting > 0
 			g.mu.Unlock()
 			if !due {
 				continue
 			}
-			report := wire.LoadReport{Endpoints: make([]wire.EndpointLoad, 0, len(own)), Waiting: waiting}
+			report := wire.LoadReport{Endpoints: make([]wire.EndpointLoad, 0, len(own)), Waiting: turns.Waiting, Begun: turns.Begun}
 			for id, load := range own {
 				report.Endpoints = append(report.Endpoints, wire.EndpointLoad{ID: id, Running: load.Running, Overdue: load.Overdue})
 			}
@@ -389,7 +390,7 @@
 			loads[e.ID] = balance.Load{Running: e.Running, Overdue: e.Overdue}
 		}
 		h.mu.Lock()
-		h.balancer.SetPeerReport(r.Session.Instance(), balance.Report{Loads: loads, Waiting: m.Waiting}, time.Now())
+		h.balancer.SetPeerReport(r.Session.Instance(), balance.Report{Loads: loads, Turns: balance.Turns{Waiting: m.Waiting, Begun: m.Begun}}, time.Now())
 		h.mu.Unlock()
 	default:
 		h.log.WithFields(logrus.Fields{"peer": string(r.Session), "name": m.Kind().String()}).Debug("ignoring peer message of unexpected kind")
--- a/internal/wire/turn.go
+++ b/internal/wire/turn.go
@@ -62,6 +62,7 @@
 type LoadReport struct {
 	Endpoints []EndpointLoad `msgpack:"e"`
 	Waiting   int            `msgpack:"w,omitempty"` // turns that wait at the sender
+	Begun     int            `msgpack:"b,omitempty"` // those of them whose program has begun
 }
 
 // EndpointLoad is the part of an endpoint's load that the sender causes.
