history, ledger: programs go on while the store is away

The ceiling is up to four turns of maximum length ahead of what is used, and never more than half of what is left of the budget. A slot is taken after the ledger has answered; before it, a check without a reservation rejects programs that cannot begin.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -24,9 +24,9 @@
 	// although loads of other instances are known with a lag.
 	onTimeLimit = 1.25
 	lateLimit   = 1.1
-	// firstLimit and lowFirstLimit bound the load of all endpoints together, with the turns of begun programs that
+	// FirstLimit and lowFirstLimit bound the load of all endpoints together, with the turns of begun programs that
 	// wait, at which programs may begin. They leave room for the next turns of those that have begun.
-	firstLimit    = 0.85
+	FirstLimit    = 0.85
 	lowFirstLimit = 0.7
 	// lowShare is the share of the first turns of low priority that get the limit of the others, so that a flood of
 	// urgent programs does not starve them.
@@ -124,7 +124,7 @@
 	case t.lowered:
 		return Bounds{MaxLoad: 1, MaxTotal: lowFirstLimit}
 	default:
-		return Bounds{MaxLoad: 1, MaxTotal: firstLimit}
+		return Bounds{MaxLoad: 1, MaxTotal: FirstLimit}
 	}
 }
 
@@ -271,8 +271,16 @@
 }
 
 func (q *Queue) reject(t *Ticket, wait time.Duration) {
-	t.Action, t.Waiting = Reject, len(q.waiting)
-	t.RetryAfter = min(max(wait, minRetryAfter), maxRetryAfter)
+	t.Action, t.Waiting, t.RetryAfter = Reject, len(q.waiting), boundRetryAfter(wait)
+}
+
+// RetryAfter returns when the caller of a turn that is rejected now may come back.
+func (q *Queue) RetryAfter() time.Duration {
+	return boundRetryAfter(q.expectedWait(len(q.waiting) + 1))
+}
+
+func boundRetryAfter(wait time.Duration) time.Duration {
+	return min(max(wait, minRetryAfter), maxRetryAfter)
 }
 
 // expectedWait returns how long the turn at a position waits, from the rate at which turns of this instance end.
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -76,6 +76,22 @@
 	retryAfter time.Duration
 }
 
+// checkRoom returns a rejection if no program may begin now. It reserves nothing.
+func (q *request) checkRoom(service string) *rejection {
+	g, now := q.g, time.Now()
+	candidates := g.view.candidates(service)
+	if len(candidates) == 0 {
+		return &rejection{reasonNoEndpoint, minRetryAfter}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	begun := g.ownTurns().Begun + g.balancer.PeerTurns().Begun
+	if queue := g.turnstile.queues[service]; queue != nil && g.balancer.Occupancy(candidates, begun, now) >= admission.FirstLimit {
+		return &rejection{reasonOverload, queue.RetryAfter()}
+	}
+	return nil
+}
+
 // admitTurn waits until the turn may be sent. It returns neither a slot nor a rejection if ctx ends before.
 func (q *request) admitTurn(ctx context.Context, service string, begun bool, savings map[string]float64) (*slot, *rejection) {
 	now := time.Now()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -61,25 +61,23 @@
 	}
 	ctx, cancel := context.WithDeadline(q.r.Context(), q.deadline)
 	defer cancel()
-	// Whether a program has begun is known from its turn where turns are kept, and from the ledger elsewhere. A turn
-	// that is rejected costs the ledger nothing in the first case.
-	var slot *slot
-	if q.route.History {
-		t.begun = q.meta.Previous != "" || q.meta.BadPrevious
-		if slot = t.takeSlot(ctx, service); slot == nil {
+	// Whether a program has begun is known from its turn where turns are kept, and from the ledger elsewhere. In the
+	// first case a program that cannot begin now costs the ledger nothing.
+	t.begun = q.route.History && (q.meta.Previous != "" || q.meta.BadPrevious)
+	if q.route.History && !t.begun {
+		if rejected := q.checkRoom(service); rejected != nil {
+			q.refuseFor(http.StatusServiceUnavailable, rejected.reason, rejected.retryAfter)
 			return
 		}
-		defer slot.release()
 	}
 	if t.inLedger() && !t.openTurn(ctx) {
 		return
 	}
+	slot := t.takeSlot(ctx, service)
 	if slot == nil {
-		if slot = t.takeSlot(ctx, service); slot == nil {
-			return
-		}
-		defer slot.release()
+		return
 	}
+	defer slot.release()
 	t.run(ctx, service, slot)
 }
 
@@ -114,9 +112,7 @@
 	if slot != nil {
 		return slot
 	}
-	if t.begin.Turn != "" {
-		t.reportEnd()
-	}
+	t.reportEnd()
 	if rejected != nil {
 		q.refuseFor(http.StatusServiceUnavailable, rejected.reason, rejected.retryAfter)
 	} else {
--- a/internal/history/state.go
+++ b/internal/history/state.go
@@ -9,9 +9,9 @@
 //     that it may generate are reserved; what it does not use is released when it ends. An attempt whose
 //     end is unknown counts with its whole reservation.
 //   - While the store accepts records, the tokens that a program receives never exceed a ceiling that is in
-//     the store. The record of the end of each turn raises the ceiling far enough for the next turn, so that
-//     most turns need no record before they run. A new holder of the partition counts all tokens up to the
-//     ceiling as spent, because it cannot know which attempts ran.
+//     the store. The record of the end of each turn raises the ceiling far enough for the next turns, so that
+//     most turns need no record before they run and programs go on in an outage of the store. A new holder of
+//     the partition counts all tokens up to the ceiling as spent, because it cannot know which attempts ran.
 //   - While the store accepts no records, a program gets at most about the tokens of one turn above the
 //     ceiling in the store, because that is what is forgotten if all instances lose their memory during the
 //     outage (see AllowedInOutage).
@@ -24,6 +24,17 @@
 // retentionSlack is added to the retention of turns to allow for clock skew between instances.
 const retentionSlack = 10 * time.Second
 
+// How far the ceiling in the store is ahead of what a program has used. The distance counts as spent after a loss of
+// the holder, so it is never more than a part of what is left of the budget.
+const (
+	// maxTurnsAhead bounds the distance, in turns of maximum length. Most turns are far shorter, so that a program
+	// that runs one turn after another gets through an outage of several seconds.
+	maxTurnsAhead = 4
+	// aheadDivisor divides what is left of the budget. A program of usual length uses less than half of its budget
+	// and can thus end after a loss of the holder.
+	aheadDivisor = 2
+)
+
 // Begin is a request to run an attempt of a turn.
 type Begin struct {
 	Program        string        `msgpack:"p"`
@@ -96,6 +107,13 @@
 // used returns the tokens that count against the budget, including all reservations.
 func (a *account) used() int64 { return a.spent + a.unaccounted + a.reservedTokens() }
 
+// raiseCeiling sets the ceiling for the next turns of the given maximum length.
+func (a *account) raiseCeiling(turn int64) {
+	used := a.used()
+	ahead := min(max((a.budget-used)/aheadDivisor, turn), maxTurnsAhead*turn)
+	a.ceiling = max(min(used+ahead, a.budget), used)
+}
+
 func (a *account) reservedTokens() int64 {
 	var sum int64
 	for _, r := range a.reserved {
@@ -153,7 +171,7 @@
 	if a.used() <= a.ceiling {
 		return Granted, nil
 	}
-	a.ceiling = a.used()
+	a.raiseCeiling(b.MaxTokens)
 	return Granted, &Record{
 		Kind: RecordGrant, At: now.UnixMilli(), Program: b.Program, Spent: a.spent, Ceiling: a.ceiling,
 	}
@@ -230,7 +248,7 @@
 	}
 	s.apply(r, now, 0)
 	if a.budget > 0 {
-		a.ceiling = max(min(a.used()+e.Reserved, a.budget), a.used())
+		a.raiseCeiling(e.Reserved)
 		r.Ceiling = a.ceiling
 	}
 	return r, true
