--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,7 +101,7 @@
 		return nil, err
 	}
 	g.ledger = ledger.New(ledger.Config{
-		Instance: s.Instance, PeerAddr: s.advertisedAddr(), Zone: s.Zone, Parts: s.StoreParts, MaxCallBytes: s.StoreCallBytes,
+		Instance: s.Instance, PeerAddr: s.advertisedAddr(), Zone: s.Zone, Parts: s.StoreParts, MaxCallBytes: s.StoreCallBytes, RecordBytes: s.StoreRecordBytes,
 		MinTTL: s.StoreMinTTL, Store: store, Node: g.node, Log: log, OnStoreResult: g.storeDep.record,
 	})
 	g.view = newStoreView(topics, store, log, g.storeDep)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -131,6 +131,10 @@
 // not granted, it refuses the request and returns false.
 func (t *turn) openTurn(ctx context.Context) bool {
 	q := t.request
+	if q.route.History && len(q.body) > t.g.ledger.MaxTurnBytes()/2 {
+		q.refuse(http.StatusRequestEntityTooLarge, reasonTooLarge)
+		return false
+	}
 	if q.route.History && q.meta.BadPrevious {
 		q.refuse(http.StatusNotFound, reasonNoTurn)
 		return false
@@ -326,7 +330,7 @@
 var (
 	errStalled       = errors.New("stream stalled")
 	errMissingEvents = errors.New("events are missing")
-	errTooLong       = errors.New("stream exceeds the maximum tokens of its turn")
+	errTooLong       = errors.New("stream exceeds the maximum length of its turn")
 	errNotResumed    = errors.New("no endpoint continued the stream")
 )
 
@@ -393,6 +397,9 @@
 	}
 	t.events++
 	if t.route.History {
+		if len(t.body)+len(t.output)+len(e.data) >= t.g.ledger.MaxTurnBytes() {
+			return errTooLong
+		}
 		t.output = append(append(t.output, e.data...), '\n')
 	}
 	return t.write(e.raw)
--- a/internal/history/history_test.go
+++ b/internal/history/history_test.go
@@ -99,7 +99,7 @@
 	must.NotNil(t, begin("one more"))
 	next := NewState()
 	for _, r := range log {
-		next.Load(r, start, start)
+		next.Load(r, 0, start, start)
 	}
 	next.FinishRecovery()
 	must.Eq(t, int64(125+maxTurnsAhead*100), next.accounts["p"].used())
@@ -122,9 +122,9 @@
 		end, _ := s.End(End{Program: "p", Turn: b.Turn, Tokens: 80, Reserved: maxTokens}, start)
 		if stored {
 			if grant != nil {
-				s.MarkStored(*grant)
+				s.MarkStored(*grant, 0)
 			}
-			s.MarkStored(end)
+			s.MarkStored(end, 0)
 		}
 		return true
 	}
@@ -144,10 +144,10 @@
 		for i := range lost + 1 {
 			_, grant := s.Begin(Begin{Program: "p", Turn: fmt.Sprint(i), MaxTokens: maxTokens, Budget: budget, EnforceBudget: true, MaxDuration: time.Second}, start)
 			if grant != nil {
-				next.Load(*grant, start, start)
+				next.Load(*grant, 0, start, start)
 			}
 			end, _ := s.End(End{Program: "p", Turn: fmt.Sprint(i), Tokens: 80, Reserved: maxTokens}, start)
-			next.Load(end, start, start)
+			next.Load(end, 0, start, start)
 		}
 		next.FinishRecovery()
 		for i := lost + 1; i < 9; i++ {
@@ -157,6 +157,44 @@
 	}
 }
 
+// A chain that is longer than a record is divided, and is the same text for its holder and for the next one.
+func TestLongChainIsDivided(t *testing.T) {
+	body := []byte("a chain that is far longer than the text that fits into a record")
+	s, next := NewState(), NewState()
+	records := s.ImportChain("t", body, time.Minute, 10, start)
+	must.Len(t, 7, records)
+	for i, r := range records {
+		must.LessEq(t, 10, len(r.Input))
+		must.False(t, next.HasTurn("t")) // only the last record completes the turn
+		next.Load(r, int64(i), start, start)
+	}
+	for _, holder := range []*State{s, next} {
+		got, ok := holder.Body("t")
+		must.True(t, ok)
+		must.Eq(t, string(body), string(got))
+	}
+	must.Len(t, 1, NewState().ImportChain("empty", nil, time.Minute, 10, start))
+}
+
+// The records of a chain that is still continued must not be deleted from the store, however old they are.
+func TestOldestOffset(t *testing.T) {
+	s := NewState()
+	must.Eq(t, int64(noOffset), s.OldestOffset())
+	now := start
+	for i := range 10 {
+		previous := ""
+		if i > 0 {
+			previous = fmt.Sprint(i - 1)
+		}
+		s.MarkStored(endTurn(s, fmt.Sprint(i), previous, now), int64(100+i))
+		now = now.Add(50 * time.Second)
+		s.Expire(now, time.Minute)
+	}
+	must.Eq(t, int64(100), s.OldestOffset())
+	s.Expire(now.Add(2*time.Minute), time.Minute)
+	must.Eq(t, int64(noOffset), s.OldestOffset())
+}
+
 func TestRecordsOfOtherVersionsAreRefused(t *testing.T) {
 	for _, data := range [][]byte{nil, {0xc1}, {0x80}, []byte("x")} {
 		_, err := Decode(data)
@@ -171,7 +209,7 @@
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		r, err := Decode(data)
 		if err == nil {
-			NewState().Load(r, start, start)
+			NewState().Load(r, 0, start, start)
 		}
 	})
 }
@@ -240,7 +278,7 @@
 				for _, data := range log {
 					r, err := Decode(data)
 					must.NoError(rt, err)
-					s.Load(r, now, now)
+					s.Load(r, 0, now, now)
 				}
 				s.FinishRecovery()
 			}
@@ -283,7 +321,7 @@
 			for _, r := range []*Record{grant, &end} {
 				if r != nil && !outage {
 					stored = append(stored, *r)
-					s.MarkStored(*r)
+					s.MarkStored(*r, 0)
 				}
 			}
 		}
@@ -295,7 +333,7 @@
 	must.Greater(t, before+10*each, spent, must.Sprint("an outage must not block ordinary programs"))
 	s = NewState()
 	for _, r := range stored {
-		s.Load(r, start, start)
+		s.Load(r, 0, start, start)
 	}
 	s.FinishRecovery()
 	run(s, "after", 1000, false)
--- a/internal/history/state.go
+++ b/internal/history/state.go
@@ -18,6 +18,8 @@
 package history
 
 import (
+	"fmt"
+	"math"
 	"time"
 )
 
@@ -79,12 +81,16 @@
 )
 
 type turn struct {
+	offset   int64 // of its record in the partition; noOffset until that is stored
 	previous string
 	input    []byte
 	output   []byte
 	expires  time.Time
 }
 
+// noOffset is the offset of a record that is not stored yet.
+const noOffset = math.MaxInt64
+
 // reservation is the most tokens that a running attempt may generate.
 type reservation struct {
 	tokens   int64
@@ -201,8 +207,11 @@
 	return used+need <= storedCeiling+maxReservation
 }
 
-// MarkStored records that a record is in the store.
-func (s *State) MarkStored(r Record) {
+// MarkStored records that a record is in the store, at an offset of the partition.
+func (s *State) MarkStored(r Record, offset int64) {
+	if t := s.turns[r.Turn]; t != nil && r.Kind == RecordTurn {
+		t.offset = offset
+	}
 	if a := s.accounts[r.Program]; a != nil && r.Ceiling > 0 {
 		a.storedCeiling = r.Ceiling
 	}
@@ -262,12 +271,22 @@
 	}
 }
 
-// Load applies a record that was read from the store. now is the current time on the clock that deadlines
+// Load applies a record that was read from the store at an offset of the partition. now is the current time on the clock that deadlines
 // use; wall is the current time of day, which gives the age of the record.
-func (s *State) Load(r Record, now, wall time.Time) {
+func (s *State) Load(r Record, offset int64, now, wall time.Time) {
 	age := max(wall.Sub(time.UnixMilli(r.At)), 0)
 	s.apply(r, now, age)
-	s.MarkStored(r)
+	s.MarkStored(r, offset)
+}
+
+// OldestOffset returns the offset of the oldest record with a turn that is kept. Turns are kept as long as their chain
+// is continued, however old they are.
+func (s *State) OldestOffset() int64 {
+	oldest := int64(noOffset)
+	for _, t := range s.turns {
+		oldest = min(oldest, t.offset)
+	}
+	return oldest
 }
 
 // apply applies a record to the state. age is the time since the record was written.
@@ -284,7 +303,7 @@
 		s.applyEnd(r, now)
 	}
 	if r.Kind == RecordTurn && age < r.retention()+retentionSlack {
-		s.turns[r.Turn] = &turn{previous: r.Previous, input: r.Input, output: r.Output}
+		s.turns[r.Turn] = &turn{offset: noOffset, previous: r.Previous, input: r.Input, output: r.Output}
 		s.maxRetention = max(s.maxRetention, r.retention())
 		s.extendRetention(r.Turn, now.Add(r.retention()+retentionSlack-age))
 	}
@@ -396,13 +415,27 @@
 	return body, true
 }
 
-// ImportChain adds a turn of another partition, as a single turn that holds the text of its whole chain. It
-// returns the record to store.
-func (s *State) ImportChain(id string, body []byte, retention time.Duration, now time.Time) Record {
-	r := Record{Kind: RecordTurn, At: now.UnixMilli(), Turn: id, Input: body, RetentionMs: retention.Milliseconds()}
-	s.turns[id] = &turn{input: body}
+// ImportChain adds a turn of another partition with the text of its whole chain. The text is divided over as many
+// turns as its length needs; all but the last have IDs that no caller can name. It returns the records to store, in
+// order: the turn exists once the last of them is stored.
+func (s *State) ImportChain(id string, body []byte, retention time.Duration, maxText int, now time.Time) []Record {
+	var records []Record
+	previous := ""
+	for n := 0; n == 0 || len(body) > 0; n++ {
+		part := body[:min(len(body), maxText)]
+		body = body[len(part):]
+		name := id
+		if len(body) > 0 {
+			name = fmt.Sprintf("%s\n%d", id, n)
+		}
+		records = append(records, Record{
+			Kind: RecordTurn, At: now.UnixMilli(), Turn: name, Previous: previous, Input: part, RetentionMs: retention.Milliseconds(),
+		})
+		s.turns[name] = &turn{offset: noOffset, previous: previous, input: part}
+		previous = name
+	}
 	s.extendRetention(id, now.Add(retention+retentionSlack))
-	return r
+	return records
 }
 
 // Expire drops turns whose retention is over, and accounts without running attempts that were not used for the
--- a/internal/ledger/leader.go
+++ b/internal/ledger/leader.go
@@ -73,6 +73,7 @@
 	generation     int64 // of the group when the partition was assigned
 	epoch          int64 // of the claim
 	maxAppendBytes int   // limit of a single append
+	maxTurnBytes   int   // limit of the text of a turn in one record
 	instance       string
 	storeLog       store.Log
 	logger         logrus.FieldLogger
@@ -118,9 +119,9 @@
 	at     time.Time
 }
 
-func newLeader(part store.Partition, generation int64, instance string, maxAppendBytes int, storeLog store.Log, logger logrus.FieldLogger, onResult func(error)) *leader {
+func newLeader(part store.Partition, generation int64, instance string, maxAppendBytes, maxTurnBytes int, storeLog store.Log, logger logrus.FieldLogger, onResult func(error)) *leader {
 	return &leader{
-		part: part, generation: generation, maxAppendBytes: maxAppendBytes, instance: instance, storeLog: storeLog, onResult: onResult,
+		part: part, generation: generation, maxAppendBytes: maxAppendBytes, maxTurnBytes: maxTurnBytes, instance: instance, storeLog: storeLog, onResult: onResult,
 		logger:       logger.WithFields(logrus.Fields{"part": part.Part}),
 		ready:        make(chan struct{}),
 		closed:       make(chan struct{}),
@@ -343,13 +344,13 @@
 		}
 		now, wall := time.Now(), time.Now()
 		ld.mu.Lock() // the ledger expires records concurrently
-		for _, data := range b.Records {
+		for n, data := range b.Records {
 			r, err := history.Decode(data)
 			if err != nil {
-				ld.logger.WithField("reason", err.Error()).WithField("offset", from).Warn("malformed record skipped")
+				ld.logger.WithField("reason", err.Error()).WithField("offset", from+int64(n)).Warn("malformed record skipped")
 				continue
 			}
-			ld.state.Load(r, now, wall)
+			ld.state.Load(r, from+int64(n), now, wall)
 			if at := time.UnixMilli(r.At); wall.Sub(at) < copyTTL {
 				ld.recentSums[xxhash.Sum64(data)] = at
 			}
@@ -404,13 +405,14 @@
 		if err != nil {
 			return err
 		}
-		if err := ld.append(ctx, batch); err != nil {
+		end, err := ld.append(ctx, batch)
+		if err != nil {
 			return err
 		}
 		ld.sequence++
 		ld.mu.Lock()
-		for _, e := range batch {
-			ld.state.MarkStored(e.record)
+		for n, e := range batch {
+			ld.state.MarkStored(e.record, end-int64(len(batch)-n))
 			e.finish(nil)
 		}
 		ld.inFlight, ld.stalledSince = nil, time.Time{}
@@ -480,8 +482,8 @@
 const recordPrefixBytes = 4
 
 // append appends a batch and retries until the outcome is known. The sequence number prevents a retry from
-// repeating an append whose response was lost.
-func (ld *leader) append(ctx context.Context, batch []*entry) error {
+// repeating an append whose response was lost. It returns the end of the partition after the batch.
+func (ld *leader) append(ctx context.Context, batch []*entry) (int64, error) {
 	records := make([][]byte, len(batch))
 	for i, e := range batch {
 		records[i] = e.data
@@ -501,16 +503,17 @@
 		switch {
 		case err == nil:
 			ld.recordAppend(time.Since(start), end)
-			return nil
+			return end, nil
 		case errors.Is(err, store.ErrFenced):
-			return err
+			return 0, err
 		case errors.As(err, &sequence):
 			if sequence.Expected == ld.sequence+1 {
-				return nil
+				// An earlier try was appended. Its end is not known; 0 keeps the records from being trimmed too early.
+				return int64(len(batch)), nil
 			}
-			return fmt.Errorf("append with sequence number %d: %w", ld.sequence, err)
+			return 0, fmt.Errorf("append with sequence number %d: %w", ld.sequence, err)
 		case ctx.Err() != nil:
-			return errStopping
+			return 0, errStopping
 		}
 		ld.logger.WithFields(logrus.Fields{"reason": err.Error(), "count": try, "took": time.Since(start).Milliseconds()}).
 			Debug("append failed")
@@ -518,7 +521,7 @@
 		if errors.Is(err, store.ErrUnavailable) || time.Since(start) < timeout {
 			select {
 			case <-ctx.Done():
-				return errStopping
+				return 0, errStopping
 			case <-time.After(appendRetryDelay):
 			}
 		}
@@ -795,7 +798,13 @@
 		ld.mu.Unlock()
 		return nil
 	}
-	e, err := ld.enqueue(ld.state.ImportChain(turn, body, retention, time.Now()), true)
+	var e *entry // of the last record, which completes the turn
+	var err error
+	for _, r := range ld.state.ImportChain(turn, body, retention, ld.maxTurnBytes, time.Now()) {
+		if e, err = ld.enqueue(r, true); err != nil {
+			break
+		}
+	}
 	ld.mu.Unlock()
 	if err != nil {
 		return err
@@ -826,6 +835,7 @@
 			ld.offsetMarks = ld.offsetMarks[1:]
 		}
 	}
+	before = min(before, ld.state.OldestOffset())
 	ld.mu.Unlock()
 	if before == 0 {
 		return
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -77,6 +77,7 @@
 	Zone         string        // availability zone
 	Parts        int           // number of partitions of the topic
 	MaxCallBytes int           // limit of a store call
+	RecordBytes  int           // limit of a record
 	MinTTL       time.Duration // shortest TTL of a group membership that the store allows
 	Store        Store
 	Node         *peer.Node
@@ -128,6 +129,13 @@
 	l.retention = retention
 }
 
+// recordOverhead bounds what a record holds besides the text of a turn.
+const recordOverhead = 4 << 10
+
+// MaxTurnBytes returns the limit of the text of a turn, input and output together, that a record can hold. The store
+// would reject a larger record however often it was appended, which would stop its partition.
+func (l *Ledger) MaxTurnBytes() int { return max(l.cfg.RecordBytes-recordOverhead, recordOverhead) }
+
 // member returns the name of the instance in the group, which includes its address for peers.
 func (l *Ledger) member() string { return l.cfg.Instance + "@" + l.cfg.PeerAddr }
 
@@ -359,7 +367,7 @@
 
 // startLeader starts the leader of a partition. The caller holds the lock.
 func (l *Ledger) startLeader(ctx context.Context, part int, generation int64) *leader {
-	ld := newLeader(store.Partition{Topic: topic, Part: part}, generation, l.cfg.Instance, l.cfg.MaxCallBytes,
+	ld := newLeader(store.Partition{Topic: topic, Part: part}, generation, l.cfg.Instance, l.cfg.MaxCallBytes, l.MaxTurnBytes(),
 		l.cfg.Store, l.cfg.Log, l.cfg.OnStoreResult)
 	ld.protect, ld.collect, ld.announceClaim, ld.announceStored = l.protect, l.collect, l.announceClaim, l.announceStored
 	ld.retainCopies = func(part int, epoch int64, records [][]byte) { l.copies.put(part, epoch, records, time.Now()) }
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -71,7 +71,7 @@
 	})
 	must.NoError(t, err)
 	h.ledger = New(Config{
-		Instance: name, PeerAddr: l.Addr().String(), Parts: parts, MaxCallBytes: 1 << 20, MinTTL: 200 * time.Millisecond,
+		Instance: name, PeerAddr: l.Addr().String(), Parts: parts, MaxCallBytes: 1 << 20, RecordBytes: 1 << 18, MinTTL: 200 * time.Millisecond,
 		Store: s, Node: node, Log: quietLog(), OnStoreResult: func(error) {},
 	})
 	h.ledger.SetRetention(testRetention)
