--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -114,12 +114,13 @@
 		g.turnstile.queues[service] = queue
 	}
 	ticket := queue.Add(turn, now, func(_ *admission.Ticket, b admission.Bounds) bool { return g.place(call, b, now) })
-	if ticket.Action == admission.Wait {
+	waits := ticket.Action == admission.Wait
+	if waits {
 		g.turnstile.calls[ticket] = call
 		g.setPlanTimer(now)
 	}
 	g.mu.Unlock()
-	if ticket.Action == admission.Wait {
+	if waits {
 		select {
 		case <-call.decided:
 		case <-ctx.Done():
