ledger: release the ceilings of budgets at planned hand-overs

Cause: a new holder counts all up to the ceiling as spent.

Change: a holder that gives its partition up serves nothing more and lowers the ceilings to what is used or reserved, in one append.

--- a/internal/ledger/leader.go
+++ b/internal/ledger/leader.go
@@ -29,6 +29,8 @@
 	// stallThreshold is how long an append may fail before its records are protected outside the partition. A
 	// store that is merely slow answers within this time.
 	stallThreshold = 250 * time.Millisecond
+	// releaseTimeout bounds the last append of a holder that gives its partition up.
+	releaseTimeout = 200 * time.Millisecond
 	// lateCopyWindow is how long after a claim peers that were out of reach may still connect and offer copies.
 	lateCopyWindow    = 3 * time.Second
 	protectInterval   = 10 * time.Millisecond
@@ -96,6 +98,7 @@
 
 	mu            sync.Mutex
 	state         *history.State
+	releasing     bool // the partition is being given up
 	pending       []*entry
 	inFlight      []*entry  // batch of the append in flight
 	stalledSince  time.Time // start of the failing append; zero when appends succeed
@@ -146,7 +149,9 @@
 		close(ld.ready)
 		ld.announceClaim(ld.part.Part, ld.epoch)
 		go ld.protectStalled(ctx)
-		err = ld.write(ctx)
+		if err = ld.write(ctx); errors.Is(err, errStopping) {
+			ld.releaseBudgets()
+		}
 	}
 	ld.stop(err)
 }
@@ -261,6 +266,43 @@
 	}
 }
 
+// releaseBudgets lowers the ceilings in the store to what programs have used, so that the next holder need not count
+// the rest as spent. It is a single try: without it programs have less of their budgets left.
+func (ld *leader) releaseBudgets() {
+	ld.mu.Lock()
+	ld.releasing = true
+	records := ld.state.Release(time.Now())
+	stalled := !ld.stalledSince.IsZero()
+	ld.mu.Unlock()
+	if len(records) == 0 || stalled {
+		return
+	}
+	var data [][]byte
+	size := 0
+	for _, r := range records {
+		encoded, err := r.Encode()
+		if err != nil {
+			ld.logger.WithField("reason", err.Error()).Warn("ceiling of a budget not released")
+			continue
+		}
+		if size += len(encoded) + recordPrefixBytes; size > ld.maxAppendBytes {
+			break
+		}
+		data = append(data, encoded)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	_, err := ld.storeLog.Append(ctx, store.AppendRequest{
+		Partition: ld.part, Records: data, Producer: producer, Epoch: ld.epoch, Sequence: ld.sequence, ExpectedEnd: -1,
+	})
+	ld.onResult(err)
+	if err != nil {
+		ld.logger.WithField("reason", err.Error()).Info("ceilings of budgets not released")
+		return
+	}
+	ld.logger.WithField("count", len(data)).Info("ceilings of budgets released")
+}
+
 func (ld *leader) stop(cause error) {
 	ld.mu.Lock()
 	var copies [][]byte
@@ -642,7 +684,7 @@
 func (ld *leader) tryBegin(b history.Begin) (outcome history.Outcome, permit Permit, attemptEnded <-chan struct{}, covered bool, err error) {
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
-	if ld.isClosed() {
+	if !ld.mayServe() {
 		return 0, Permit{}, nil, true, errNotHolder
 	}
 	if b.Previous != "" && !b.HasChain {
@@ -691,6 +733,9 @@
 	}
 }
 
+// mayServe reports whether requests are still served. The caller holds the lock.
+func (ld *leader) mayServe() bool { return !ld.releasing && !ld.isClosed() }
+
 func (ld *leader) isClosed() bool {
 	select {
 	case <-ld.closed:
@@ -704,9 +749,9 @@
 func (ld *leader) confirm(ctx context.Context, program, attempt string) error {
 	ld.mu.Lock()
 	reserved, e := ld.state.HasReservation(program, attempt), ld.latestGrants[program]
-	closed := ld.isClosed()
+	serving := ld.mayServe()
 	ld.mu.Unlock()
-	if closed || !reserved {
+	if !serving || !reserved {
 		return errNotHolder
 	}
 	if e == nil {
@@ -731,7 +776,7 @@
 		return err
 	}
 	ld.mu.Lock()
-	if ld.isClosed() {
+	if !ld.mayServe() {
 		ld.mu.Unlock()
 		return errNotHolder
 	}
@@ -756,7 +801,7 @@
 // barrier waits until all records that are queued now are in the store.
 func (ld *leader) barrier(ctx context.Context) error {
 	ld.mu.Lock()
-	if ld.isClosed() {
+	if !ld.mayServe() {
 		ld.mu.Unlock()
 		return errNotHolder
 	}
@@ -790,7 +835,7 @@
 		return err
 	}
 	ld.mu.Lock()
-	if ld.isClosed() {
+	if !ld.mayServe() {
 		ld.mu.Unlock()
 		return errNotHolder
 	}
