ledger: the store counts as reached for 0.6 s after an answer again

While the store loses answers or is slow, no instance then counted as reaching it, and turns were safe with two copies instead of a record in another partition.

--- a/internal/ledger/copies.go
+++ b/internal/ledger/copies.go
@@ -35,7 +35,8 @@
 	copyTTL = 90 * time.Second
 	// maxCopyBytes limits the copies of all partitions together.
 	maxCopyBytes = 16 << 20
-	// storeAnswerTTL is how long the store counts as reachable after an answer, if no call has failed since.
+	// storeAnswerTTL is how long the store counts as reachable after an answer, also if calls have failed since: the
+	// store may lose answers or be slow, and copies alone are lost with all instances.
 	storeAnswerTTL = 600 * time.Millisecond
 	// collectWait is how long a claim waits for connections to the other members.
 	collectWait = 300 * time.Millisecond
@@ -187,7 +188,6 @@
 type storeHealth struct {
 	mu         sync.Mutex
 	answeredAt time.Time // when the store last answered
-	failedAt   time.Time // last failure of a call
 	outageAt   time.Time // last failure of a call more than stallThreshold after an answer
 }
 
@@ -199,11 +199,9 @@
 	switch {
 	case store.Answered(err):
 		h.answeredAt = now
-		return
 	case now.Sub(h.answeredAt) > stallThreshold:
 		h.outageAt = now
 	}
-	h.failedAt = now
 }
 
 // lastOutage returns when the store was last out of reach; zero if it never was.
@@ -216,11 +214,7 @@
 func (h *storeHealth) reached() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.reachedAt(time.Now())
-}
-
-func (h *storeHealth) reachedAt(now time.Time) bool {
-	return now.Sub(h.answeredAt) < storeAnswerTTL && !h.failedAt.After(h.answeredAt)
+	return time.Since(h.answeredAt) < storeAnswerTTL
 }
 
 // protect protects records that cannot be appended to their partition, and returns those that are safe now. While
