--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -19,9 +19,9 @@
 	patienceTargetGap     = 8
 )
 
-// turnstile carries out the decisions of the admission queues, one for each service. Its fields are protected by
+// admissionQueues carries out the decisions of the admission queues, one for each service. Its fields are protected by
 // Gateway.mu.
-type turnstile struct {
+type admissionQueues struct {
 	queues map[string]*admission.Queue
 	calls  map[*admission.Ticket]*admissionCall
 	timer  *time.Timer // runs plan when the first waiting turn expires
@@ -35,8 +35,8 @@
 	decided chan struct{}
 }
 
-func newTurnstile() *turnstile {
-	return &turnstile{
+func newAdmissionQueues() *admissionQueues {
+	return &admissionQueues{
 		queues: make(map[string]*admission.Queue), calls: make(map[*admission.Ticket]*admissionCall),
 	}
 }
@@ -64,7 +64,7 @@
 	if !s.used {
 		s.g.balancer.Ended(s.target.ID, s.target.number, balance.Abandoned, 0, now)
 	}
-	if queue := s.g.turnstile.queues[s.service]; queue != nil {
+	if queue := s.g.admission.queues[s.service]; queue != nil {
 		queue.Ended(now)
 		s.g.planTurns(now)
 	}
@@ -84,12 +84,24 @@
 		return &rejection{reasonNoEndpoint, minRetryAfter}
 	}
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	begun := g.ownTurns().Begun + g.balancer.PeerTurns().Begun
-	if queue := g.turnstile.queues[service]; queue != nil && g.balancer.Occupancy(candidates, begun, now) >= admission.FirstLimit {
-		return &rejection{reasonOverload, queue.RetryAfter()}
+	queue := g.admission.queues[service]
+	full := queue != nil && g.balancer.Occupancy(candidates, begun, now) >= admission.FirstLimit
+	var retryAfter time.Duration
+	if full {
+		retryAfter = queue.RetryAfter()
+	}
+	g.mu.Unlock()
+	if !full {
+		return nil
 	}
-	return nil
+	g.metrics.turnDecided(service, admission.First, admission.Reject, 0)
+	q.logRejected(logrus.Fields{"rank": admission.First.String(), "waiting": begun, "waited": 0}, retryAfter)
+	return &rejection{reasonOverload, retryAfter}
+}
+
+func (q *request) logRejected(fields logrus.Fields, retryAfter time.Duration) {
+	q.log.WithFields(fields).WithField("retry", retryAfter.Milliseconds()).Info("turn rejected, endpoints are full")
 }
 
 // admitTurn waits until the turn may be sent. It returns neither a slot nor a rejection if ctx ends before.
@@ -108,15 +120,15 @@
 	}
 	g := q.g
 	g.mu.Lock()
-	queue := g.turnstile.queues[service]
+	queue := g.admission.queues[service]
 	if queue == nil {
 		queue = &admission.Queue{}
-		g.turnstile.queues[service] = queue
+		g.admission.queues[service] = queue
 	}
 	ticket := queue.Add(turn, now, func(_ *admission.Ticket, b admission.Bounds) bool { return g.place(call, b, now) })
 	waits := ticket.Action == admission.Wait
 	if waits {
-		g.turnstile.calls[ticket] = call
+		g.admission.calls[ticket] = call
 		g.setPlanTimer(now)
 	}
 	g.mu.Unlock()
@@ -135,7 +147,7 @@
 // admitted logs the decision on a turn and returns it.
 func (q *request) admitted(service string, ticket *admission.Ticket, call *admissionCall) (*slot, *rejection) {
 	waited := time.Since(ticket.EnqueuedAt)
-	q.g.metrics.turnDecided(service, ticket, waited)
+	q.g.metrics.turnDecided(service, ticket.Rank, ticket.Action, waited)
 	fields := logrus.Fields{"rank": ticket.Rank.String(), "waiting": ticket.Waiting, "waited": waited.Milliseconds()}
 	if !ticket.Due.IsZero() {
 		fields["slack"] = time.Until(ticket.Due).Milliseconds()
@@ -145,7 +157,7 @@
 		q.logChosen(call.target, call.load, fields)
 		return &slot{g: q.g, service: service, target: call.target}, nil
 	case admission.Reject:
-		q.log.WithFields(fields).WithField("retry", ticket.RetryAfter.Milliseconds()).Info("turn rejected, endpoints are full")
+		q.logRejected(fields, ticket.RetryAfter)
 		return nil, &rejection{reasonOverload, ticket.RetryAfter}
 	default:
 		return nil, nil
@@ -156,10 +168,10 @@
 func (g *Gateway) withdraw(queue *admission.Queue, ticket *admission.Ticket) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.turnstile.calls[ticket] == nil {
+	if g.admission.calls[ticket] == nil {
 		return false
 	}
-	delete(g.turnstile.calls, ticket)
+	delete(g.admission.calls, ticket)
 	queue.Remove(ticket)
 	return true
 }
@@ -182,16 +194,16 @@
 
 // planTurns decides on waiting turns. The caller holds the lock.
 func (g *Gateway) planTurns(now time.Time) {
-	for _, queue := range g.turnstile.queues {
+	for _, queue := range g.admission.queues {
 		if queue.Len() == 0 {
 			continue
 		}
 		decided := queue.Plan(now, func(t *admission.Ticket, b admission.Bounds) bool {
-			return g.place(g.turnstile.calls[t], b, now)
+			return g.place(g.admission.calls[t], b, now)
 		})
 		for _, t := range decided {
-			close(g.turnstile.calls[t].decided)
-			delete(g.turnstile.calls, t)
+			close(g.admission.calls[t].decided)
+			delete(g.admission.calls, t)
 		}
 	}
 	g.setPlanTimer(now)
@@ -200,7 +212,7 @@
 // setPlanTimer runs planTurns when the first waiting turn expires. The caller holds the lock.
 func (g *Gateway) setPlanTimer(now time.Time) {
 	var first time.Time
-	for _, queue := range g.turnstile.queues {
+	for _, queue := range g.admission.queues {
 		if at := queue.NextExpiry(); !at.IsZero() && (first.IsZero() || at.Before(first)) {
 			first = at
 		}
@@ -208,15 +220,15 @@
 	if first.IsZero() {
 		return
 	}
-	if g.turnstile.timer == nil {
-		g.turnstile.timer = time.AfterFunc(first.Sub(now), func() {
+	if g.admission.timer == nil {
+		g.admission.timer = time.AfterFunc(first.Sub(now), func() {
 			g.mu.Lock()
 			defer g.mu.Unlock()
 			g.planTurns(time.Now())
 		})
 		return
 	}
-	g.turnstile.timer.Reset(first.Sub(now))
+	g.admission.timer.Reset(first.Sub(now))
 }
 
 // shareRoom gives each queue the part of the room at its endpoints that falls to this instance, by the number of
@@ -227,7 +239,7 @@
 		return
 	}
 	share := float64(own.Waiting) / float64(own.Waiting+g.balancer.PeerTurns().Waiting)
-	for service, queue := range g.turnstile.queues {
+	for service, queue := range g.admission.queues {
 		if queue.Len() > 0 {
 			queue.AddCredit(share * g.balancer.Room(g.view.candidates(service), admission.MaxLimit, now))
 		}
@@ -238,7 +250,7 @@
 // ownTurns counts the turns that wait at this instance. The caller holds the lock.
 func (g *Gateway) ownTurns() balance.Turns {
 	var turns balance.Turns
-	for _, queue := range g.turnstile.queues {
+	for _, queue := range g.admission.queues {
 		turns.Waiting += queue.Len()
 		turns.Begun += queue.Begun()
 	}
@@ -249,17 +261,17 @@
 func (g *Gateway) pruneQueues() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for service, queue := range g.turnstile.queues {
+	for service, queue := range g.admission.queues {
 		if queue.Len() == 0 && len(g.view.candidates(service)) == 0 {
-			delete(g.turnstile.queues, service)
+			delete(g.admission.queues, service)
 		}
 	}
 }
 
 // turnDecided records the decision on a turn and the time that it took.
-func (c *instanceMetrics) turnDecided(service string, t *admission.Ticket, waited time.Duration) {
+func (c *instanceMetrics) turnDecided(service string, rank admission.Rank, action admission.Action, waited time.Duration) {
 	service = c.routes.label(service)
-	action := [...]string{"left", "sent", "rejected"}[t.Action]
-	c.set.GetOrCreateCounter(fmt.Sprintf("ragwortstile_turns_decided_total{service=%q,rank=%q,action=%q}", service, t.Rank, action)).Inc()
-	c.set.GetOrCreateHistogram(fmt.Sprintf("ragwortstile_turn_wait_seconds{service=%q,rank=%q}", service, t.Rank)).Update(waited.Seconds())
+	name := [...]string{admission.Wait: "left", admission.Send: "sent", admission.Reject: "rejected"}[action]
+	c.set.GetOrCreateCounter(fmt.Sprintf("ragwortstile_turns_decided_total{service=%q,rank=%q,action=%q}", service, rank, name)).Inc()
+	c.set.GetOrCreateHistogram(fmt.Sprintf("ragwortstile_turn_wait_seconds{service=%q,rank=%q}", service, rank)).Update(waited.Seconds())
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,7 +77,7 @@
 
 	mu           sync.Mutex
 	balancer     *balance.Balancer
-	turnstile    *turnstile
+	admission    *admissionQueues
 	reportedLoad bool // the last load report was not empty
 }
 
@@ -86,7 +86,7 @@
 	g := &Gateway{
 		settings: s, protocol: protocol, log: log,
 		pool: upstream.NewPool(), responses: newResponseBuffers(s.MemoryBytes), prefixes: newPrefixCache(), affinity: newAffinity(), metrics: newInstanceMetrics(),
-		balancer: balance.New(s.Zone, uint64(time.Now().UnixNano())), turnstile: newTurnstile(),
+		balancer: balance.New(s.Zone, uint64(time.Now().UnixNano())), admission: newAdmissionQueues(),
 		storeDep: &dependency{name: "store", log: log},
 	}
 	keys, err := peer.NewKeyring(s.PeerKey)
--- a/internal/replay/program.go
+++ b/internal/replay/program.go
@@ -101,7 +101,6 @@
 	tried    map[string]bool
 	endpoint string
 	number   int64
-	left     bool // the caller has left
 	work     *work
 }
 
--- a/internal/replay/run.go
+++ b/internal/replay/run.go
@@ -31,8 +31,6 @@
 	lateFactor = 2
 	// drainTime is how long the simulation goes on after the last arrival.
 	drainTime = 20 * time.Second
-	// firstEventFraction is the part of a turn's time until its first event.
-	firstEventFraction = 0.2
 	// speedKnownFraction is the part of a turn's time after which the speed of its endpoint is known.
 	speedKnownFraction = 0.4
 )
@@ -199,7 +197,6 @@
 	balancer *balance.Balancer
 	queue    *admission.Queue
 	calls    map[*admission.Ticket]*attempt
-	timerAt  time.Duration
 }
 
 func newInstance(s *simulation, number int) *instance {
