gateway: a refusal whose body does not end no longer holds its request up

Cause, found by reading the change: since a refusal may keep its connection, its body was read first. An endpoint that trickled that body held the request until its deadline, and the caller got 503 though another endpoint was free.

Change: the connection is used again only if the refusal declares an empty body; otherwise it is closed at once, as before the admission queues.

Result: TestRefusalWithoutEnd fails before (503 instead of 200) and passes.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -18,8 +18,6 @@
 )
 
 const (
-	// maxRefusalBytes bounds the body of an endpoint's refusal after which its connection is used again.
-	maxRefusalBytes = 4 << 10
 	// maxUnsentAttempts bounds the attempts of a request that fail before anything is sent to an endpoint.
 	maxUnsentAttempts = 4
 	// minRetryAfter is the minimum Retry-After of a 503 response.
@@ -364,10 +362,10 @@
 var errUnusable = errors.New("unusable response")
 
 // attemptRefused records that an endpoint has rejected the request without executing it. The connection is used
-// again only if the refusal names the request: otherwise a late second copy of it would be taken for a refusal of
-// the next request, which may have run.
+// again only if the refusal has no body, which could hold the request up, and names the request: otherwise a late
+// second copy of it would be taken for a refusal of the next request, which may have run.
 func (q *request) attemptRefused(e target, resp *upstream.Response, reply Reply) attemptResult {
-	if _, err := io.CopyN(io.Discard, resp.Body, maxRefusalBytes); err == io.EOF && reply.ID == q.meta.ID {
+	if resp.Header.Get("Content-Length") == "0" && reply.ID == q.meta.ID {
 		resp.Reuse()
 	} else {
 		resp.Discard()
