gateway: record and log the limits of endpoints

Cause: the logs did not tell which instances know of a limit that an endpoint names, so they did not separate an instance that ignores the limit from several that keep it and exceed it together.

Change: responses are checked for a limit; package ratelimit holds the newest statement of each endpoint. A log line when a limit begins, changes or ends, the known limit in 'endpoint chosen', and the gauge limited_endpoints. Nothing is decided by it.

--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -38,6 +38,9 @@
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		c.set.WritePrometheus(w)
 		parts, turns := g.ledger.HeldCounts()
+		g.mu.Lock()
+		limited := g.limits.Count()
+		g.mu.Unlock()
 		var memory runtime.MemStats
 		runtime.ReadMemStats(&memory)
 		version := int64(0)
@@ -53,6 +56,7 @@
 			{"history_turns", float64(turns)},
 			{"configuration_version", float64(version)},
 			{"configuration_age_seconds", g.view.configAge().Seconds()},
+			{"limited_endpoints", float64(limited)},
 			{"endpoint_connections_total", float64(g.pool.Dials())},
 			{"heap_bytes", float64(memory.HeapInuse)},
 			{"memory_bytes", float64(memory.Sys)},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"ragwortstile/internal/id"
 	"ragwortstile/internal/ledger"
 	"ragwortstile/internal/peer"
+	"ragwortstile/internal/ratelimit"
 	"ragwortstile/internal/routing"
 	"ragwortstile/internal/upstream"
 	"ragwortstile/internal/wire"
@@ -77,6 +78,7 @@
 
 	mu           sync.Mutex
 	balancer     *balance.Balancer
+	limits       *ratelimit.Limits
 	admission    *admissionQueues
 	reportedLoad bool // the last load report was not empty
 }
@@ -86,7 +88,7 @@
 	g := &Gateway{
 		settings: s, protocol: protocol, log: log,
 		pool: upstream.NewPool(), responses: newResponseBuffers(s.MemoryBytes), prefixes: newPrefixCache(), affinity: newAffinity(), metrics: newInstanceMetrics(),
-		balancer: balance.New(s.Zone, uint64(time.Now().UnixNano())), admission: newAdmissionQueues(),
+		balancer: balance.New(s.Zone, uint64(time.Now().UnixNano())), limits: ratelimit.NewLimits(), admission: newAdmissionQueues(),
 		storeDep: &dependency{name: "store", log: log},
 	}
 	keys, err := peer.NewKeyring(s.PeerKey)
@@ -110,6 +112,7 @@
 		g.pool.CloseUnlisted(addrs)
 		g.mu.Lock()
 		g.balancer.Prune(listed)
+		g.limits.Prune(listed)
 		g.mu.Unlock()
 	}
 	return g, nil
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -6,6 +6,7 @@
 
 	"ragwortstile/internal/discovery"
 	"ragwortstile/internal/ledger"
+	"ragwortstile/internal/ratelimit"
 	"ragwortstile/internal/routing"
 	"ragwortstile/internal/store"
 )
@@ -48,6 +49,9 @@
 	ID           string // of the request that is answered
 	NotExecuted  bool   // the endpoint has not executed the request and will not
 	FromEndpoint bool   // an endpoint produced the response
+	// StatesLimit reports whether the response says if its endpoint limits its requests, and Limit what it says.
+	StatesLimit bool
+	Limit       ratelimit.Statement
 }
 
 // Protocol decodes and encodes the platform's headers of requests and responses.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -215,7 +215,11 @@
 // logChosen logs the endpoint of an attempt. load is the number of requests there, and more are fields of the
 // decision.
 func (q *request) logChosen(e target, load int, more logrus.Fields) {
-	q.log.WithFields(logrus.Fields{"endpoint": e.ID, "zone": e.Zone, "load": load, "config": q.configVersion, "attempt": q.sends + 1, "age": time.Since(q.start).Milliseconds()}).
+	log := q.log
+	if limit := q.g.limitOf(e.ID); limit.Limited {
+		log = log.WithField("limit", limit.PerSecond)
+	}
+	log.WithFields(logrus.Fields{"endpoint": e.ID, "zone": e.Zone, "load": load, "config": q.configVersion, "attempt": q.sends + 1, "age": time.Since(q.start).Milliseconds()}).
 		WithFields(more).Info("endpoint chosen")
 }
 
@@ -247,6 +251,7 @@
 func (q *request) send(ctx context.Context, e target, body []byte, lastEvent string) (*upstream.Response, Reply, error) {
 	var reply Reply
 	attempt := Attempt{Endpoint: e.ID, Remaining: time.Until(q.deadline), LastEvent: lastEvent}
+	sent := time.Now()
 	resp, err := q.g.pool.Do(ctx, e.Addr, upstream.Request{
 		Method: q.r.Method, URI: q.r.RequestURI, Host: q.r.Host,
 		Header: q.g.protocol.Encode(q.r.Header, attempt), Body: body,
@@ -258,6 +263,9 @@
 	if !errors.Is(err, upstream.ErrNotSent) {
 		q.sends++
 	}
+	if err == nil && reply.StatesLimit {
+		q.g.observeLimit(e.ID, reply.Limit, sent)
+	}
 	return resp, reply, err
 }
 
