gateway: log endpoints that end with requests in progress

Cause: the logs did not tell whether an endpoint had ended or an answer alone was lost, and nothing told that requests of several programs are the same.

Change: attempts that were broken off are logged with a digest of method, host, path and body. The instance then checks whether the endpoint still accepts connections (an idle one that is still open is enough) and logs and counts its end.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,9 +80,10 @@
 	balancer     *balance.Balancer
 	limits       *ratelimit.Limits
 	permits      *ratelimit.Permits
-	issuer       *ratelimit.Issuer // of the permits of endpoints whose partition this instance holds
-	ownIssuer    *ratelimit.Issuer // of this instance's part of the permits whose issuer is lost
-	newLimits    map[string]bool   // endpoints whose limit was observed here since the last load report
+	issuer       *ratelimit.Issuer      // of the permits of endpoints whose partition this instance holds
+	ownIssuer    *ratelimit.Issuer      // of this instance's part of the permits whose issuer is lost
+	crashChecks  map[string]*crashCheck // by endpoint ID
+	newLimits    map[string]bool        // endpoints whose limit was observed here since the last load report
 	admission    *admissionQueues
 	reportedLoad bool // the last load report was not empty
 }
@@ -93,7 +94,7 @@
 		settings: s, protocol: protocol, log: log,
 		pool: upstream.NewPool(), responses: newResponseBuffers(s.MemoryBytes), prefixes: newPrefixCache(), affinity: newAffinity(), metrics: newInstanceMetrics(),
 		balancer: balance.New(s.Zone, uint64(time.Now().UnixNano())), limits: ratelimit.NewLimits(), permits: ratelimit.NewPermits(), issuer: ratelimit.NewIssuer(), ownIssuer: ratelimit.NewIssuer(),
-		newLimits: make(map[string]bool), admission: newAdmissionQueues(),
+		newLimits: make(map[string]bool), crashChecks: make(map[string]*crashCheck), admission: newAdmissionQueues(),
 		storeDep: &dependency{name: "store", log: log},
 	}
 	keys, err := peer.NewKeyring(s.PeerKey)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -61,6 +62,9 @@
 	deadline      time.Time // the earlier of the caller's timeout and the route's
 	log           logrus.FieldLogger
 
+	digestOnce sync.Once
+	digestSum  digest
+
 	tried      map[string]bool // IDs of the endpoints already tried
 	sends      int             // attempts of which anything may have been sent to an endpoint
 	mayHaveRun bool            // an endpoint may have executed the request
@@ -430,10 +434,15 @@
 		return abandoned
 	}
 	q.attemptEnded(e, balance.Failed, 0)
-	q.log.WithFields(fields).Info("attempt failed")
 	if errors.Is(err, upstream.ErrNotSent) {
+		q.log.WithFields(fields).Info("attempt failed")
 		return notExecuted
 	}
+	if upstream.BrokenOff(err) {
+		fields["digest"] = q.digest().String()
+		q.g.checkCrash(e.Endpoint, q.digest())
+	}
+	q.log.WithFields(fields).Info("attempt failed")
 	return unknownOutcome
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -126,6 +126,34 @@
 	return len(p.idle[addr]) > 0
 }
 
+// Reachable reports whether an endpoint accepts connections at an address: an idle connection to it is still open, or a
+// new one, which is kept, can be opened.
+func (p *Pool) Reachable(ctx context.Context, addr string) bool {
+	c := p.takeIdle(addr)
+	if c == nil {
+		var err error
+		if c, err = p.dial(ctx, addr); err != nil {
+			return false
+		}
+		c.idleSince = time.Now()
+	}
+	p.putIdle(c)
+	return true
+}
+
+// putIdle adds a connection to the idle ones.
+func (p *Pool) putIdle(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle[c.addr] = append(p.idle[c.addr], c)
+}
+
+// BrokenOff reports whether an attempt failed because its connection was closed or reset, as it is when the endpoint
+// ends.
+func BrokenOff(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // CloseUnlisted closes the idle connections to addresses that are not in listed.
 func (p *Pool) CloseUnlisted(listed map[string]bool) {
 	p.mu.Lock()
@@ -351,9 +379,7 @@
 		return
 	}
 	c.idleSince = time.Now()
-	r.pool.mu.Lock()
-	r.pool.idle[c.addr] = append(r.pool.idle[c.addr], c)
-	r.pool.mu.Unlock()
+	r.pool.putIdle(c)
 }
 
 // reusable reports whether another request may be sent on the connection, and applies the keep-alive timeout that
