quarantine, gateway: a request that crashes endpoints stops after three of them

What callers saw: 502, broken streams and 503 for all, since no endpoint was left; 39 crashes in 20 s from one request.

Cause: failures were counted against endpoints alone. Nothing knew that one request was common to them, over the attempts of a caller, over programs and over instances: the class of a failure that is blamed on the wrong thing, for want of a common key.

Change: an endpoint that broke connections off is checked; if it is gone, the requests in progress there are reported to all instances. Package quarantine decides: a request, or a path that was never served, that was in progress at three crashes is refused with 503 for a minute, longer each time; being served clears it. A new instance is ready once it has met a peer, which sends it the evidence.

--- a/internal/breaks/list.go
+++ b/internal/breaks/list.go
@@ -224,7 +224,7 @@
 	{
 		guarantee: "platform: once", name: "a non-idempotent call with an unknown outcome is sent again",
 		file: "internal/gateway/request.go",
-		old:  "if q.mayHaveRun && !q.route.Repeatable() {\n\t\t\tbreak",
+		old:  "if q.mayHaveRun && !q.route.Repeatable() || q.quarantined() {\n\t\t\tbreak",
 		new:  "if q.mayHaveRun && q.route.Kind > 100 {\n\t\t\tbreak",
 		test: test{pkg: "platform", run: "^TestCallsRunOnce$"},
 	},
@@ -333,4 +333,32 @@
 		new:  "",
 		test: test{pkg: "platform", run: "^TestInstancesTogetherExceedALimit$"},
 	},
+	{
+		guarantee: "platform: crashes", name: "requests that were served again stay suspected",
+		file: "internal/quarantine/quarantine.go",
+		old:  "\tdelete(l.suspects, d.Body)\n",
+		new:  "",
+		test: test{pkg: "internal/quarantine", run: "^TestVictimIsNotQuarantined$"},
+	},
+	{
+		guarantee: "platform: crashes", name: "endpoints that end together count as several crashes",
+		file: "internal/quarantine/quarantine.go",
+		old:  "gap < sameMoment || ",
+		new:  "",
+		test: test{pkg: "internal/quarantine", run: "^TestEndpointsThatEndTogether$"},
+	},
+	{
+		guarantee: "platform: crashes", name: "an endpoint that loses answers counts as ended",
+		file: "internal/gateway/crashes.go",
+		old:  "\tif reachable {\n",
+		new:  "\tif false {\n",
+		test: test{pkg: "platform", run: "^TestLostAnswersAreNoCrashes$"},
+	},
+	{
+		guarantee: "platform: crashes", name: "a new instance learns nothing of quarantined requests",
+		file: "internal/gateway/gateway.go",
+		old:  "\t(*Gateway)(h).sendCrashes(r.Session)\n",
+		new:  "",
+		test: test{pkg: "platform", run: "^TestNewInstanceKnowsQuarantinedRequests$"},
+	},
 }
--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -40,6 +40,7 @@
 		parts, turns := g.ledger.HeldCounts()
 		g.mu.Lock()
 		limited := g.limits.Count()
+		quarantined := g.quarantine.Quarantined(time.Now())
 		g.mu.Unlock()
 		var memory runtime.MemStats
 		runtime.ReadMemStats(&memory)
@@ -57,6 +58,7 @@
 			{"configuration_version", float64(version)},
 			{"configuration_age_seconds", g.view.configAge().Seconds()},
 			{"limited_endpoints", float64(limited)},
+			{"quarantined_requests", float64(quarantined)},
 			{"endpoint_connections_total", float64(g.pool.Dials())},
 			{"heap_bytes", float64(memory.HeapInuse)},
 			{"memory_bytes", float64(memory.Sys)},
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
-	"strconv"
+	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"ragwortstile/internal/balance"
+	"ragwortstile/internal/id"
+	"ragwortstile/internal/quarantine"
+	"ragwortstile/internal/wire"
 )
 
 const (
@@ -19,37 +22,64 @@
 	crashCheckTimeout = 500 * time.Millisecond
 )
 
-// digest identifies requests with the same method, host, path and body, also in other programs and at other instances.
-type digest uint64
-
-// String returns the digest for logs.
-func (d digest) String() string { return strconv.FormatUint(uint64(d), 16) }
-
 // digest returns the digest of the request as the caller sent it.
-func (q *request) digest() digest {
+func (q *request) digest() quarantine.Digest {
 	q.digestOnce.Do(func() {
 		h := xxhash.New()
 		for _, part := range [...]string{q.r.Method, q.r.Host, q.r.RequestURI} {
 			_, _ = h.WriteString(part + "\n") // Write of a hash.Hash never returns an error
 		}
+		q.digestSum.Path = h.Sum64()
 		_, _ = h.Write(q.body)
-		q.digestSum = digest(h.Sum64())
+		q.digestSum.Body = h.Sum64()
 	})
 	return q.digestSum
 }
 
+// quarantined reports whether the request must not be sent to an endpoint.
+func (q *request) quarantined() bool {
+	q.g.mu.Lock()
+	defer q.g.mu.Unlock()
+	if q.g.quarantine.Empty() {
+		return false
+	}
+	var found bool
+	q.quarantinedUntil, found = q.g.quarantine.Until(q.digest(), time.Now())
+	return found
+}
+
+// refuseQuarantined refuses the request until the end of its quarantine. It is no error of the caller's that could be
+// told, and the request may run then, so it is refused as one that was not run.
+func (q *request) refuseQuarantined() {
+	q.log.WithField("digest", q.digest().String()).Info("request not sent, endpoints crash with it")
+	q.refuseFor(http.StatusServiceUnavailable, reasonQuarantined, time.Until(q.quarantinedUntil))
+}
+
+// endpointGoesOn records that the request was run by an endpoint that goes on.
+func (q *request) endpointGoesOn() {
+	g := q.g
+	d := q.digest()
+	g.mu.Lock()
+	remembered := g.quarantine.Served(d)
+	g.mu.Unlock()
+	if remembered {
+		g.broadcastCrashes(wire.RequestCrashes{Served: []wire.RequestDigest{wire.RequestDigest(d)}})
+	}
+}
+
 // crashCheck finds out whether an endpoint that broke connections off has ended.
 type crashCheck struct {
-	digests map[digest]bool // requests whose connections it broke off
+	at      time.Time                  // of the first broken connection
+	digests map[quarantine.Digest]bool // requests whose connections it broke off
 }
 
 // checkCrash checks whether the endpoint has ended with the request, after its connection was broken off.
-func (g *Gateway) checkCrash(e balance.Endpoint, d digest) {
+func (g *Gateway) checkCrash(e balance.Endpoint, d quarantine.Digest) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	check := g.crashChecks[e.ID]
 	if check == nil {
-		check = &crashCheck{digests: make(map[digest]bool)}
+		check = &crashCheck{at: time.Now(), digests: make(map[quarantine.Digest]bool)}
 		g.crashChecks[e.ID] = check
 		go g.runCrashCheck(e, check)
 	}
@@ -71,4 +101,60 @@
 	}
 	log.Info("endpoint ended with requests in progress")
 	g.metrics.set.GetOrCreateCounter("ragwortstile_endpoint_crashes_total").Inc()
+	m := wire.RequestCrashes{}
+	g.mu.Lock()
+	for d := range check.digests {
+		m.Crashes = append(m.Crashes, wire.RequestCrash{
+			Request: wire.RequestDigest(d), PathServed: g.quarantine.PathServed(d), Endpoint: e.ID, Age: time.Since(check.at),
+		})
+	}
+	g.mu.Unlock()
+	g.learnCrashes(m)
+	g.broadcastCrashes(m)
+}
+
+// learnCrashes records crashes that this instance or a peer has seen.
+func (g *Gateway) learnCrashes(m wire.RequestCrashes) {
+	now := time.Now()
+	for _, c := range m.Crashes {
+		d := quarantine.Digest(c.Request)
+		g.mu.Lock()
+		quarantined := g.quarantine.Add(quarantine.Crash{Digest: d, PathServed: c.PathServed, Endpoint: c.Endpoint, At: now.Add(-c.Age)}, now)
+		until, _ := g.quarantine.Until(d, now)
+		g.mu.Unlock()
+		if quarantined {
+			g.log.WithFields(logrus.Fields{"digest": d.String(), "endpoint": c.Endpoint, "took": until.Sub(now).Milliseconds()}).
+				Warn("request quarantined, endpoints crash with it")
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, d := range m.Served {
+		g.quarantine.Served(quarantine.Digest(d))
+	}
+}
+
+func (g *Gateway) broadcastCrashes(m wire.RequestCrashes) {
+	if _, err := g.node.Broadcast(m); err != nil {
+		g.log.WithField("reason", err.Error()).Warn("crashes not sent to peers")
+	}
+}
+
+// sendCrashes tells a new peer about the quarantined requests, which it may not know since it has just started.
+func (g *Gateway) sendCrashes(to id.Session) {
+	now := time.Now()
+	var m wire.RequestCrashes
+	g.mu.Lock()
+	for _, c := range g.quarantine.Evidence(now) {
+		m.Crashes = append(m.Crashes, wire.RequestCrash{
+			Request: wire.RequestDigest(c.Digest), PathServed: c.PathServed, Endpoint: c.Endpoint, Age: now.Sub(c.At),
+		})
+	}
+	g.mu.Unlock()
+	if len(m.Crashes) == 0 {
+		return
+	}
+	if err := g.node.Send(to, m); err != nil {
+		g.log.WithFields(logrus.Fields{"peer": string(to), "reason": err.Error()}).Info("quarantined requests not sent to peer")
+	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"ragwortstile/internal/id"
 	"ragwortstile/internal/ledger"
 	"ragwortstile/internal/peer"
+	"ragwortstile/internal/quarantine"
 	"ragwortstile/internal/ratelimit"
 	"ragwortstile/internal/routing"
 	"ragwortstile/internal/upstream"
@@ -43,6 +44,8 @@
 	readinessDelay = 2500 * time.Millisecond
 	// stopMargin is the part of the grace period that remains when the last connections are closed.
 	stopMargin = 700 * time.Millisecond
+	// meetTimeout is how long after its start an instance waits for its first peer before it is ready.
+	meetTimeout = 2 * time.Second
 	// peerIdleTimeout is the silence after which the connection to a peer is closed.
 	peerIdleTimeout = time.Second
 	// peerFetchInterval is the time between attempts to get configuration and endpoints from peers, for an
@@ -73,8 +76,10 @@
 	metrics   *instanceMetrics
 	storeDep  *dependency
 
-	active   atomic.Int64
-	stopping atomic.Bool
+	active    atomic.Int64
+	stopping  atomic.Bool
+	startedAt time.Time
+	metPeers  atomic.Bool // see meetPeers
 
 	mu           sync.Mutex
 	balancer     *balance.Balancer
@@ -83,7 +88,8 @@
 	issuer       *ratelimit.Issuer      // of the permits of endpoints whose partition this instance holds
 	ownIssuer    *ratelimit.Issuer      // of this instance's part of the permits whose issuer is lost
 	crashChecks  map[string]*crashCheck // by endpoint ID
-	newLimits    map[string]bool        // endpoints whose limit was observed here since the last load report
+	quarantine   *quarantine.List
+	newLimits    map[string]bool // endpoints whose limit was observed here since the last load report
 	admission    *admissionQueues
 	reportedLoad bool // the last load report was not empty
 }
@@ -91,10 +97,10 @@
 // New returns a Gateway. nonce distinguishes this run from other runs of the same instance.
 func New(s Settings, protocol Protocol, topics Topics, store Store, log logrus.FieldLogger, nonce string) (*Gateway, error) {
 	g := &Gateway{
-		settings: s, protocol: protocol, log: log,
+		settings: s, protocol: protocol, log: log, startedAt: time.Now(),
 		pool: upstream.NewPool(), responses: newResponseBuffers(s.MemoryBytes), prefixes: newPrefixCache(), affinity: newAffinity(), metrics: newInstanceMetrics(),
 		balancer: balance.New(s.Zone, uint64(time.Now().UnixNano())), limits: ratelimit.NewLimits(), permits: ratelimit.NewPermits(), issuer: ratelimit.NewIssuer(), ownIssuer: ratelimit.NewIssuer(),
-		newLimits: make(map[string]bool), crashChecks: make(map[string]*crashCheck), admission: newAdmissionQueues(),
+		newLimits: make(map[string]bool), crashChecks: make(map[string]*crashCheck), quarantine: quarantine.NewList(), admission: newAdmissionQueues(),
 		storeDep: &dependency{name: "store", log: log},
 	}
 	keys, err := peer.NewKeyring(s.PeerKey)
@@ -218,9 +224,19 @@
 
 // ready reports whether the instance accepts callers. It stays ready during a store outage, since other
 // instances would serve callers no better. It is not ready while it is isolated from the other instances, since
-// these can serve callers.
+// these can serve callers, and after its start until a peer can tell it which requests are quarantined.
 func (g *Gateway) ready() bool {
-	return !g.stopping.Load() && g.view.complete() && !g.ledger.Isolated()
+	return !g.stopping.Load() && g.view.complete() && !g.ledger.Isolated() &&
+		(g.metPeers.Load() || time.Since(g.startedAt) > meetTimeout || g.meetPeers())
+}
+
+// meetPeers notes when the instance has met peers after its start.
+func (g *Gateway) meetPeers() bool {
+	met := g.ledger.MetPeers()
+	if met {
+		g.metPeers.Store(true)
+	}
+	return met
 }
 
 // worker runs a function under the supervisor.
@@ -340,6 +356,9 @@
 			g.prefixes.prune(now)
 			g.affinity.prune(now)
 			g.pruneQueues()
+			g.mu.Lock()
+			g.quarantine.Prune(now)
+			g.mu.Unlock()
 		}
 	}
 }
@@ -381,7 +400,10 @@
 type peerHandler Gateway
 
 // Connected implements peer.Handler.
-func (h *peerHandler) Connected(r peer.Remote) { h.ledger.Connected(r) }
+func (h *peerHandler) Connected(r peer.Remote) {
+	h.ledger.Connected(r)
+	(*Gateway)(h).sendCrashes(r.Session)
+}
 
 // Disconnected implements peer.Handler.
 func (h *peerHandler) Disconnected(peer.Remote, error) {}
@@ -408,6 +430,8 @@
 		for _, limit := range m.Limits {
 			(*Gateway)(h).learnLimit(limit)
 		}
+	case wire.RequestCrashes:
+		(*Gateway)(h).learnCrashes(m)
 	default:
 		h.log.WithFields(logrus.Fields{"peer": string(r.Session), "name": m.Kind().String()}).Debug("ignoring peer message of unexpected kind")
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"ragwortstile/internal/balance"
+	"ragwortstile/internal/quarantine"
 	"ragwortstile/internal/routing"
 	"ragwortstile/internal/upstream"
 )
@@ -47,6 +48,7 @@
 	reasonOverBudget     = "over_budget"
 	reasonNoHistory      = "history_unavailable"
 	reasonCallerLeft     = "caller_left"
+	reasonQuarantined    = "crashes_endpoints"
 )
 
 // request is a caller's request in progress.
@@ -62,8 +64,9 @@
 	deadline      time.Time // the earlier of the caller's timeout and the route's
 	log           logrus.FieldLogger
 
-	digestOnce sync.Once
-	digestSum  digest
+	digestOnce       sync.Once
+	digestSum        quarantine.Digest
+	quarantinedUntil time.Time // set if the request is not sent because it is quarantined
 
 	tried      map[string]bool // IDs of the endpoints already tried
 	sends      int             // attempts of which anything may have been sent to an endpoint
@@ -122,7 +125,14 @@
 		timeout = min(timeout, q.route.Timeout)
 	}
 	q.deadline = q.start.Add(timeout)
-	return q.readBody(table.Limits.BodyBytes)
+	if !q.readBody(table.Limits.BodyBytes) {
+		return false
+	}
+	if q.quarantined() {
+		q.refuseQuarantined()
+		return false
+	}
+	return true
 }
 
 func (q *request) readBody(limit int64) bool {
@@ -333,7 +343,7 @@
 	)
 	switch {
 	case done:
-	case rejected != nil && q.sends == 0 && !q.callerGone():
+	case rejected != nil && q.sends == 0 && q.quarantinedUntil.IsZero() && !q.callerGone():
 		q.refuseFor(http.StatusServiceUnavailable, rejected.reason, rejected.retryAfter)
 	default:
 		q.giveUp(ctx)
@@ -346,7 +356,7 @@
 func (q *request) tryEndpoints(pick func() (target, bool), attempt func(target) attemptResult) bool {
 	q.tried = make(map[string]bool)
 	for unsent := 0; q.sends < q.route.MaxAttempts && unsent < maxUnsentAttempts; {
-		if q.mayHaveRun && !q.route.Repeatable() {
+		if q.mayHaveRun && !q.route.Repeatable() || q.quarantined() {
 			break
 		}
 		e, ok := pick()
@@ -381,6 +391,8 @@
 		q.refuse(http.StatusGatewayTimeout, reasonTimeout)
 	case q.mayHaveRun:
 		q.refuse(http.StatusBadGateway, reasonUnknownOutcome)
+	case !q.quarantinedUntil.IsZero():
+		q.refuseQuarantined()
 	case q.sends > 0:
 		q.refuse(http.StatusServiceUnavailable, reasonNotExecuted)
 	default:
@@ -405,6 +417,7 @@
 	}
 	resp.Reuse()
 	q.attemptEnded(e, balance.Served, time.Since(begun))
+	q.endpointGoesOn()
 	q.deliver(resp, body)
 	return served
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -259,6 +259,7 @@
 	}
 	resp.Reuse()
 	t.attemptEnded(e, balance.Served, 0)
+	t.endpointGoesOn()
 	t.reportEnd()
 	t.deliver(resp, body)
 	return served
@@ -300,6 +301,7 @@
 	took := q.g.balancer.StreamTime(firstTook, time.Since(begun), t.events-before)
 	q.g.mu.Unlock()
 	q.attemptEnded(e, balance.Served, took)
+	q.endpointGoesOn()
 	ended := time.Now()
 	if q.route.History {
 		if err := t.recordTurn(ctx); err != nil {
--- a/internal/ledger/isolation.go
+++ b/internal/ledger/isolation.go
@@ -51,6 +51,21 @@
 	return l.isolation.isolated
 }
 
+// MetPeers reports whether the instance is connected to another member of the group, or has found that there is none.
+func (l *Ledger) MetPeers() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.cfg.Node.Connected()) > 0 {
+		return true
+	}
+	for _, member := range l.holders {
+		if p, ok := splitMember(member); ok && p.Instance != l.cfg.Instance {
+			return false
+		}
+	}
+	return !l.holdersReadAt.IsZero()
+}
+
 // checkIsolation updates the isolation, and gives up the partitions if the instance has become isolated.
 func (l *Ledger) checkIsolation(ctx context.Context) {
 	l.mu.Lock()
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -57,6 +57,7 @@
 	KindHistoryIndexed
 	KindSendPermitGet
 	KindSendPermit
+	KindRequestCrashes
 	kindEnd // one above the last kind
 )
 
@@ -113,6 +114,7 @@
 	KindHistoryIndexed:   "history_indexed",
 	KindSendPermitGet:    "send_permit_get",
 	KindSendPermit:       "send_permit",
+	KindRequestCrashes:   "request_crashes",
 }
 
 // Known reports whether this binary knows the kind.
--- a/internal/wire/registry.go
+++ b/internal/wire/registry.go
@@ -126,6 +126,9 @@
 // Kind implements Message.
 func (SendPermit) Kind() Kind { return KindSendPermit }
 
+// Kind implements Message.
+func (RequestCrashes) Kind() Kind { return KindRequestCrashes }
+
 // Kind implements Message.
 func (HistoryIndex) Kind() Kind { return KindHistoryIndex }
 
@@ -210,4 +213,5 @@
 	KindHistoryIndexed:   decodeAs[HistoryIndexed],
 	KindSendPermitGet:    decodeAs[SendPermitGet],
 	KindSendPermit:       decodeAs[SendPermit],
+	KindRequestCrashes:   decodeAs[RequestCrashes],
 }
--- a/internal/wire/turn.go
+++ b/internal/wire/turn.go
@@ -95,6 +95,27 @@
 	Overdue bool   `msgpack:"o"` // a response takes far longer than usual to begin
 }
 
+// RequestCrashes tells a peer which requests were in progress at endpoints that ended, and which of those that were
+// have been run since by endpoints that go on. It is one-way.
+type RequestCrashes struct {
+	Crashes []RequestCrash  `msgpack:"c,omitempty"`
+	Served  []RequestDigest `msgpack:"s,omitempty"`
+}
+
+// RequestCrash is the end of an endpoint with a request in progress.
+type RequestCrash struct {
+	Request    RequestDigest `msgpack:"r"`
+	PathServed bool          `msgpack:"p,omitempty"` // requests with the path have been served
+	Endpoint   string        `msgpack:"e"`
+	Age        time.Duration `msgpack:"a,omitempty"` // time since the end of the endpoint
+}
+
+// RequestDigest identifies requests that are the same for an endpoint.
+type RequestDigest struct {
+	Path uint64 `msgpack:"p"` // hash of method, host and path
+	Body uint64 `msgpack:"b"` // hash of these and the body
+}
+
 // HistoryHold asks a peer to hold in-memory copies of records that the store does not accept. The reply is
 // HistoryHeld.
 type HistoryHold struct {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -52,6 +52,7 @@
 		GroupChanged{}, PartitionClaims{Member: "a@1.2.3.4:5", Claims: []Claim{{Part: 3, Epoch: 7}}},
 		LoadReport{Endpoints: []EndpointLoad{{ID: "e1", Running: 2}}}, StoreViewGet{},
 		LoadReport{Limits: []EndpointLimit{{ID: "e1", Limited: true, PerSecond: 2.5, Age: time.Second}, {ID: "e2"}}},
+		RequestCrashes{Crashes: []RequestCrash{{Request: RequestDigest{Path: 1, Body: 1 << 60}, Endpoint: "e1", Age: time.Second}}, Served: []RequestDigest{{Path: 2, Body: 3}}},
 		SendPermitGet{Limit: EndpointLimit{ID: "e1", Limited: true, PerSecond: 2.5, Age: time.Second}},
 		SendPermit{Granted: true, Limit: EndpointLimit{ID: "e1"}}, SendPermit{RetryAfter: time.Second},
 		StoreView{Config: []byte("{}"), Age: time.Second, Endpoints: []KeyedRecord{{Key: "e1", Value: []byte("{}")}}, Claims: []PartitionClaims{{Member: "a@b"}}},
