peer, wire: messages of later kinds are not sent to peers that run an earlier version

Cause: an instance ends the connection on a message of a kind that it does not know, and the reports of crashes and the requests for permits are new kinds.

Change: Hello states the last kind that the sender knows; messages of later kinds are not sent to that peer. Binaries that state none know the kinds up to history_indexed.

Result: TestLaterKindsAreNotSentToEarlierVersions.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -19,6 +19,8 @@
 	Session id.Session
 	Zone    string
 	ConnID  uint64 // unique in this process; a reconnection gets a new one
+	// LastKind is the last kind of message that the remote knows.
+	LastKind wire.Kind
 }
 
 // Limits of one connection.
@@ -40,10 +42,12 @@
 var (
 	ErrClosed       = errors.New("peer connection is closed")
 	ErrNotConnected = errors.New("peer is not connected")
-	ErrQueueFull    = errors.New("peer does not read its control messages")
-	ErrSlowHandler  = errors.New("own handler does not take one-way messages")
-	ErrFlowControl  = errors.New("peer sent more than its credit")
-	ErrWrongSession = errors.New("peer has another session")
+	// ErrUnknownToPeer reports a message of a kind that the peer, which runs an earlier version, does not know.
+	ErrUnknownToPeer = errors.New("peer does not know the kind of message")
+	ErrQueueFull     = errors.New("peer does not read its control messages")
+	ErrSlowHandler   = errors.New("own handler does not take one-way messages")
+	ErrFlowControl   = errors.New("peer sent more than its credit")
+	ErrWrongSession  = errors.New("peer has another session")
 )
 
 // conn is one authenticated connection. Its reader never waits for a handler or for the writer, so
--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -132,6 +132,7 @@
 		MinVersion: wire.Version,
 		MaxVersion: wire.Version,
 		Nonce:      nonce,
+		LastKind:   n.cfg.lastKind,
 	}
 	return h, err
 }
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -84,6 +84,8 @@
 	HandshakeTimeout time.Duration // for the TCP connect of the dialer, and for the handshake after it
 	MinBackoff       time.Duration // initial interval between dials
 	MaxBackoff       time.Duration // maximum interval between dials
+
+	lastKind wire.Kind // stated to peers; tests set it
 }
 
 // Peer is an instance to keep a connection with.
@@ -117,6 +119,9 @@
 	if cfg.Session == "" || cfg.Handler == nil || cfg.Log == nil {
 		return nil, errors.New("peer: session, handler and log must be set")
 	}
+	if cfg.lastKind == 0 {
+		cfg.lastKind = wire.LastKind
+	}
 	setDefault(&cfg.WriteTimeout, DefaultWriteTimeout)
 	setDefault(&cfg.IdleTimeout, DefaultIdleTimeout)
 	setDefault(&cfg.HandshakeTimeout, DefaultHandshakeTimeout)
@@ -164,9 +169,9 @@
 }
 
 // Send sends a one-way message to a session without blocking. It fails with ErrNotConnected,
-// ErrWrongSession, ErrQueueFull or an error that wraps ErrClosed.
+// ErrWrongSession, ErrUnknownToPeer, ErrQueueFull or an error that wraps ErrClosed.
 func (n *Node) Send(to id.Session, m wire.Message) error {
-	c, err := n.find(to)
+	c, err := n.find(to, m.Kind())
 	if err != nil {
 		return err
 	}
@@ -177,7 +182,7 @@
 	return c.tryEnqueue(data)
 }
 
-// Broadcast queues a one-way message for every connected peer and returns for how many it was queued.
+// Broadcast queues a one-way message for every connected peer that knows its kind, and returns for how many it was queued.
 func (n *Node) Broadcast(m wire.Message) (int, error) {
 	data, err := n.counters.encode(wire.Envelope{Message: m})
 	if err != nil {
@@ -186,7 +191,9 @@
 	n.mu.Lock()
 	conns := make([]*conn, 0, len(n.conns))
 	for _, c := range n.conns {
-		conns = append(conns, c)
+		if m.Kind() <= c.remote.LastKind {
+			conns = append(conns, c)
+		}
 	}
 	n.mu.Unlock()
 	sent := 0
@@ -201,7 +208,7 @@
 // OpenExchange starts an exchange with a session. The caller must read the replies and close the
 // exchange.
 func (n *Node) OpenExchange(ctx context.Context, to id.Session, m wire.Message) (*Exchange, error) {
-	c, err := n.find(to)
+	c, err := n.find(to, m.Kind())
 	if err != nil {
 		return nil, err
 	}
@@ -218,7 +225,8 @@
 	return x.Recv(ctx)
 }
 
-func (n *Node) find(to id.Session) (*conn, error) {
+// find returns the connection to a session that knows a kind of message.
+func (n *Node) find(to id.Session, kind wire.Kind) (*conn, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	c := n.conns[to.Instance()]
@@ -228,6 +236,9 @@
 	if c.remote.Session != to {
 		return nil, fmt.Errorf("%s: connected to %s: %w", to, c.remote.Session, ErrWrongSession)
 	}
+	if kind > c.remote.LastKind {
+		return nil, fmt.Errorf("%s to %s: %w", kind, to, ErrUnknownToPeer)
+	}
 	return c, nil
 }
 
@@ -303,7 +314,10 @@
 
 // serveConn registers and serves an authenticated connection until it is closed.
 func (n *Node) serveConn(nc net.Conn, hello wire.Hello, dialed bool) {
-	remote := Remote{Session: hello.Session, Zone: hello.Zone, ConnID: n.lastConnID.Add(1)}
+	remote := Remote{Session: hello.Session, Zone: hello.Zone, ConnID: n.lastConnID.Add(1), LastKind: hello.LastKind}
+	if remote.LastKind == 0 {
+		remote.LastKind = wire.UnstatedLastKind
+	}
 	c := newConn(n, nc, remote, dialed)
 	if !n.register(c) {
 		_ = nc.Close()
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -190,6 +190,26 @@
 	must.ErrorIs(t, a.Send("b.2", wire.Ping{}), ErrWrongSession)
 }
 
+// A message of a later kind would end the connection to a peer that runs an earlier version.
+func TestLaterKindsAreNotSentToEarlierVersions(t *testing.T) {
+	old := func(c *Config) { c.lastKind = wire.UnstatedLastKind }
+	a, b, c := startNode(t, "a.1", nil), startNode(t, "b.1", old), startNode(t, "c.1", nil)
+	a.SetPeers([]Peer{{Instance: "b", Addr: b.addr}, {Instance: "c", Addr: c.addr}})
+	waitFor(t, "connections", func() bool { return len(a.Connected()) == 2 })
+	sent, err := a.Broadcast(wire.RequestCrashes{})
+	must.NoError(t, err)
+	must.Eq(t, 1, sent)
+	must.ErrorIs(t, a.Send("b.1", wire.RequestCrashes{}), ErrUnknownToPeer)
+	_, err = ask(t, a, "b.1", wire.SendPermitGet{})
+	must.ErrorIs(t, err, ErrUnknownToPeer)
+	must.NoError(t, a.Send("b.1", wire.GroupChanged{}))
+	waitFor(t, "messages", func() bool {
+		atB, _, _ := b.handler.count()
+		atC, _, _ := c.handler.count()
+		return atB == 1 && atC == 1
+	})
+}
+
 // Guards against a slow reader that blocks other exchanges or to which its peer sends without limit.
 func TestSlowReaderDelaysOnlyItsExchange(t *testing.T) {
 	a, b := startNode(t, "a.1", nil), startNode(t, "b.1", nil)
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -117,6 +117,13 @@
 	KindRequestCrashes:   "request_crashes",
 }
 
+// LastKind is the last kind that this binary knows, and UnstatedLastKind that of binaries whose Hello states none. A
+// message of a later kind ends the connection to such a peer.
+const (
+	LastKind         = kindEnd - 1
+	UnstatedLastKind = KindHistoryIndexed
+)
+
 // Known reports whether this binary knows the kind.
 func (k Kind) Known() bool { return k > 0 && k < kindEnd }
 
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -21,8 +21,9 @@
 	MinVersion uint8      `msgpack:"vl"`
 	MaxVersion uint8      `msgpack:"vh"`
 	Nonce      []byte     `msgpack:"n"`
-	KeyIDs     [][]byte   `msgpack:"ki"` // dialer: its keys; acceptor: the selected key; empty with TLS
-	Proof      []byte     `msgpack:"pf"` // acceptor only; empty with TLS
+	KeyIDs     [][]byte   `msgpack:"ki"`           // dialer: its keys; acceptor: the selected key; empty with TLS
+	Proof      []byte     `msgpack:"pf"`           // acceptor only; empty with TLS
+	LastKind   Kind       `msgpack:"lk,omitempty"` // the last kind of message that the sender knows; 0: UnstatedLastKind
 }
 
 // Proof is the dialer's answer to the acceptor's challenge.
