gateway, admission, balance: no limit is lifted by an endpoint that left the list; tests of calls that wait

Cause, found by reading the change: an endpoint that named a limit and left the list before the next load report was reported to peers as one without a limit. A quarantine that ended while its request was refused gave no Retry-After.

Change: such endpoints are left out of the report; Retry-After is at least the usual minimum. Tests of the queue of calls, of permissions in the choice of endpoints and of the occupancy of limited endpoints.

--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -153,3 +153,39 @@
 		q.Remove(q.Add(begun(time.Second), start, full))
 	}
 }
+
+// Load pattern: all endpoints of a service limit their requests, and calls come faster than permits.
+func TestCallsWaitForPermits(t *testing.T) {
+	q := &Queue{Calls: true}
+	call := func(at time.Time, timeout time.Duration) Turn {
+		return Turn{Call: true, Begun: true, Patience: timeout, Deadline: at.Add(timeout), EnqueuedAt: at}
+	}
+	permits := 0
+	place := func(_ *Ticket, b Bounds) bool {
+		must.Eq(t, Bounds{}, b) // an endpoint's own queue is not bounded
+		permits--
+		return permits >= 0
+	}
+	for range 6 {
+		must.Eq(t, Wait, q.Add(call(start, 2*time.Second), start, full).Action)
+	}
+	now := start
+	for range 4 {
+		now = now.Add(200 * time.Millisecond)
+		permits = 1
+		must.Len(t, 1, q.Plan(now, place)) // as many as there are permits, whatever else has ended
+		permits = 0
+	}
+	must.Eq(t, Wait, q.Add(call(now, 2*time.Second), now, full).Action)
+	rejected := q.Add(call(now, time.Second), now, full) // would be the fourth at a permit in 0.2 s, and may wait for 0.6 s
+	must.Eq(t, Reject, rejected.Action)
+	must.Between(t, 700*time.Millisecond, rejected.RetryAfter, 900*time.Millisecond)
+	permits = 3
+	must.Len(t, 3, q.Plan(now, place))
+	// The time without waiting calls is not the time that calls have to wait.
+	now = now.Add(time.Minute)
+	must.Eq(t, Wait, q.Add(call(now, 2*time.Second), now, full).Action)
+	permits = 1
+	must.Len(t, 1, q.Plan(now, place))
+	must.Eq(t, Wait, q.Add(call(now, 2*time.Second), now, full).Action)
+}
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -202,3 +202,44 @@
 	e, _, _ := b.Pick(q, now.Add(time.Minute))
 	must.Eq(t, "1", e.ID)
 }
+
+// A limited endpoint without a permit gets no request; a permit is asked for if it is better than the chosen one.
+func TestPermissions(t *testing.T) {
+	b := New("z", 1)
+	learn(b, "fast", 50*time.Millisecond)
+	learn(b, "usual", 100*time.Millisecond)
+	learn(b, "slow", 200*time.Millisecond)
+	asked := make(map[string]int)
+	permissions := map[string]Permission{"fast": Askable, "slow": Askable}
+	q := Query{
+		Candidates: endpoints("fast", "usual", "slow"), Ask: func(id string) { asked[id]++ },
+		Permission: func(id string, _ time.Time) Permission { return permissions[id] },
+	}
+	must.Eq(t, map[string]int{"usual": 10}, counts(b, q, 10))
+	must.Eq(t, map[string]int{"fast": 10}, asked)
+	permissions["fast"] = Denied
+	must.Eq(t, map[string]int{"usual": 10}, counts(b, q, 10))
+	must.Eq(t, map[string]int{"fast": 10}, asked)
+	permissions["usual"] = Denied
+	must.MapEmpty(t, counts(b, q, 10))
+	must.Eq(t, map[string]int{"fast": 10, "slow": 10}, asked)
+	permissions["slow"] = Allowed // the fast one does not make it too slow
+	q.MaxLoad = 1
+	must.Eq(t, map[string]int{"slow": 10}, counts(b, q, 10))
+}
+
+// A limited endpoint has no more slots than its limit can fill, and is no measure for the speed of others.
+func TestOccupancyOfLimitedEndpoints(t *testing.T) {
+	b := New("z", 1)
+	learn(b, "fast", 20*time.Millisecond)
+	learn(b, "slow", 100*time.Millisecond)
+	candidates := endpoints("fast", "slow")
+	b.Sent("slow", now)
+	b.Sent("slow", now)
+	must.Eq(t, 0, b.Occupancy(candidates, 0, now)) // the slow one is left out
+	b.SetLimit("fast", true, 10)
+	must.InDelta(t, 2/4.2, b.Occupancy(candidates, 0, now), 0.01)
+	must.InDelta(t, 2.2, b.Room(candidates, 1, now), 0.01)
+	b.SetLimit("fast", false, 0)
+	must.InDelta(t, 6, b.Room(candidates, 1, now), 0.01)
+}
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -52,7 +52,7 @@
 // told, and the request may run then, so it is refused as one that was not run.
 func (q *request) refuseQuarantined() {
 	q.log.WithField("digest", q.digest().String()).Info("request not sent, endpoints crash with it")
-	q.refuseFor(http.StatusServiceUnavailable, reasonQuarantined, time.Until(q.quarantinedUntil))
+	q.refuseFor(http.StatusServiceUnavailable, reasonQuarantined, max(time.Until(q.quarantinedUntil), minRetryAfter))
 }
 
 // endpointGoesOn records that the request was run by an endpoint that goes on.
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -91,7 +91,10 @@
 func (g *Gateway) takeNewLimits(now time.Time) []wire.EndpointLimit {
 	var limits []wire.EndpointLimit
 	for endpoint := range g.newLimits {
-		limits = append(limits, g.wireLimit(endpoint, now))
+		// An endpoint that has left the list is no longer known, which says nothing of its limit.
+		if !g.limits.Get(endpoint).At.IsZero() {
+			limits = append(limits, g.wireLimit(endpoint, now))
+		}
 		delete(g.newLimits, endpoint)
 	}
 	return limits
