gateway: first turns use the permits that nobody waits for

What callers saw: programs were refused while limited endpoints got two thirds of what they allow.

Cause: a program may begin while the endpoints together have room. The endpoints without a limit were full and hold nearly all slots, so first turns were refused before anybody asked for a permit.

Change: when the endpoints are full and no turn of a begun program waits, a first turn may go to a limited endpoint for which there is a permit; otherwise one is asked for, for the next.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -93,7 +93,8 @@
 	g.mu.Lock()
 	begun := g.ownTurns().Begun + g.balancer.PeerTurns().Begun
 	queue := g.admission.queues[queueKey{service: service}]
-	full := queue != nil && g.balancer.Occupancy(candidates, begun, now) >= admission.FirstLimit
+	full := queue != nil && g.balancer.Occupancy(candidates, begun, now) >= admission.FirstLimit &&
+		(begun > 0 || !g.sparePermit(candidates, now))
 	var retryAfter time.Duration
 	if full {
 		retryAfter = queue.RetryAfter()
@@ -206,14 +207,18 @@
 
 // place chooses an endpoint within the bounds and registers an attempt at it. The caller holds the lock.
 func (g *Gateway) place(call *admissionCall, b admission.Bounds, now time.Time) bool {
+	query := call.query
+	query.MaxLoad, query.AnySpeed = b.MaxLoad, b.AnySpeed
 	if b.MaxTotal > 0 {
 		begun := g.ownTurns().Begun + g.balancer.PeerTurns().Begun
-		if g.balancer.Occupancy(call.query.Candidates, begun, now) >= b.MaxTotal {
-			return false
+		if g.balancer.Occupancy(query.Candidates, begun, now) >= b.MaxTotal {
+			if begun > 0 {
+				return false
+			}
+			query.Permission = g.onlyByPermit
 		}
 	}
-	call.query.MaxLoad, call.query.AnySpeed = b.MaxLoad, b.AnySpeed
-	e, load, ok := g.balancer.Pick(call.query, now)
+	e, load, ok := g.balancer.Pick(query, now)
 	if ok {
 		call.target, call.load = g.register(e, now), load
 	}
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -112,6 +112,25 @@
 	}
 }
 
+// onlyByPermit is permission for turns that only endpoints with spare permits can take, since the others are full.
+func (g *Gateway) onlyByPermit(endpoint string, now time.Time) balance.Permission {
+	if !g.limits.Get(endpoint).Limited {
+		return balance.Denied
+	}
+	return g.permission(endpoint, now)
+}
+
+// sparePermit reports whether there is a permit for one of the endpoints, which nobody that waits has used. Otherwise it
+// asks for one, for the next turn. The caller holds the lock.
+func (g *Gateway) sparePermit(candidates []balance.Endpoint, now time.Time) bool {
+	if g.limits.Count() == 0 {
+		return false
+	}
+	query := balance.Query{Candidates: candidates, MaxLoad: 1, Permission: g.onlyByPermit, Ask: g.askPermit}
+	_, _, ok := g.balancer.Pick(query, now)
+	return ok
+}
+
 // queued reports whether requests wait in a queue.
 func (g *Gateway) queued(key queueKey) bool {
 	g.mu.Lock()
