ratelimit, gateway: shares of a limit while its issuer is lost

What callers would have seen: refusals while endpoints got a tenth of what they allow, for as long as a lost issuer is not replaced (an instance that ends while the store is away).

Cause, found by reading the change: a permit that an instance issued to itself counted as an answer of the issuer, so the next one came a second later. The share was taken by the peers that an instance reaches, which for instances without a partition are the holders alone: with 91 instances they would together have exceeded the limit. The lowest limit was raised for each share.

Change: answers of the issuer are recorded for themselves; only instances that hold partitions issue a share, one of the partitions or of the instances; the lowest limit is shared as well.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -258,7 +258,7 @@
 	if len(q.waiting) == 0 {
 		q.credit = 0
 		if q.Calls {
-			q.lastEnd = time.Time{}
+			q.lastEnd = time.Time{} // the time until a call waits again says nothing of the rate
 		}
 	}
 	return decided
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -197,8 +197,8 @@
 )
 
 // Pick returns the endpoint that is expected to finish the request first, and the number of requests at
-// that endpoint. It returns false when all candidates have been tried or, with MaxLoad, are loaded or far slower
-// than the best one, or that none may get a request now.
+// that endpoint. It returns false when all candidates have been tried, may not get a request now or, with MaxLoad, are
+// loaded or far slower than the best one.
 func (b *Balancer) Pick(q Query, now time.Time) (Endpoint, int, bool) {
 	b.expirePeers(now)
 	usual := b.usual(q.Candidates)
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -197,7 +197,7 @@
 	defer cancel()
 	var permit wire.SendPermit
 	err := g.ledger.AskHolder(ctx, get.Limit.ID, func() error {
-		permit = g.issue(get, g.issuer, 1)
+		permit = g.issue(get)
 		return nil
 	}, get, func(m wire.Message) error {
 		var ok bool
@@ -209,12 +209,17 @@
 	if err == nil {
 		g.learnLimit(permit.Limit)
 	}
+	partitions, _ := g.ledger.HeldCounts()
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if err != nil && g.permits.Unanswered(get.Limit.ID, now) {
+	if err == nil {
+		g.permits.Answered(get.Limit.ID)
+	} else if g.permits.Unanswered(get.Limit.ID, now) {
 		g.log.WithFields(logrus.Fields{"endpoint": get.Limit.ID, "reason": err.Error()}).Debug("issuer of permits does not answer")
-		permit = g.issueLocked(get, g.ownIssuer, 1+len(g.node.Connected()), now)
+		if share := ratelimit.OwnShare(partitions, g.settings.StoreParts, len(g.node.Connected())); share > 0 {
+			permit = g.issueLocked(get, g.ownIssuer, share, now)
+		}
 	}
 	switch {
 	case permit.Granted:
@@ -238,22 +243,22 @@
 		return wire.SendPermit{}, wire.Error{Code: wire.CodeNotHolder, Detail: errNotIssuer.Error()}
 	}
 	g.learnLimit(get.Limit)
-	return g.issue(get, g.issuer, 1), nil
+	return g.issue(get), nil
 }
 
-// issue decides on a permit with an issuer, at the given part of the limit.
-func (g *Gateway) issue(get wire.SendPermitGet, issuer *ratelimit.Issuer, parts int) wire.SendPermit {
+// issue decides on a permit as the issuer for all instances.
+func (g *Gateway) issue(get wire.SendPermitGet) wire.SendPermit {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.issueLocked(get, issuer, parts, time.Now())
+	return g.issueLocked(get, g.issuer, 1, time.Now())
 }
 
-// issueLocked is issue for a caller that holds the lock. parts is the number of instances that share the limit.
-func (g *Gateway) issueLocked(get wire.SendPermitGet, issuer *ratelimit.Issuer, parts int, now time.Time) wire.SendPermit {
+// issueLocked decides on a permit with an issuer that issues a share of the limit. The caller holds the lock.
+func (g *Gateway) issueLocked(get wire.SendPermitGet, issuer *ratelimit.Issuer, share float64, now time.Time) wire.SendPermit {
 	known := g.wireLimit(get.Limit.ID, now)
 	if !known.Limited {
 		return wire.SendPermit{Granted: true, Limit: known}
 	}
-	granted, retryAfter := issuer.Issue(get.Limit.ID, known.PerSecond/float64(parts), now)
+	granted, retryAfter := issuer.Issue(get.Limit.ID, known.PerSecond, share, now)
 	return wire.SendPermit{Granted: granted, RetryAfter: retryAfter, Limit: known}
 }
--- a/internal/ratelimit/fleet_test.go
+++ b/internal/ratelimit/fleet_test.go
@@ -78,7 +78,7 @@
 	}
 	if len(i.waiting) > i.permits.Outstanding("e", now) && i.permits.MayAsk("e", now) {
 		i.permits.Asked("e")
-		i.granted, i.retry = f.issuer.Issue("e", f.limit, now)
+		i.granted, i.retry = f.issuer.Issue("e", f.limit, 1, now)
 		i.answer = now.Add(roundTrip)
 	}
 }
@@ -140,15 +140,29 @@
 
 func TestNewIssuerHasNoPermits(t *testing.T) {
 	i := NewIssuer()
-	ok, retryAfter := i.Issue("e", 10, at(0))
+	ok, retryAfter := i.Issue("e", 10, 1, at(0))
 	must.False(t, ok)
 	must.Eq(t, 100*time.Millisecond, retryAfter)
-	_, second := i.Issue("e", 10, at(0))
+	_, second := i.Issue("e", 10, 1, at(0))
 	must.Eq(t, 200*time.Millisecond, second) // not at the same time as the first instance
-	ok, _ = i.Issue("e", 10, at(100))
+	ok, _ = i.Issue("e", 10, 1, at(100))
 	must.True(t, ok)
 }
 
+// The lowest limit is one for all instances, also while each issues its share.
+func TestSharesOfAZeroLimit(t *testing.T) {
+	issued := 0
+	for range 12 {
+		i := NewIssuer()
+		for ms := range 4000 {
+			if ok, _ := i.Issue("e", 0, OwnShare(1, 12, 20), at(ms)); ok {
+				issued++
+			}
+		}
+	}
+	must.LessEq(t, 5, issued)
+}
+
 // A lost issuer is replaced by each instance for itself, at its part of the limit.
 func TestLostIssuer(t *testing.T) {
 	p := NewPermits()
@@ -160,8 +174,26 @@
 	must.Eq(t, at(100), p.NextAsk(at(0)))
 	must.False(t, p.Unanswered("e", at(999)))
 	must.True(t, p.Unanswered("e", at(1000)))
-	p.Granted("e", at(1001))
-	must.False(t, p.Unanswered("e", at(1100)))
+	p.Granted("e", at(1001)) // by the instance itself
 	must.True(t, p.Has("e", at(1300)))
 	must.False(t, p.Has("e", at(1301)))
+	must.True(t, p.Unanswered("e", at(1101))) // the issuer is still lost
+	p.Answered("e")
+	must.False(t, p.Unanswered("e", at(1200)))
+}
+
+// The shares of all instances that reach each other add up to the limit at most. Where there are more instances than
+// partitions, those without one are connected to the holders alone.
+func TestOwnSharesStayWithinTheLimit(t *testing.T) {
+	for _, c := range []struct{ instances, partitions int }{{1, 12}, {3, 4}, {9, 12}, {91, 12}, {410, 24}} {
+		total := 0.0
+		holders := min(c.instances, c.partitions)
+		for range holders {
+			total += OwnShare(1, c.partitions, c.instances-1)
+		}
+		for range c.instances - holders {
+			total += OwnShare(0, c.partitions, holders)
+		}
+		must.Between(t, 0.5, total, 1.0001, must.Sprint(c))
+	}
 }
--- a/internal/ratelimit/issuer.go
+++ b/internal/ratelimit/issuer.go
@@ -31,13 +31,13 @@
 // NewIssuer returns an Issuer.
 func NewIssuer() *Issuer { return &Issuer{buckets: make(map[string]*bucket)} }
 
-// Issue issues a permit for an endpoint, or returns after which time the instance may ask again. Instances that are
+// Issue issues a permit for an endpoint, at a share of its limit, or returns after which time the instance may ask again. Instances that are
 // denied get different times, so that they do not all ask for the same permit.
 //
 // An Issuer that has not issued permits for the endpoint before begins with none, since another one may just have
 // issued those of the last moment.
-func (i *Issuer) Issue(endpoint string, perSecond float64, now time.Time) (ok bool, retryAfter time.Duration) {
-	perSecond = max(perSecond, minPerSecond)
+func (i *Issuer) Issue(endpoint string, perSecond, share float64, now time.Time) (ok bool, retryAfter time.Duration) {
+	perSecond = share * max(perSecond, minPerSecond)
 	limit, burst := rate.Limit(perSecond), max(1, int(perSecond*burstSpan.Seconds()))
 	b := i.buckets[endpoint]
 	switch {
--- a/internal/ratelimit/permits.go
+++ b/internal/ratelimit/permits.go
@@ -6,8 +6,8 @@
 	// permitTTL is how long a permit can be used. Permits that are used late add to those of the next seconds, so it is
 	// short; an instance with waiting requests uses a permit at once.
 	permitTTL = 300 * time.Millisecond
-	// UnansweredRetry is how long an instance waits before it asks again when the issuer did not answer.
-	UnansweredRetry = 100 * time.Millisecond
+	// unansweredRetry is how long an instance waits before it asks again when the issuer did not answer.
+	unansweredRetry = 100 * time.Millisecond
 	// issuerLostAfter is how long an issuer does not answer until the instance issues its own part.
 	issuerLostAfter = time.Second
 )
@@ -27,6 +27,16 @@
 // NewPermits returns Permits without any.
 func NewPermits() *Permits { return &Permits{stocks: make(map[string]*stock)} }
 
+// OwnShare returns the share of a limit that an instance issues to itself while the issuer is lost; 0 for none. Only
+// instances that hold partitions issue any: they are at most as many as there are partitions, and each is connected to
+// all others, while the rest cannot tell how many they are.
+func OwnShare(held, partitions, peers int) float64 {
+	if held == 0 {
+		return 0
+	}
+	return 1 / float64(max(min(partitions, 1+peers), 1))
+}
+
 func (p *Permits) stock(endpoint string) *stock {
 	s := p.stocks[endpoint]
 	if s == nil {
@@ -80,17 +90,20 @@
 // Asked records that the instance asks for a permit. Exactly one call of Granted, Denied or Unanswered follows.
 func (p *Permits) Asked(endpoint string) { p.stock(endpoint).asking = true }
 
-// Granted adds a permit.
+// Answered records that the issuer answered, so it does not count as lost.
+func (p *Permits) Answered(endpoint string) { p.stock(endpoint).unansweredSince = time.Time{} }
+
+// Granted adds a permit, of the issuer or of the instance itself.
 func (p *Permits) Granted(endpoint string, now time.Time) {
 	s := p.stock(endpoint)
-	s.asking, s.unansweredSince = false, time.Time{}
+	s.asking = false
 	s.expires = append(s.expires, now.Add(permitTTL))
 }
 
 // Denied records that the issuer has no permit yet.
 func (p *Permits) Denied(endpoint string, retryAfter time.Duration, now time.Time) {
 	s := p.stock(endpoint)
-	s.asking, s.unansweredSince = false, time.Time{}
+	s.asking = false
 	s.retryAt = now.Add(retryAfter)
 }
 
@@ -98,7 +111,7 @@
 func (p *Permits) Unanswered(endpoint string, now time.Time) bool {
 	s := p.stock(endpoint)
 	s.asking = false
-	s.retryAt = now.Add(UnansweredRetry)
+	s.retryAt = now.Add(unansweredRetry)
 	if s.unansweredSince.IsZero() {
 		s.unansweredSince = now
 	}
