ledger: log by what a turn is safe, and turns that are in no partition

The logs of an instance did not say whether a complete turn was acknowledged because it is in the store, in another partition, or in the memory of peers, nor what a 404 is based on.

One line for each turn that is kept by copies alone, for each adoption of a turn that is already there (stored or not), and for each turn that no partition has.

--- a/internal/history/state.go
+++ b/internal/history/state.go
@@ -150,6 +150,12 @@
 // HasTurn reports whether the partition has a turn.
 func (s *State) HasTurn(id string) bool { return s.turns[id] != nil }
 
+// Stored reports whether a turn is in the partition in the store.
+func (s *State) Stored(id string) bool {
+	t := s.turns[id]
+	return t != nil && t.offset != noOffset
+}
+
 // Begin decides whether an attempt may run, and reserves its tokens if so. With Granted it returns the record
 // that must be stored first, or nil if the ceiling already covers the attempt. A repeated Begin of a granted
 // attempt is granted again and reserves nothing more.
--- a/internal/ledger/copies.go
+++ b/internal/ledger/copies.go
@@ -236,6 +236,8 @@
 			}
 		case held < requiredCopies:
 			continue
+		case e.record.Kind == history.RecordTurn:
+			ld.logger.WithFields(logrus.Fields{"call": e.record.Turn, "count": held}).Info("turn kept by copies alone")
 		}
 		safe = append(safe, e)
 	}
--- a/internal/ledger/leader.go
+++ b/internal/ledger/leader.go
@@ -840,7 +840,9 @@
 		return errNotHolder
 	}
 	if ld.state.HasTurn(turn) {
+		stored := ld.state.Stored(turn)
 		ld.mu.Unlock()
+		ld.logger.WithFields(logrus.Fields{"call": turn, "status": storedStatus(stored)}).Info("turn to be adopted is here already")
 		return nil
 	}
 	var e *entry // of the last record, which completes the turn
@@ -857,6 +859,13 @@
 	return ld.wait(ctx, e)
 }
 
+func storedStatus(stored bool) string {
+	if stored {
+		return "stored"
+	}
+	return "not_stored"
+}
+
 // expire drops expired entries from memory and, every trimInterval, from the store.
 func (ld *leader) expire(ctx context.Context, retention time.Duration) {
 	now := time.Now()
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -662,6 +662,7 @@
 			return nil, fmt.Errorf("%w: records may have been lost with the memory of instances", ErrUnavailable)
 		}
 		if searched >= l.cfg.Parts {
+			l.cfg.Log.WithFields(logrus.Fields{"call": turn, "count": searched}).Info("turn is in no partition")
 			return nil, ErrUnknownTurn
 		}
 		l.notify(l.refreshHolders)
