ledger: a complete turn is acknowledged only when the store has it

Callers saw: turns that were answered whole during an outage of the store for all instances were denied (404) or never found again (503) after all instances had ended.

Cause: a turn counted as safe once two peers held a copy in memory. Any number of instances may end at once, and the outage outlasts them. The class of fault: an acknowledgement before the record is durable.

A turn's record now counts as safe only in the store, in its own partition or, while some instance reaches the store, in another one. Until then the end of the stream is held back; its events are passed on as they come. Copies at peers remain for what records say of budgets, whose loss the ceilings in the store bound: a turn is copied without its text, once. A turn's first event waits for the budget part of the records before it, not for their text.

--- a/internal/history/record.go
+++ b/internal/history/record.go
@@ -40,6 +40,11 @@
 	RetentionMs int64      `msgpack:"kp,omitempty"`  // RecordTurn: retention of the turn
 }
 
+// BudgetPart returns the record of a complete turn as that of the end of an attempt, without the text.
+func (r Record) BudgetPart() Record {
+	return Record{Kind: RecordEnd, At: r.At, Program: r.Program, Turn: r.Turn, Tokens: r.Tokens, Ceiling: r.Ceiling, Spent: r.Spent}
+}
+
 // ErrMalformed means that the data is not a record of this version of the format.
 var ErrMalformed = errors.New("malformed history record")
 
--- a/internal/ledger/copies.go
+++ b/internal/ledger/copies.go
@@ -16,10 +16,11 @@
 	"ragwortstile/internal/wire"
 )
 
-// While the store accepts no records of a partition, the leader of the partition sends each record to peers,
-// which hold a copy in memory. A record counts as safe once requiredCopies peers hold it. The next holder of
-// the partition collects the copies from the peers when it claims the partition. From then on, peers reject
-// copies from earlier holders. A copy is identified by its sum, the hash of the encoded record.
+// While the store accepts no records of a partition, the leader of the partition sends the budget part of each record
+// to peers, which hold a copy in memory. What a record says of a budget counts as safe once requiredCopies peers hold
+// it; the text of a turn is safe only in the store. The next holder of the partition collects the copies from the
+// peers when it claims the partition. From then on, peers reject copies from earlier holders. A copy is identified by
+// its sum, the hash of the encoded record. Instances of earlier versions send copies of whole turns.
 const (
 	// copyPeers is the number of peers that are asked to hold a copy, requiredCopies is how many of them must
 	// hold it, and copyTimeout limits the requests to them.
@@ -217,33 +218,63 @@
 	return time.Since(h.answeredAt) < storeAnswerTTL
 }
 
-// protect protects records that cannot be appended to their partition, and returns those that are safe now. While
-// no instance reaches the store, copies at peers are enough. If some instance reaches it, a complete turn is
-// safe only once it is written to another partition, where a search for the turn finds it; other records still
-// need only copies.
+// protect protects records that cannot be appended to their partition, and returns those that are safe now. A
+// complete turn is safe only in the store, because all instances may end before the store accepts its record: while
+// some instance reaches the store, the turn is written to another partition, where a search finds it. For budgets
+// copies at peers are enough, since the ceilings in the store bound what is lost with them.
 func (l *Ledger) protect(ctx context.Context, ld *leader, entries []*entry) []*entry {
-	held, reaching := l.sendCopies(ctx, ld, entries)
+	copied, reaching := l.copyEntries(ctx, ld, entries)
 	if l.health.reached() {
 		reaching[l.cfg.Instance] = true
 	}
 	var safe []*entry
 	for _, e := range entries {
-		switch {
-		case e.record.Kind == history.RecordTurn && len(reaching) > 0:
-			if err := l.writeAlternate(ctx, ld, e.record, reaching); err != nil {
-				ld.logger.WithFields(logrus.Fields{"call": e.record.Turn, "reason": err.Error()}).Info("turn not written to another partition; it waits for the store")
-				continue
+		if e.record.Kind != history.RecordTurn {
+			if copied {
+				safe = append(safe, e)
 			}
-		case held < requiredCopies:
 			continue
-		case e.record.Kind == history.RecordTurn:
-			ld.logger.WithFields(logrus.Fields{"call": e.record.Turn, "count": held}).Info("turn kept by copies alone")
+		}
+		if len(reaching) == 0 {
+			continue
+		}
+		if err := l.writeAlternate(ctx, ld, e.record, reaching); err != nil {
+			ld.logger.WithFields(logrus.Fields{"call": e.record.Turn, "reason": err.Error()}).Info("turn not written to another partition; it waits for the store")
+			continue
 		}
 		safe = append(safe, e)
 	}
 	return safe
 }
 
+// copyEntries sends copies of the entries that peers do not hold yet. It reports whether enough peers hold copies of
+// all entries, and returns the instances of the peers that reach the store.
+func (l *Ledger) copyEntries(ctx context.Context, ld *leader, entries []*entry) (copied bool, reaching map[string]bool) {
+	var records [][]byte
+	var sent []*entry
+	for _, e := range entries {
+		if e.copied {
+			continue
+		}
+		data, err := e.copyData()
+		if err != nil {
+			ld.logger.WithFields(logrus.Fields{"call": e.record.Turn, "reason": err.Error()}).Warn("record not copied to peers")
+			continue
+		}
+		records, sent = append(records, data), append(sent, e)
+	}
+	held, reaching := l.sendCopies(ctx, ld, records)
+	if held < requiredCopies {
+		return false, reaching
+	}
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	for _, e := range sent {
+		e.markCopied()
+	}
+	return true, reaching
+}
+
 // writeAlternate writes a complete turn with its chain to another partition, held by an instance that reaches
 // the store.
 func (l *Ledger) writeAlternate(ctx context.Context, ld *leader, r history.Record, reaching map[string]bool) error {
@@ -285,15 +316,12 @@
 	return parts
 }
 
-// sendCopies asks peers to hold copies. It returns how many do, and the instances of the peers that reach the
-// store.
-func (l *Ledger) sendCopies(ctx context.Context, ld *leader, entries []*entry) (held int, reaching map[string]bool) {
+// sendCopies asks peers to hold copies of records, of which there may be none. It returns how many do, and the
+// instances of the peers that reach the store.
+func (l *Ledger) sendCopies(ctx context.Context, ld *leader, records [][]byte) (held int, reaching map[string]bool) {
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
-	m := wire.HistoryHold{Part: ld.part.Part, Epoch: ld.epoch, Records: make([][]byte, len(entries))}
-	for i, e := range entries {
-		m.Records[i] = e.data
-	}
+	m := wire.HistoryHold{Part: ld.part.Part, Epoch: ld.epoch, Records: records}
 	remotes := l.cfg.Node.Connected()
 	remotes = remotes[:min(len(remotes), copyPeers)]
 	type answer struct {
--- a/internal/ledger/leader.go
+++ b/internal/ledger/leader.go
@@ -56,16 +56,26 @@
 )
 
 // entry is a record that is queued for, or part of, an append. The record is safe once it is in the store, or
-// protected: held as copies by peers, or written to another partition.
+// protected: a complete turn by another partition, any other record by copies that peers hold.
 type entry struct {
 	record    history.Record
 	data      []byte
 	urgent    bool // appended without the delay of grantLinger
 	queuedAt  time.Time
 	done      chan struct{} // closed once err is set
+	budget    chan struct{} // closed once the budget part is safe or err is set
 	err       error
 	finished  bool // done is closed
 	protected bool // safe, but not yet in its partition in the store
+	copied    bool // enough peers hold a copy of its budget part
+}
+
+// copyData returns the encoded budget part of the record.
+func (e *entry) copyData() ([]byte, error) {
+	if e.record.Kind != history.RecordTurn {
+		return e.data, nil
+	}
+	return e.record.BudgetPart().Encode()
 }
 
 // leader is the partition leader: the instance part that holds one partition. It is the only writer of the
@@ -308,8 +318,12 @@
 	var copies [][]byte
 	for _, list := range [][]*entry{ld.inFlight, ld.pending} {
 		for _, e := range list {
-			if e.record.Kind != history.RecordClaim && (e.protected || !ld.stalledSince.IsZero()) {
-				copies = append(copies, e.data)
+			if e.record.Kind != history.RecordClaim && (e.copied || e.protected || !ld.stalledSince.IsZero()) {
+				if data, err := e.copyData(); err != nil {
+					ld.logger.WithFields(logrus.Fields{"call": e.record.Turn, "reason": err.Error()}).Warn("record not kept as a copy")
+				} else {
+					copies = append(copies, data)
+				}
 			}
 			e.finish(errNotHolder)
 		}
@@ -458,7 +472,7 @@
 			e.finish(nil)
 		}
 		ld.inFlight, ld.stalledSince = nil, time.Time{}
-		flushed := hasProtected(batch) && !hasProtected(ld.pending)
+		flushed := hasCopies(batch) && !hasCopies(ld.pending)
 		ld.mu.Unlock()
 		if flushed {
 			ld.announceStored(ld.part.Part, ld.epoch)
@@ -466,9 +480,10 @@
 	}
 }
 
-func hasProtected(list []*entry) bool {
+// hasCopies reports whether peers may hold copies of some of the records.
+func hasCopies(list []*entry) bool {
 	for _, e := range list {
-		if e.protected {
+		if e.copied || e.protected {
 			return true
 		}
 	}
@@ -612,6 +627,18 @@
 	}
 	e.finished, e.err = true, err
 	close(e.done)
+	if !e.copied {
+		close(e.budget)
+	}
+}
+
+// markCopied records that enough peers hold a copy of the budget part. The caller holds the lock of the leader.
+func (e *entry) markCopied() {
+	if e.copied || e.finished {
+		return
+	}
+	e.copied = true
+	close(e.budget)
 }
 
 // enqueue queues a record for an append. The caller holds the lock.
@@ -620,7 +647,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &entry{record: r, data: data, urgent: urgent, queuedAt: time.Now(), done: make(chan struct{})}
+	e := &entry{record: r, data: data, urgent: urgent, queuedAt: time.Now(), done: make(chan struct{}), budget: make(chan struct{})}
 	ld.pending = append(ld.pending, e)
 	ld.recentSums[xxhash.Sum64(data)] = e.queuedAt
 	select {
@@ -745,7 +772,8 @@
 	}
 }
 
-// confirm waits until the grant of an attempt is safe.
+// confirm waits until the grant of an attempt is safe. The grant may be part of the record of a turn, whose text may
+// still wait for the store.
 func (ld *leader) confirm(ctx context.Context, program, attempt string) error {
 	ld.mu.Lock()
 	reserved, e := ld.state.HasReservation(program, attempt), ld.latestGrants[program]
@@ -757,13 +785,26 @@
 	if e == nil {
 		return nil
 	}
-	return ld.wait(ctx, e)
+	if err := await(ctx, e.budget); err != nil {
+		return err
+	}
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	return e.err
 }
 
+// wait waits until the record is safe.
 func (ld *leader) wait(ctx context.Context, e *entry) error {
+	if err := await(ctx, e.done); err != nil {
+		return err
+	}
+	return e.err
+}
+
+func await(ctx context.Context, done <-chan struct{}) error {
 	select {
-	case <-e.done:
-		return e.err
+	case <-done:
+		return nil
 	case <-ctx.Done():
 		return ctx.Err()
 	}
