ledger: a repeated adoption waits until the store has the turn

Cause: a turn whose partition accepts no records is written to another partition, in tries of 0.3 s. A try that ran out of time left the turn in the memory of that partition's leader, and the next try was answered at once because the turn was there. The logs had 31 such lines ("turn written to another partition") while no call to the store succeeded.

The leader now acknowledges a turn that it has already only once the store has it.

--- a/internal/ledger/leader.go
+++ b/internal/ledger/leader.go
@@ -870,7 +870,7 @@
 	return nil, false, ld.barrier(ctx)
 }
 
-// adopt adds a turn of another partition with the text of its chain.
+// adopt adds a turn of another partition with the text of its chain. It returns once the store has the turn.
 func (ld *leader) adopt(ctx context.Context, turn string, body []byte, retention time.Duration) error {
 	if err := ld.awaitReady(ctx); err != nil {
 		return err
@@ -883,8 +883,10 @@
 	if ld.state.HasTurn(turn) {
 		stored := ld.state.Stored(turn)
 		ld.mu.Unlock()
-		ld.logger.WithFields(logrus.Fields{"call": turn, "status": storedStatus(stored)}).Info("turn to be adopted is here already")
-		return nil
+		if stored {
+			return nil
+		}
+		return ld.barrier(ctx) // an earlier adoption may still wait for the store
 	}
 	var e *entry // of the last record, which completes the turn
 	var err error
@@ -900,13 +902,6 @@
 	return ld.wait(ctx, e)
 }
 
-func storedStatus(stored bool) string {
-	if stored {
-		return "stored"
-	}
-	return "not_stored"
-}
-
 // expire drops expired entries from memory and, every trimInterval, from the store.
 func (ld *leader) expire(ctx context.Context, retention time.Duration) {
 	now := time.Now()
