ledger: a turn that ends at a new holder keeps the chain before it

Cause: at 16.6 s the holder of partition 9 loses the store; until 17.83 s it writes complete turns to other partitions. Then the partition gets a new holder, whose copies no longer carry texts. A turn that began at the earlier holder ends at the new one, and its record names a previous turn that the partition does not have: the chain is broken and the turn counts as unknown from the next turn on. The same could happen before where the copies did not reach the new holder. The class of fault: a reference whose target is not in the same partition.

The holder now adopts the previous turn before it records one that names it; if the previous turn is nowhere, the turn is not acknowledged. TestChainOverAnotherPartitionAndAChangeOfHolder failed before ("records may have been lost"), with the turn t3.

--- a/internal/ledger/durability_test.go
+++ b/internal/ledger/durability_test.go
@@ -95,3 +95,20 @@
 	s.SetFault(nil)
 	must.NoError(t, a.adoptAt(within(t, 5*time.Second), other, "t1", []byte("in-t1;out-t1;")))
 }
+
+// A turn was written to another partition, and its own partition has changed its holder since: the next turn that
+// ends there must not lose the chain before it.
+func TestChainOverAnotherPartitionAndAChangeOfHolder(t *testing.T) {
+	s := storestand.New(2)
+	a := start(t, "a", 2, s)
+	runTurn(t, a, "p", "t0", "")
+	other := 1 - a.part("p")
+	must.NoError(t, a.adoptAt(within(t, 5*time.Second), other, "t1", []byte("in-t1;out-t1;")))
+	must.NoError(t, a.End(within(t, 5*time.Second), history.End{
+		Program: "p", Turn: "t2", Previous: "t1", Complete: true, Input: []byte("in-t2;"), Output: []byte("out-t2;"), Tokens: 5, Retention: testRetention,
+	}))
+	must.Eq(t, "in-t1;out-t1;in-t2;out-t2;", runTurn(t, a, "p", "t3", "t2"))
+	must.Error(t, a.End(within(t, 300*time.Millisecond), history.End{
+		Program: "p", Turn: "t4", Previous: "never", Complete: true, Input: []byte("in-t4;"), Output: []byte("out-t4;"), Tokens: 5, Retention: testRetention,
+	}))
+}
--- a/internal/ledger/leader.go
+++ b/internal/ledger/leader.go
@@ -51,8 +51,9 @@
 
 // Errors of a leader.
 var (
-	errNotHolder = errors.New("partition is held by another instance")
-	errStopping  = errors.New("instance stops")
+	errNotHolder  = errors.New("partition is held by another instance")
+	errStopping   = errors.New("instance stops")
+	errNoPrevious = errors.New("partition lacks the previous turn")
 )
 
 // entry is a record that is queued for, or part of, an append. The record is safe once it is in the store, or
@@ -810,8 +811,9 @@
 	}
 }
 
-// end applies the end of an attempt. For a complete turn it waits until the record is safe. The end of a turn
-// that has ended already is a repetition; then it waits until the earlier records are in the store.
+// end applies the end of an attempt. For a complete turn it waits until the record is safe; it returns errNoPrevious if
+// the partition lacks the turn before it. The end of a turn that has ended already is a repetition; then it waits until
+// the earlier records are in the store.
 func (ld *leader) end(ctx context.Context, end history.End) error {
 	if err := ld.awaitReady(ctx); err != nil {
 		return err
@@ -821,6 +823,10 @@
 		ld.mu.Unlock()
 		return errNotHolder
 	}
+	if end.Complete && end.Previous != "" && !ld.state.HasTurn(end.Previous) {
+		ld.mu.Unlock()
+		return errNoPrevious
+	}
 	record, isNew := ld.state.End(end, time.Now())
 	if !isNew {
 		ld.mu.Unlock()
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -628,10 +628,23 @@
 func (l *Ledger) End(ctx context.Context, e history.End) error {
 	part := l.part(e.Program)
 	return l.ask(ctx, part, func(ctx context.Context, ld *leader) error {
-		return ld.end(ctx, e)
+		return l.endAt(ctx, ld, e)
 	}, wire.TurnEnd{Part: part, End: e}, expectAck)
 }
 
+// endAt applies the end of an attempt at the holder of its partition. The partition lacks the previous turn if an earlier
+// holder could write that only to another partition; it is adopted first, so that the chain stays whole.
+func (l *Ledger) endAt(ctx context.Context, ld *leader, e history.End) error {
+	err := ld.end(ctx, e)
+	if !errors.Is(err, errNoPrevious) {
+		return err
+	}
+	if err := l.adopt(ctx, ld.part.Part, e.Previous); err != nil {
+		return fmt.Errorf("previous turn %s: %w", e.Previous, err)
+	}
+	return ld.end(ctx, e)
+}
+
 // adopt finds a turn in another partition and adds it with its chain to the given one.
 func (l *Ledger) adopt(ctx context.Context, part int, turn string) error {
 	body, err := l.find(ctx, turn)
@@ -737,7 +750,7 @@
 	case wire.TurnConfirm:
 		return true, l.withLeaderAck(ctx, r, m.Part, func(ld *leader) error { return ld.confirm(ctx, m.Program, m.Turn) })
 	case wire.TurnEnd:
-		return true, l.withLeaderAck(ctx, r, m.Part, func(ld *leader) error { return ld.end(ctx, m.End) })
+		return true, l.withLeaderAck(ctx, r, m.Part, func(ld *leader) error { return l.endAt(ctx, ld, m.End) })
 	case wire.TurnAdopt:
 		return true, l.withLeaderAck(ctx, r, m.Part, func(ld *leader) error { return ld.adopt(ctx, m.Turn, m.Body, m.Retention) })
 	case wire.HistoryHold:
