history: a chain outlives a new holder as long as its newest turn

A new holder reads the records of its partition and left out turns that were older than their retention, also where a later turn continues them. The chain of the later turn was broken, and its caller got 404 within the retention. The state that had not been read again kept such turns.

All turns are loaded, and what nothing continues is dropped by the next expiry, 2 s later at most. TestChainOutlivesANewHolder failed before.

--- a/internal/history/history_test.go
+++ b/internal/history/history_test.go
@@ -36,6 +36,24 @@
 	must.Eq(t, 0, s.Turns())
 }
 
+// A holder that reads the records again keeps a chain as long as its newest turn, also where the first turns alone would
+// have expired.
+func TestChainOutlivesANewHolder(t *testing.T) {
+	s := NewState()
+	records := []Record{endTurn(s, "a", "", start), endTurn(s, "b", "a", start.Add(50*time.Second))}
+	for _, at := range []time.Duration{100 * time.Second, 130 * time.Second} {
+		now := start.Add(at)
+		s = NewState()
+		for i, r := range records {
+			s.Load(r, int64(i), now, now)
+		}
+		s.Expire(now, time.Minute)
+		_, ok := s.Body("b")
+		must.Eq(t, at < 120*time.Second, ok)
+		must.Eq(t, ok, s.HasTurn("a"))
+	}
+}
+
 // A turn that fits into the budget only if running turns use less than their reservations waits for them. It is
 // refused only when the tokens already spent leave no room.
 func TestBudgetWaitsForRunningTurns(t *testing.T) {
--- a/internal/history/state.go
+++ b/internal/history/state.go
@@ -323,7 +323,8 @@
 	case RecordTurn, RecordEnd:
 		s.applyEnd(r, now)
 	}
-	if r.Kind == RecordTurn && age < r.retention()+retentionSlack {
+	// A turn that is older than its retention may be needed by a later one that continues it; Expire drops the others.
+	if r.Kind == RecordTurn {
 		s.turns[r.Turn] = &turn{offset: noOffset, previous: r.Previous, input: r.Input, output: r.Output}
 		s.maxRetention = max(s.maxRetention, r.retention())
 		s.extendRetention(r.Turn, now.Add(r.retention()+retentionSlack-age))
