ledger: a read without records is not the end of a partition

A new holder that read no records took the partition for read, up to its end, and claimed it: every turn in the part that it had not read would have been denied with 404. The holder reads on now. TestReadWithoutRecordsIsNotTheEnd failed before.

--- a/internal/ledger/durability_test.go
+++ b/internal/ledger/durability_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -112,3 +113,29 @@
 		Program: "p", Turn: "t4", Previous: "never", Complete: true, Input: []byte("in-t4;"), Output: []byte("out-t4;"), Tokens: 5, Retention: testRetention,
 	}))
 }
+
+// shortReads is a store whose first reads return no records although the partition goes on.
+type shortReads struct {
+	*storestand.Store
+	left atomic.Int32
+}
+
+func (r *shortReads) Read(ctx context.Context, p store.Partition, from int64, maxBytes int, wait time.Duration) (store.Batch, error) {
+	b, err := r.Store.Read(ctx, p, from, maxBytes, wait)
+	if r.left.Add(-1) >= 0 {
+		b.Records = nil
+	}
+	return b, err
+}
+
+// A read without records that does not reach the end of the partition must not pass for all of it.
+func TestReadWithoutRecordsIsNotTheEnd(t *testing.T) {
+	s := storestand.New(1)
+	a := start(t, "a", 1, s)
+	runTurn(t, a, "p", "t1", "")
+	a.kill()
+	<-a.done
+	r := &shortReads{Store: s}
+	r.left.Store(2)
+	must.Eq(t, "in-t1;out-t1;", runTurn(t, start(t, "b", 1, r), "p", "t2", "t1"))
+}
--- a/internal/ledger/leader.go
+++ b/internal/ledger/leader.go
@@ -54,6 +54,7 @@
 	errNotHolder  = errors.New("partition is held by another instance")
 	errStopping   = errors.New("instance stops")
 	errNoPrevious = errors.New("partition lacks the previous turn")
+	errShortRead  = errors.New("read returned no records before the end of the partition")
 )
 
 // entry is a record that is queued for, or part of, an append. The record is safe once it is in the store, or
@@ -344,13 +345,13 @@
 	for {
 		end, n, err := ld.load(ctx, from)
 		records += n
+		from = end
 		if err != nil {
 			if err := ld.pause(ctx, "read", err); err != nil {
 				return err
 			}
 			continue
 		}
-		from = end
 		if ld.epoch, err = nextEpoch(ld.generation, ld.state.Epoch()); err != nil {
 			return err
 		}
@@ -415,8 +416,11 @@
 		ld.mu.Unlock()
 		count += len(b.Records)
 		from += int64(len(b.Records))
-		if from >= b.End || len(b.Records) == 0 {
-			return max(from, b.End), count, nil
+		if from >= b.End {
+			return from, count, nil
+		}
+		if len(b.Records) == 0 {
+			return from, count, fmt.Errorf("%w: end %d, first %d", errShortRead, b.End, b.First)
 		}
 	}
 }
