gateway: the end of a turn at its endpoint frees its place at once

Turns whose end waits for the store kept their place in the admission queue until the caller had left, so that the rate at which endpoints serve turns seemed to fall to nothing in an outage, and others were rejected as if the endpoints were full.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -53,7 +53,9 @@
 	g      *Gateway
 	key    queueKey
 	target target
-	used   bool
+
+	used     bool
+	released bool
 }
 
 // use returns the endpoint, once.
@@ -63,11 +65,16 @@
 	return s.target, first
 }
 
-// release tells the balancer and the waiting turns that the turn has ended, or that it was not sent.
+// release tells the balancer and the waiting turns that the turn has ended at its endpoint, or that it was not sent.
+// Only the first call has an effect.
 func (s *slot) release() {
 	now := time.Now()
 	s.g.mu.Lock()
 	defer s.g.mu.Unlock()
+	if s.released {
+		return
+	}
+	s.released = true
 	if !s.used {
 		s.g.balancer.Ended(s.target.ID, s.target.number, balance.Abandoned, 0, now)
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -45,6 +45,7 @@
 	progress       *resume.Stream
 	responding     bool // the response to the caller has begun
 	begun          bool // an earlier turn of the program was served
+	slot           *slot
 }
 
 // serveStream serves a request whose response is forwarded event by event. The request is sent to a second
@@ -77,17 +78,18 @@
 	if slot == nil {
 		return
 	}
+	t.slot = slot
 	defer slot.release()
-	t.run(ctx, service, slot)
+	t.run(ctx, service)
 }
 
 // run sends the turn to endpoints until one of them has served it.
-func (t *turn) run(ctx context.Context, service string, slot *slot) {
+func (t *turn) run(ctx context.Context, service string) {
 	q := t.request
 	confirmed := t.confirm(ctx)
 	done := q.tryEndpoints(
 		func() (target, bool) {
-			if e, ok := slot.use(); ok {
+			if e, ok := t.slot.use(); ok {
 				return e, true
 			}
 			return q.pick(service, q.g.affinity.savings(q.meta, t.prefix))
@@ -302,6 +304,7 @@
 	q.g.mu.Unlock()
 	q.attemptEnded(e, balance.Served, took)
 	q.endpointGoesOn()
+	t.slot.release() // the end of the response may wait for the store
 	ended := time.Now()
 	if q.route.History {
 		if err := t.recordTurn(ctx); err != nil {
