ledger: an epoch that was used before is not claimed again

Cause: the newest epoch of a partition is known from claim records alone. The store deletes these by age, and so did the holder's own trimming. An instance that restarts within a generation of the group (memberships pause in an outage, so a kill of all is such a case) then claims under an epoch of its earlier run: the store takes the claim and the first appends for repetitions and answers them like the first ones, so that a turn is acknowledged that was never stored, or refuses every claim, so that the partition has no holder.

A claim whose response names another offset, or whose sequence or epoch is refused, takes the next epoch. Holders repeat their claim every 30 s and never trim past it. What is loaded of a partition is not expired before all of it is there.

--- a/internal/ledger/durability_test.go
+++ b/internal/ledger/durability_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -139,3 +140,99 @@
 	r.left.Store(2)
 	must.Eq(t, "in-t1;out-t1;", runTurn(t, start(t, "b", 1, r), "p", "t2", "t1"))
 }
+
+// partitionRefused is a store that accepts no appends of one instance to one partition.
+type partitionRefused struct {
+	*storestand.Store
+	part    int
+	refused *atomic.Bool
+}
+
+func (r partitionRefused) Append(ctx context.Context, a store.AppendRequest) (int64, error) {
+	if r.refused.Load() && a.Partition.Part == r.part {
+		return 0, store.ErrUnavailable
+	}
+	return r.Store.Append(ctx, a)
+}
+
+// A turn is acknowledged by an alternate partition, and the holder ends while the turn after it runs. The end of that
+// turn reaches the next holder, which does not have the turn before it.
+func TestTurnOfAnEarlierHolderIsFoundWithItsChain(t *testing.T) {
+	left := endAtTheNextHolder(t)
+	must.Eq(t, "in-t1;out-t1;in-t2;out-t2;in-t3;out-t3;", runTurn(t, left[1], "p", "t4", "t3"))
+}
+
+// endAtTheNextHolder runs t1, t2 and t3 of program p. t2 is acknowledged by an alternate partition alone; t3 begins at
+// the holder that has t2 in memory, and ends at the next one. It returns the instances that are left.
+func endAtTheNextHolder(t *testing.T) (left []*instance) {
+	t.Helper()
+	s := storestand.New(4)
+	refused := atomic.Bool{}
+	part := New(Config{Parts: 4}).part("p")
+	var holder *instance
+	for _, name := range []string{"a", "b", "c", "d"} {
+		left = append(left, start(t, name, 4, partitionRefused{s, part, &refused}))
+	}
+	runTurn(t, left[0], "p", "t1", "")
+	time.Sleep(800 * time.Millisecond) // for connections between all pairs
+	refused.Store(true)
+	runTurn(t, left[0], "p", "t2", "t1")
+	for n, x := range left {
+		if x.Holds("p") {
+			holder, left = x, slices.Delete(left, n, n+1)
+			break
+		}
+	}
+	must.NotNil(t, holder)
+	ctx := within(t, 8*time.Second)
+	_, err := left[0].Begin(ctx, history.Begin{Program: "p", Turn: "t3", Previous: "t2"})
+	must.NoError(t, err)
+	holder.kill()
+	<-holder.done
+	refused.Store(false)
+	must.NoError(t, left[0].End(ctx, history.End{
+		Program: "p", Turn: "t3", Previous: "t2", Complete: true, Input: []byte("in-t3;"), Output: []byte("out-t3;"), Tokens: 5, Reserved: 10, Retention: testRetention,
+	}))
+	return left
+}
+
+// restart kills an instance whose membership stays, and starts it again under its name.
+func restart(t *testing.T, a *instance, parts int, s *storestand.Store) *instance {
+	t.Helper()
+	s.SetFault(func(call string, _ store.Partition) storestand.Fault {
+		if call == "leave" {
+			return storestand.Refuse
+		}
+		return storestand.None
+	})
+	a.kill()
+	<-a.done
+	return start(t, a.cfg.Instance, parts, renamed{s, a.cfg.Instance + "@" + a.cfg.PeerAddr})
+}
+
+func trimAll(t *testing.T, s *storestand.Store, part int) {
+	t.Helper()
+	p := store.Partition{Topic: topic, Part: part}
+	b, err := s.Read(context.Background(), p, 0, 1<<20, 0)
+	must.NoError(t, err)
+	must.NoError(t, s.Trim(context.Background(), p, b.End))
+}
+
+// The claim of a quiet partition has expired in the store when its holder restarts within a generation: the holder
+// claims under the same epoch, and its first appends count as repetitions of those of the earlier run.
+func TestRestartAfterTheClaimExpired(t *testing.T) {
+	for _, turns := range []int{1, 6} { // fewer and more appends than the store remembers the responses of
+		t.Run(fmt.Sprint(turns, " turns"), func(t *testing.T) {
+			s := storestand.New(1)
+			a := start(t, "a", 1, s)
+			for i := range turns {
+				runTurn(t, a, "p", fmt.Sprint("t", i), "")
+			}
+			trimAll(t, s, 0)
+			b := restart(t, a, 1, s)
+			runTurn(t, b, "p", "u", "")
+			c := restart(t, b, 1, s)
+			must.Eq(t, "in-u;out-u;", runTurn(t, c, "p", "v", "u"))
+		})
+	}
+}
--- a/internal/ledger/leader.go
+++ b/internal/ledger/leader.go
@@ -43,6 +43,9 @@
 	trimInterval = 20 * time.Second
 	// trimMargin is how long records are kept in the store beyond the longest retention.
 	trimMargin = 30 * time.Second
+	// claimRefreshInterval is the time between repetitions of a claim. The newest claim names the epoch, so it must
+	// outlive the records that the store deletes by their age.
+	claimRefreshInterval = 30 * time.Second
 )
 
 // producer is the producer ID of history in the fences of the store. All holders share it, so that the epoch
@@ -55,6 +58,7 @@
 	errStopping   = errors.New("instance stops")
 	errNoPrevious = errors.New("partition lacks the previous turn")
 	errShortRead  = errors.New("read returned no records before the end of the partition")
+	errEpochUsed  = errors.New("epoch was used before")
 )
 
 // entry is a record that is queued for, or part of, an append. The record is safe once it is in the store, or
@@ -123,6 +127,8 @@
 	offsetMarks   []offsetMark
 	lastTrim      time.Time
 	claimedAt     time.Time
+	claimOffset   int64                // of the newest claim record
+	claimStoredAt time.Time            // when that was stored
 	recentSums    map[uint64]time.Time // of records of the last copyTTL, so that copies of them are not fetched again
 
 	offerMu sync.Mutex // held while offered copies are fetched
@@ -341,8 +347,8 @@
 // that the state includes every record before the claim.
 func (ld *leader) claim(ctx context.Context) error {
 	start := time.Now()
-	from, records := int64(0), 0
-	for {
+	from, records, used := int64(0), 0, int64(0)
+	for tries := 0; ; {
 		end, n, err := ld.load(ctx, from)
 		records += n
 		from = end
@@ -352,7 +358,7 @@
 			}
 			continue
 		}
-		if ld.epoch, err = nextEpoch(ld.generation, ld.state.Epoch()); err != nil {
+		if ld.epoch, err = nextEpoch(ld.generation, max(ld.state.Epoch(), used)); err != nil {
 			return err
 		}
 		if err = ld.appendClaim(ctx, from); err == nil {
@@ -361,20 +367,28 @@
 		var moved *store.MovedError
 		switch {
 		case errors.As(err, &moved):
-		case errors.Is(err, store.ErrFenced):
-			return err
+		case errors.Is(err, errEpochUsed) || errors.Is(err, store.ErrFenced):
+			// The claims of earlier runs in this generation have expired in the store, or a later generation has begun.
+			if tries++; tries == maxEpochTries {
+				return err
+			}
+			used = ld.epoch
 		default:
 			if err := ld.pause(ctx, "claim", err); err != nil {
 				return err
 			}
 		}
 	}
+	ld.claimOffset, ld.claimStoredAt = from, time.Now()
 	ld.logger.WithFields(logrus.Fields{
 		"epoch": ld.epoch, "count": records, "offset": from, "took": time.Since(start).Milliseconds(), "turns": ld.state.Turns(),
 	}).Info("partition claimed")
 	return nil
 }
 
+// maxEpochTries limits the epochs that a claim tries. Each restart of an instance within a generation uses one.
+const maxEpochTries = 16
+
 // epochsPerGeneration is the number of epochs within a group generation. An instance that restarts within a
 // generation claims its partitions again, under a new epoch.
 const epochsPerGeneration = 1 << 16
@@ -431,19 +445,23 @@
 	return ld.storeLog.Read(ctx, ld.part, from, maxReadBytes, 0)
 }
 
+// appendClaim appends a claim under the epoch of the leader. It returns errEpochUsed if the store takes it for a repetition
+// of an append of an earlier run, which is answered like the first one.
 func (ld *leader) appendClaim(ctx context.Context, at int64) error {
-	data, err := history.Record{
-		Kind: history.RecordClaim, At: time.Now().UnixMilli(), Epoch: ld.epoch, Holder: ld.instance,
-	}.Encode()
+	data, err := ld.claimRecord().Encode()
 	if err != nil {
 		return err
 	}
 	actx, cancel := context.WithTimeout(ctx, maxAppendTimeout)
 	defer cancel()
-	_, err = ld.storeLog.Append(actx, store.AppendRequest{
+	end, err := ld.storeLog.Append(actx, store.AppendRequest{
 		Partition: ld.part, Records: [][]byte{data}, Producer: producer, Epoch: ld.epoch, Sequence: 0, ExpectedEnd: at,
 	})
 	ld.onResult(err)
+	var sequence *store.SequenceError
+	if errors.As(err, &sequence) || err == nil && end != at+1 {
+		return fmt.Errorf("claim under epoch %d: %w", ld.epoch, errEpochUsed)
+	}
 	return err
 }
 
@@ -473,7 +491,11 @@
 		ld.sequence++
 		ld.mu.Lock()
 		for n, e := range batch {
-			ld.state.MarkStored(e.record, end-int64(len(batch)-n))
+			offset := end - int64(len(batch)-n)
+			ld.state.MarkStored(e.record, offset)
+			if e.record.Kind == history.RecordClaim {
+				ld.claimOffset, ld.claimStoredAt = offset, time.Now()
+			}
 			e.finish(nil)
 		}
 		ld.inFlight, ld.stalledSince = nil, time.Time{}
@@ -849,6 +871,10 @@
 	return ld.wait(ctx, e)
 }
 
+func (ld *leader) claimRecord() history.Record {
+	return history.Record{Kind: history.RecordClaim, At: time.Now().UnixMilli(), Epoch: ld.epoch, Holder: ld.instance}
+}
+
 // barrier waits until all records that are queued now are in the store.
 func (ld *leader) barrier(ctx context.Context) error {
 	ld.mu.Lock()
@@ -856,8 +882,7 @@
 		ld.mu.Unlock()
 		return errNotHolder
 	}
-	record := history.Record{Kind: history.RecordClaim, At: time.Now().UnixMilli(), Epoch: ld.epoch, Holder: ld.instance}
-	e, err := ld.enqueue(record, true)
+	e, err := ld.enqueue(ld.claimRecord(), true)
 	ld.mu.Unlock()
 	if err != nil {
 		return err
@@ -914,6 +939,9 @@
 
 // expire drops expired entries from memory and, every trimInterval, from the store.
 func (ld *leader) expire(ctx context.Context, retention time.Duration) {
+	if !ld.isServing() {
+		return
+	}
 	now := time.Now()
 	ld.mu.Lock()
 	ld.state.Expire(now, retention)
@@ -935,7 +963,13 @@
 			ld.offsetMarks = ld.offsetMarks[1:]
 		}
 	}
-	before = min(before, ld.state.OldestOffset())
+	before = min(before, ld.state.OldestOffset(), ld.claimOffset)
+	if now.Sub(ld.claimStoredAt) > claimRefreshInterval && ld.stalledSince.IsZero() {
+		ld.claimStoredAt = now
+		if _, err := ld.enqueue(ld.claimRecord(), false); err != nil {
+			ld.logger.WithField("reason", err.Error()).Warn("claim not repeated")
+		}
+	}
 	ld.mu.Unlock()
 	if before == 0 {
 		return
