ledger: a turn in another partition is kept for its own retention

A turn that its own partition could not take was written to another one with the longest retention that the holder knew of, which is 0 until its configuration is known: it expired after 10 s. TestAlternateKeepsATurnForItsRetention failed before.

--- a/internal/ledger/copies.go
+++ b/internal/ledger/copies.go
@@ -287,7 +287,7 @@
 	err := fmt.Errorf("no alternate partition: %w", ErrUnavailable)
 	for _, part := range l.alternates(reaching, ld.part.Part) {
 		actx, cancel := context.WithTimeout(ctx, copyTimeout)
-		err = l.adoptAt(actx, part, r.Turn, body)
+		err = l.adoptAt(actx, part, r.Turn, body, time.Duration(r.RetentionMs)*time.Millisecond)
 		cancel()
 		if err == nil {
 			ld.logger.WithFields(logrus.Fields{"call": r.Turn, "name": fmt.Sprint("partition ", part)}).Info("turn written to another partition")
--- a/internal/ledger/durability_test.go
+++ b/internal/ledger/durability_test.go
@@ -91,11 +91,11 @@
 	})
 	for range 2 {
 		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
-		must.Error(t, a.adoptAt(ctx, other, "t1", []byte("in-t1;out-t1;")))
+		must.Error(t, a.adoptAt(ctx, other, "t1", []byte("in-t1;out-t1;"), testRetention))
 		cancel()
 	}
 	s.SetFault(nil)
-	must.NoError(t, a.adoptAt(within(t, 5*time.Second), other, "t1", []byte("in-t1;out-t1;")))
+	must.NoError(t, a.adoptAt(within(t, 5*time.Second), other, "t1", []byte("in-t1;out-t1;"), testRetention))
 }
 
 // A turn was written to another partition, and its own partition has changed its holder since: the next turn that
@@ -105,7 +105,7 @@
 	a := start(t, "a", 2, s)
 	runTurn(t, a, "p", "t0", "")
 	other := 1 - a.part("p")
-	must.NoError(t, a.adoptAt(within(t, 5*time.Second), other, "t1", []byte("in-t1;out-t1;")))
+	must.NoError(t, a.adoptAt(within(t, 5*time.Second), other, "t1", []byte("in-t1;out-t1;"), testRetention))
 	must.NoError(t, a.End(within(t, 5*time.Second), history.End{
 		Program: "p", Turn: "t2", Previous: "t1", Complete: true, Input: []byte("in-t2;"), Output: []byte("out-t2;"), Tokens: 5, Retention: testRetention,
 	}))
@@ -236,3 +236,20 @@
 		})
 	}
 }
+
+// An instance that does not know the configuration yet holds a partition that accepts no records. The turn is written
+// to another partition, where it must be kept for the retention of its route.
+func TestAlternateKeepsATurnForItsRetention(t *testing.T) {
+	s := storestand.New(2)
+	a := start(t, "a", 2, s)
+	a.SetRetention(0)
+	runTurn(t, a, "p", "t1", "")
+	other := 1 - a.part("p")
+	r := history.Record{Kind: history.RecordTurn, Turn: "t1", RetentionMs: testRetention.Milliseconds()}
+	must.NoError(t, a.writeAlternate(within(t, 5*time.Second), a.leader(a.part("p")), r, map[string]bool{"a": true}))
+	ld := a.leader(other)
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	ld.state.Expire(time.Now().Add(testRetention/2), 0)
+	must.True(t, ld.state.HasTurn("t1"), must.Sprint("expired after half of its retention"))
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -651,13 +651,13 @@
 	if err != nil {
 		return err
 	}
-	return l.adoptAt(ctx, part, turn, body)
+	return l.adoptAt(ctx, part, turn, body, 0)
 }
 
-// adoptAt adds the chain of a turn to a partition.
-func (l *Ledger) adoptAt(ctx context.Context, part int, turn string, body []byte) error {
+// adoptAt adds the chain of a turn to a partition, for the longest known retention and at least the given one.
+func (l *Ledger) adoptAt(ctx context.Context, part int, turn string, body []byte, retention time.Duration) error {
 	l.mu.Lock()
-	retention := l.retention
+	retention = max(retention, l.retention)
 	l.mu.Unlock()
 	return l.ask(ctx, part, func(ctx context.Context, ld *leader) error {
 		return ld.adopt(ctx, turn, body, retention)
