--- a/internal/ledger/leader.go
+++ b/internal/ledger/leader.go
@@ -62,7 +62,8 @@
 )
 
 // entry is a record that is queued for, or part of, an append. The record is safe once it is in the store, or
-// protected: a complete turn by another partition, any other record by copies that peers hold.
+// protected: a complete turn by another partition, any other record by copies that peers hold. Records that were
+// taken over from copies of an earlier holder count as protected.
 type entry struct {
 	record    history.Record
 	data      []byte
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -5,8 +5,8 @@
 // and routes requests to the holders of the other partitions. The leader of a partition claims it under the
 // generation of the group, reads all of its records, and then serves it from memory and appends every change.
 // The store fences appends by epoch, so that a holder that was replaced without noticing can write nothing
-// more. Callers get a confirmation only for what is in the store or, while the store accepts no records, in the
-// memory of several peers.
+// more. A complete turn is confirmed only once it is in the store; what programs have spent is confirmed, while the
+// store accepts no records, once several peers hold it in memory.
 package ledger
 
 import (
@@ -623,8 +623,8 @@
 	return fmt.Errorf("%w: %w", ErrUnavailable, ctx.Err())
 }
 
-// End reports the end of an attempt. For a complete turn it returns once the turn is in the store (in another
-// partition while its own accepts no records) or, during an outage, held as copies by peers.
+// End reports the end of an attempt. For a complete turn it returns once the turn is in the store, in another partition
+// while its own accepts no records.
 func (l *Ledger) End(ctx context.Context, e history.End) error {
 	part := l.part(e.Program)
 	return l.ask(ctx, part, func(ctx context.Context, ld *leader) error {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -313,10 +313,18 @@
 	for range all[1:] {
 		must.True(t, <-acknowledged)
 	}
-	for i := 1; i < len(all); i++ {
-		got := runTurn(t, all[1], fmt.Sprint("p", i), fmt.Sprint("v", i), fmt.Sprint("u", i))
-		must.Eq(t, fmt.Sprintf("in-t%d;out-t%d;in-u%d;out-u%d;", i, i, i, i), got)
+	find := func(through *instance, turn string) {
+		for i := 1; i < len(all); i++ {
+			got := runTurn(t, through, fmt.Sprint("p", i), fmt.Sprint(turn, i), fmt.Sprint("u", i))
+			must.Eq(t, fmt.Sprintf("in-t%d;out-t%d;in-u%d;out-u%d;", i, i, i, i), got)
+		}
+	}
+	find(all[1], "v")
+	for _, x := range all[1:] {
+		x.kill()
+		<-x.done
 	}
+	find(start(t, "e", 3, s), "w")
 }
 
 // A holder is killed during the outage. Its peers hold copies of what its programs spent, whether their turns ended
