gateway, discovery: an entry that cannot be decoded replaces the earlier one

When the entry of a listed endpoint was replaced by one that cannot be decoded, the instance went on sending requests by the earlier entry, with only a debug line. An instance that had just started, and so reads only the newest entries, did not use the endpoint. The newest entry is the state of its key: one with a state that is not known here may say that the endpoint must not be used, and such an entry names no endpoint.

The endpoint is dropped at once, also within the grace period after an outage, which is for entries that expired. The line is a warning, one for each such entry. The endpoint is back with its next valid entry.

Before: TestOddEntryReplacesTheEarlierOne saw three endpoints where two are left.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -77,6 +77,13 @@
 	return true
 }
 
+// Drop removes an entry at once, also shortly after an outage. It reports whether there was one.
+func (l *List) Drop(id string) bool {
+	_, ok := l.entries[id]
+	delete(l.entries, id)
+	return ok
+}
+
 // Retain applies a complete list: it removes all entries whose IDs are not in ids, as Remove does, and
 // returns the IDs that were dropped or became suspect.
 func (l *List) Retain(ids map[string]bool, now time.Time) (removed []string) {
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -221,7 +221,14 @@
 	}
 	e, err := v.topics.DecodeEndpoint(r.Key, r.Value)
 	if err != nil {
-		v.log.WithFields(logrus.Fields{"offset": r.Offset, "reason": err.Error()}).Debug("skipping endpoint entry that cannot be decoded")
+		// An earlier entry of the same key no longer holds: this one may stand for a state that is not known here.
+		delete(v.endpointRecords, r.Key)
+		line := v.log.WithFields(logrus.Fields{"endpoint": r.Key, "offset": r.Offset, "reason": err.Error()})
+		if v.list.Drop(r.Key) {
+			line.Warn("endpoint dropped; its newest entry cannot be decoded")
+			return true
+		}
+		line.Debug("skipping endpoint entry that cannot be decoded")
 		return false
 	}
 	v.endpointRecords[r.Key] = r.Value
--- a/internal/gateway/view_test.go
+++ b/internal/gateway/view_test.go
@@ -27,6 +27,9 @@
 			return routing.Config{Version: int64(data[0])}, nil
 		},
 		DecodeEndpoint: func(id string, data []byte) (discovery.Endpoint, error) {
+			if string(data) == "odd" {
+				return discovery.Endpoint{}, errors.New("odd")
+			}
 			return discovery.Endpoint{ID: id, Service: "s", Addr: id, Slots: 1, Draining: string(data) == "draining"}, nil
 		},
 	}
@@ -95,3 +98,27 @@
 	must.Len(t, 1, l.Usable()["s"])
 	must.Eq(t, []string{"1"}, l.Expire(now.Add(lapseGrace)))
 }
+
+// Guards against requests to an endpoint whose newest entry can't be read: it may say that the endpoint must not be used.
+// The entry doesn't lapse, so it is dropped shortly after an outage too.
+func TestOddEntryReplacesTheEarlierOne(t *testing.T) {
+	record := func(key, value string, offset int64) store.KeyedRecord {
+		return store.KeyedRecord{Key: key, Value: []byte(value), Offset: offset}
+	}
+	for _, outage := range []bool{false, true} {
+		v := newTestView()
+		v.applyEndpointList([]store.KeyedRecord{record("1", "ready", 0), record("2", "ready", 1), record("3", "ready", 2), record("4", "odd", 3)})
+		v.endpointOffset = 4
+		if outage {
+			v.list.SetUnavailable()
+			v.list.SetAvailable(time.Now())
+		}
+		v.applyEndpointChanges([]store.KeyedRecord{record("1", "odd", 4)})
+		must.Len(t, 2, v.candidates("s"))
+		must.Len(t, 2, v.snapshot(wire.StoreViewGet{}).Endpoints)
+		v.applyEndpointList([]store.KeyedRecord{record("1", "odd", 4), record("2", "odd", 5), record("3", "ready", 2)})
+		must.Len(t, 1, v.candidates("s"))
+		v.applyEndpointChanges([]store.KeyedRecord{record("1", "ready", 6)})
+		must.Len(t, 2, v.candidates("s"))
+	}
+}
