gateway: don't keep whole responses of the store in memory

The values of changed records are parts of the response that they were read with, which has up to 1 MB. The copies that an instance keeps for its peers held on to that memory: with one far larger record of another writer in each read, each endpoint that changed kept a response of its own.

Before: TestRecordsDoNotKeepTheResponseInMemory saw the kept records change with the response. The memory of an instance was not measured.

--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"slices"
@@ -181,7 +182,7 @@
 	if old != nil && c.Version <= old.Version {
 		return
 	}
-	v.configRecord = r.Value
+	v.configRecord = bytes.Clone(r.Value)
 	t := routing.NewTable(c)
 	v.table.Store(t)
 	v.log.WithFields(logrus.Fields{"version": c.Version, "count": len(c.Routes), "offset": r.Offset}).Info("configuration applied")
@@ -231,7 +232,7 @@
 		line.Debug("skipping endpoint entry that cannot be decoded")
 		return false
 	}
-	v.endpointRecords[r.Key] = r.Value
+	v.endpointRecords[r.Key] = bytes.Clone(r.Value) // the value may be part of a far larger response
 	changed := v.list.Put(e)
 	if changed {
 		v.log.WithFields(logrus.Fields{
--- a/internal/gateway/view_test.go
+++ b/internal/gateway/view_test.go
@@ -122,3 +122,14 @@
 		must.Len(t, 2, v.candidates("s"))
 	}
 }
+
+// Guards against a record that keeps in memory the whole response it was read with, of up to 1 MB.
+func TestRecordsDoNotKeepTheResponseInMemory(t *testing.T) {
+	v := newTestView()
+	response := []byte("ready....\x03")
+	v.applyEndpointChanges([]store.KeyedRecord{{Key: "1", Value: response[:5:5]}})
+	v.applyConfig(store.KeyedRecord{Value: response[9:]})
+	clear(response)
+	must.Eq(t, "ready", string(v.endpointRecords["1"]))
+	must.Eq(t, "\x03", string(v.configRecord))
+}
