gateway, upstream: count refusals without an ID on new connections only

Callers could be told 503 ("not run, try again") for a call that an endpoint was running, and the call could be run at a second endpoint.

Cause: a response that says "not run" and names no request was taken as the answer to whatever request waited on its connection. Connections are closed after such a refusal, but an endpoint may also send one that it sent elsewhere before, or leave the ID out of a second copy, on a connection that was kept after a response with an ID.

Now it counts only as the first response on its connection. On a kept connection, where the endpoint has already named a request, it is skipped and logged like responses to other requests; the outcome is that of the response that names the request, or unknown (502, 504) if none comes. Closing the connection instead would break off calls that the endpoint runs.

TestEarlierRefusalOnKeptConnection (calls, lookups and streams; 503, 429, 400, 421, with a body, in chunks, after an informational response) failed before in all cases without an ID, TestEarlierRefusalInsteadOfAnAnswer in its case without an ID. Ruled out, with the cases that passed before: refusals that name another request; they fail if any refusal is accepted. TestRefusalsThatNameNoRequest fails if connections are kept after refusals without an ID.

The price is paid by endpoints that name requests in other responses but not in refusals.

--- a/internal/breaks/list.go
+++ b/internal/breaks/list.go
@@ -228,6 +228,13 @@
 		new:  "if q.mayHaveRun && q.route.Kind > 100 {\n\t\t\tbreak",
 		test: test{pkg: "platform", run: "^TestCallsRunOnce$"},
 	},
+	{
+		guarantee: "platform: once", name: "a refusal without an ID on a kept connection counts for the request that waits there",
+		file: "internal/gateway/request.go",
+		old:  "reply.NotExecuted && first",
+		new:  "reply.NotExecuted",
+		test: test{pkg: "platform", run: "^TestEarlierRefusalOnKeptConnection$"},
+	},
 	{
 		guarantee: "platform: budget", name: "turns that are not kept are not counted against the budget",
 		file: "internal/gateway/stream.go",
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -299,9 +299,14 @@
 	resp, err := q.g.pool.Do(ctx, e.Addr, upstream.Request{
 		Method: q.r.Method, URI: q.r.RequestURI, Host: q.r.Host,
 		Header: q.g.protocol.Encode(q.r.Header, attempt), Body: body,
-		Matches: func(status int, h http.Header) bool {
+		Matches: func(status int, h http.Header, first bool) bool {
 			reply = q.g.protocol.DecodeReply(status, h)
-			return reply.ID == q.meta.ID || (reply.ID == "" && reply.NotExecuted)
+			// A refusal without an ID may be a copy of an earlier one, while the endpoint runs this request.
+			if reply.ID == q.meta.ID || (reply.ID == "" && reply.NotExecuted && first) {
+				return true
+			}
+			q.log.WithFields(logrus.Fields{"endpoint": e.ID, "http": status}).Info("response skipped, it does not name the request")
+			return false
 		},
 	})
 	if !errors.Is(err, upstream.ErrNotSent) {
@@ -425,8 +430,8 @@
 var errUnusable = errors.New("unusable response")
 
 // attemptRefused records that an endpoint has rejected the request without executing it. The connection is used
-// again only if the refusal has no body, which could hold the request up, and names the request: otherwise a late
-// second copy of it would be taken for a refusal of the next request, which may have run.
+// again only if the refusal has no body, which could hold the request up, and names the request: an endpoint whose
+// refusals have no ID could not refuse the next request on the connection, see send.
 func (q *request) attemptRefused(e target, resp *upstream.Response, reply Reply) attemptResult {
 	if resp.Header.Get("Content-Length") == "0" && reply.ID == q.meta.ID {
 		resp.Reuse()
--- a/internal/upstream/limit_test.go
+++ b/internal/upstream/limit_test.go
@@ -114,7 +114,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	resp, err := NewPool().Do(ctx, l.Addr().String(), Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{},
-		Matches: func(int, http.Header) bool { return true }})
+		Matches: func(int, http.Header, bool) bool { return true }})
 	must.NoError(t, err)
 	body, err := io.ReadAll(resp.Body)
 	must.NoError(t, err)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -64,8 +64,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Matches reports whether a response belongs to the request.
-	Matches func(status int, h http.Header) bool
+	// Matches reports whether a response belongs to the request. first tells that no other response was read from the
+	// connection before, so that the response cannot be a copy of an earlier one there.
+	Matches func(status int, h http.Header, first bool) bool
 }
 
 // Response is the response of an endpoint. The user must finish it with exactly one call of Reuse or Discard.
@@ -86,6 +87,7 @@
 	addr        string
 	in          *headLimiter // what br reads from
 	br          *bufio.Reader
+	answered    bool       // a response was read from it
 	bodyWritten chan error // result of writing the body concurrently; nil if it was written before reading
 	idleSince   time.Time  // start of the current idle period
 	idleTimeout time.Duration
@@ -306,7 +308,9 @@
 			informational++
 			continue
 		}
-		if r.Matches(resp.StatusCode, resp.Header) {
+		first := !c.answered
+		c.answered = true
+		if r.Matches(resp.StatusCode, resp.Header, first) {
 			return resp, nil
 		}
 		foreign++
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -73,7 +73,7 @@
 	t.Cleanup(cancel)
 	resp, err := p.Do(ctx, addr, Request{
 		Method: "POST", URI: "/x", Host: "h", Header: http.Header{}, Body: []byte("body"),
-		Matches: func(_ int, h http.Header) bool { return h.Get("Id") == id },
+		Matches: func(_ int, h http.Header, _ bool) bool { return h.Get("Id") == id },
 	})
 	if err != nil {
 		return "", nil, err
@@ -120,6 +120,28 @@
 	must.Eq(t, "mine", body)
 }
 
+// Guards against a response on a kept connection being taken for one that cannot be a copy of an earlier response.
+func TestFirstResponseOnAConnection(t *testing.T) {
+	addr, conns := script(t, "HTTP/1.1 103 Early Hints\r\n\r\n"+reply("1", "one"), reply("1", "late")+reply("2", "two"))
+	p := NewPool()
+	var first []bool
+	for _, id := range []string{"1", "2"} {
+		resp, err := p.Do(t.Context(), addr, Request{
+			Method: "GET", URI: "/x", Host: "h", Header: http.Header{},
+			Matches: func(_ int, h http.Header, f bool) bool {
+				first = append(first, f)
+				return h.Get("Id") == id
+			},
+		})
+		must.NoError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		must.NoError(t, err)
+		resp.Reuse()
+	}
+	must.Eq(t, 1, conns())
+	must.Eq(t, []bool{true, false, false}, first)
+}
+
 func TestIncompleteResponses(t *testing.T) {
 	for _, text := range []string{"", "nonsense\r\n\r\n", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 90\r\n\r\nfour<close>"} {
 		addr, _ := script(t, text)
