gateway: close a connection after a 421

Where an endpoint was listed under two IDs at one address, callers could be told 503 ("not run") for a request that the endpoint ran, or it ran at a second endpoint.

Cause: the attempt that names the old ID gets a 421 with the request's ID, so its connection was kept, and the attempt that names the new ID went out on it. If the endpoint sent the 421 once more, it matched by the ID. Two attempts of a request never name the same endpoint, so only a 421 can come before another attempt at the same address; its connection is now closed.

TestEarlierRefusalOfTheSameRequest failed before (503 for a call that ran).

--- a/internal/breaks/list.go
+++ b/internal/breaks/list.go
@@ -235,6 +235,13 @@
 		new:  "reply.NotExecuted",
 		test: test{pkg: "platform", run: "^TestEarlierRefusalOnKeptConnection$"},
 	},
+	{
+		guarantee: "platform: once", name: "a connection is used again after a refusal by another endpoint than the intended one",
+		file: "internal/gateway/request.go",
+		old:  " && resp.Status != http.StatusMisdirectedRequest",
+		new:  "",
+		test: test{pkg: "platform", run: "^TestEarlierRefusalOfTheSameRequest$"},
+	},
 	{
 		guarantee: "platform: budget", name: "turns that are not kept are not counted against the budget",
 		file: "internal/gateway/stream.go",
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -431,9 +431,11 @@
 
 // attemptRefused records that an endpoint has rejected the request without executing it. The connection is used
 // again only if the refusal has no body, which could hold the request up, and names the request: an endpoint whose
-// refusals have no ID could not refuse the next request on the connection, see send.
+// refusals have no ID could not refuse the next request on the connection, see send. It is not used again either if
+// the endpoint is not the intended one: the request may be sent there once more under that endpoint's ID, and a late
+// copy of the refusal would then name it.
 func (q *request) attemptRefused(e target, resp *upstream.Response, reply Reply) attemptResult {
-	if resp.Header.Get("Content-Length") == "0" && reply.ID == q.meta.ID {
+	if resp.Header.Get("Content-Length") == "0" && reply.ID == q.meta.ID && resp.Status != http.StatusMisdirectedRequest {
 		resp.Reuse()
 	} else {
 		resp.Discard()
