upstream: end the attempt at a response to another request that has no length

A request waited until its deadline when a response to another request with neither a length nor chunks came before its own. Such a response lasts until its connection ends, so the request's own cannot follow. The attempt now ends at once with an unknown outcome, and a repeatable request goes to another endpoint.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -314,6 +314,9 @@
 			return resp, nil
 		}
 		foreign++
+		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+			return nil, fmt.Errorf("%w: until its end", errForeign)
+		}
 		if err := skipBody(resp.Body); err != nil {
 			return nil, err
 		}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -142,6 +142,16 @@
 	must.Eq(t, []bool{true, false, false}, first)
 }
 
+// Guards against a wait until the deadline for the response behind one to another request that lasts until its
+// connection ends.
+func TestForeignResponseWithoutEnd(t *testing.T) {
+	addr, _ := script(t, "HTTP/1.1 503 Service Unavailable\r\nId: 1\r\n\r\nfull"+reply("2", "two"))
+	begun := time.Now()
+	_, _, err := send(t, NewPool(), addr, "2")
+	must.ErrorIs(t, err, errForeign)
+	must.Less(t, time.Second, time.Since(begun))
+}
+
 func TestIncompleteResponses(t *testing.T) {
 	for _, text := range []string{"", "nonsense\r\n\r\n", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 90\r\n\r\nfour<close>"} {
 		addr, _ := script(t, text)
