--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -98,7 +98,7 @@
 func New(s Settings, protocol Protocol, topics Topics, store Store, log logrus.FieldLogger, nonce string) (*Gateway, error) {
 	g := &Gateway{
 		settings: s, protocol: protocol, log: log, startedAt: time.Now(),
-		pool: upstream.NewPool(), responses: newResponseBuffers(s.MemoryBytes), prefixes: newPrefixCache(), affinity: newAffinity(), metrics: newInstanceMetrics(),
+		pool: upstream.NewPool(s.DialEndpoint), responses: newResponseBuffers(s.MemoryBytes), prefixes: newPrefixCache(), affinity: newAffinity(), metrics: newInstanceMetrics(),
 		balancer: balance.New(s.Zone, uint64(time.Now().UnixNano())), limits: ratelimit.NewLimits(), permits: ratelimit.NewPermits(), issuer: ratelimit.NewIssuer(), ownIssuer: ratelimit.NewIssuer(),
 		newLimits: make(map[string]bool), crashChecks: make(map[string]*crashCheck), quarantine: quarantine.NewList(), admission: newAdmissionQueues(),
 		storeDep: &dependency{name: "store", log: log},
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"ragwortstile/internal/upstream"
+)
 
 // Settings are the settings of one instance. They are validated where they are loaded.
 type Settings struct {
@@ -16,6 +20,8 @@
 
 	MemoryBytes int64 // memory that the process may use
 
+	DialEndpoint upstream.DialFunc // opens connections to endpoints; nil: over TCP
+
 	StopGrace            time.Duration // from the stop signal to the end of the process
 	EndpointDrainTimeout time.Duration // from the listing of an endpoint as draining to the last new request to it
 	ConfigApplyTimeout   time.Duration // from a configuration change until it must be applied
--- a/internal/upstream/limit_test.go
+++ b/internal/upstream/limit_test.go
@@ -74,7 +74,7 @@
 			var before, after runtime.MemStats
 			runtime.ReadMemStats(&before)
 			start := time.Now()
-			_, _, err := send(t, NewPool(), addr, "1")
+			_, _, err := send(t, NewPool(nil), addr, "1")
 			runtime.ReadMemStats(&after)
 			must.Error(t, err)
 			must.Less(t, 2*time.Second, time.Since(start)) // the deadline of the request
@@ -89,7 +89,7 @@
 func TestTricklingHead(t *testing.T) {
 	addr, _ := flood(t, okHead, "A", 50*time.Millisecond)
 	start := time.Now()
-	_, _, err := send(t, NewPool(), addr, "1")
+	_, _, err := send(t, NewPool(nil), addr, "1")
 	must.Error(t, err)
 	must.Less(t, maxHeadDuration+500*time.Millisecond, time.Since(start))
 }
@@ -113,7 +113,7 @@
 	}()
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	resp, err := NewPool().Do(ctx, l.Addr().String(), Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{},
+	resp, err := NewPool(nil).Do(ctx, l.Addr().String(), Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{},
 		Matches: func(int, http.Header, bool) bool { return true }})
 	must.NoError(t, err)
 	body, err := io.ReadAll(resp.Body)
@@ -126,7 +126,7 @@
 func TestForeignBodyAtItsBound(t *testing.T) {
 	for size, ok := range map[int]bool{maxForeignBytes: true, maxForeignBytes + 1: false} {
 		addr, _ := script(t, reply("2", strings.Repeat("x", size))+reply("1", "mine"))
-		body, _, err := send(t, NewPool(), addr, "1")
+		body, _, err := send(t, NewPool(nil), addr, "1")
 		if !ok {
 			must.ErrorIs(t, err, errForeign)
 			must.StrNotContains(t, err.Error(), "%!w")
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -93,25 +93,31 @@
 	idleTimeout time.Duration
 }
 
+// DialFunc opens a connection, like net.Dialer.DialContext.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // Pool holds the idle connections to all endpoints. It is safe for concurrent use.
 type Pool struct {
-	dialer net.Dialer
+	dialTo DialFunc
 	mu     sync.Mutex
 	idle   map[string][]*conn // by address, the most recently used last
 	dials  int64
 }
 
-// NewPool returns an empty Pool.
-func NewPool() *Pool {
-	return &Pool{
-		idle: make(map[string][]*conn),
-		dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: func(_, _ string, c syscall.RawConn) error {
-			return c.Control(func(fd uintptr) {
-				// Best effort: without the option a dead connection is detected only by the request's deadline.
-				_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-			})
-		}},
+// NewPool returns an empty Pool that opens connections with dial, or over TCP if dial is nil.
+func NewPool(dial DialFunc) *Pool {
+	if dial == nil {
+		dialer := net.Dialer{KeepAlive: -1, Control: setUserTimeout}
+		dial = dialer.DialContext
 	}
+	return &Pool{idle: make(map[string][]*conn), dialTo: dial}
+}
+
+func setUserTimeout(_, _ string, c syscall.RawConn) error {
+	return c.Control(func(fd uintptr) {
+		// Best effort: without the option a dead connection is detected only by the request's deadline.
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+	})
 }
 
 // Dials returns the number of connections opened so far.
@@ -241,7 +247,9 @@
 }
 
 func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
-	nc, err := p.dialer.DialContext(ctx, "tcp", addr)
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	nc, err := p.dialTo(ctx, "tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -88,7 +88,7 @@
 
 func TestConnectionIsUsedAgain(t *testing.T) {
 	addr, conns := script(t, reply("1", "one"), reply("2", "two"))
-	p := NewPool()
+	p := NewPool(nil)
 	for _, id := range []string{"1", "2"} {
 		_, resp, err := send(t, p, addr, id)
 		must.NoError(t, err)
@@ -103,7 +103,7 @@
 // request's response and must be skipped.
 func TestDuplicateResponses(t *testing.T) {
 	addr, conns := script(t, reply("1", "one")+reply("1", "one"), reply("2", "two"))
-	p := NewPool()
+	p := NewPool(nil)
 	_, resp, err := send(t, p, addr, "1")
 	must.NoError(t, err)
 	resp.Reuse()
@@ -123,7 +123,7 @@
 // Guards against a response on a kept connection being taken for one that cannot be a copy of an earlier response.
 func TestFirstResponseOnAConnection(t *testing.T) {
 	addr, conns := script(t, "HTTP/1.1 103 Early Hints\r\n\r\n"+reply("1", "one"), reply("1", "late")+reply("2", "two"))
-	p := NewPool()
+	p := NewPool(nil)
 	var first []bool
 	for _, id := range []string{"1", "2"} {
 		resp, err := p.Do(t.Context(), addr, Request{
@@ -147,7 +147,7 @@
 func TestForeignResponseWithoutEnd(t *testing.T) {
 	addr, _ := script(t, "HTTP/1.1 503 Service Unavailable\r\nId: 1\r\n\r\nfull"+reply("2", "two"))
 	begun := time.Now()
-	_, _, err := send(t, NewPool(), addr, "2")
+	_, _, err := send(t, NewPool(nil), addr, "2")
 	must.ErrorIs(t, err, errForeign)
 	must.Less(t, time.Second, time.Since(begun))
 }
@@ -155,7 +155,7 @@
 func TestIncompleteResponses(t *testing.T) {
 	for _, text := range []string{"", "nonsense\r\n\r\n", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 90\r\n\r\nfour<close>"} {
 		addr, _ := script(t, text)
-		_, _, err := send(t, NewPool(), addr, "1")
+		_, _, err := send(t, NewPool(nil), addr, "1")
 		must.Error(t, err)
 		must.False(t, strings.Contains(err.Error(), ErrNotSent.Error()))
 	}
@@ -166,14 +166,14 @@
 	must.NoError(t, err)
 	addr := l.Addr().String()
 	l.Close()
-	_, _, err = send(t, NewPool(), addr, "1")
+	_, _, err = send(t, NewPool(nil), addr, "1")
 	must.ErrorIs(t, err, ErrNotSent)
 }
 
 // Guards against a request that is lost because it is sent on an idle connection that the endpoint has closed.
 func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
 	addr, conns := script(t, reply("1", "one"), reply("2", "two"))
-	p := NewPool()
+	p := NewPool(nil)
 	_, resp, err := send(t, p, addr, "1")
 	must.NoError(t, err)
 	resp.Reuse()
