upstream: a response reset during the upload is not whole

Callers would have seen: a 200 with a short body, framed as whole, if an endpoint answered without length or chunks before it had read a large request (over 32 KiB, so that it is written while the response is read), and its connection was then reset. The same for streams, which would have ended as complete.

Cause: the system reports a reset to one call only. If the write of the request gets the report, the next read of the response returns io.EOF, which is the orderly end of a response without length or chunks. Other responses are not affected: their framing shows that bytes are missing.

Change: at the end of such a body the state of the connection is read. If it has ended in both directions, the result of the write tells a reset from an end that came first.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -282,7 +282,7 @@
 		c.abort()
 		return nil, err
 	}
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, conn: c, stop: stop, pool: p, closing: resp.Close}, nil
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: c.body(resp), conn: c, stop: stop, pool: p, closing: resp.Close}, nil
 }
 
 func (c *conn) exchange(r Request) (*http.Response, error) {
