upstream: reject header names with a space

Callers could see a 200 with a short body: net/http accepts "Content-Length : 9" and "Transfer-Encoding : chunked" under names that it does not apply, so that the response seems to have neither a length nor chunks and ends with its connection.

TestInvalidFraming failed before with "Content-Length : 9" accepted with the body "four". Such a head is now an unusable response with an unknown outcome.

--- a/internal/upstream/cut_test.go
+++ b/internal/upstream/cut_test.go
@@ -130,6 +130,7 @@
 		"Transfer-Encoding: gzip, chunked\r\n", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", "Transfer-Encoding:\r\n",
 		"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n", // chunks count, and the body has none
 		" folded: x\r\n", "no colon\r\n",
+		"Content-Length : 9\r\n", "Transfer-Encoding : chunked\r\n", // ignored by net/http
 	} {
 		texts := make(chan string, 1)
 		texts <- "HTTP/1.1 200 OK\r\n" + fields + "Id: 1\r\n\r\nfour"
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -55,6 +55,7 @@
 	// errForeign reports that a connection carried too many or too large responses to other requests.
 	errForeign       = errors.New("responses to other requests on the connection")
 	errInformational = errors.New("too many informational responses")
+	errHeaderName    = errors.New("space in a header name")
 )
 
 // Request is one request to an endpoint.
@@ -316,6 +317,9 @@
 			informational++
 			continue
 		}
+		if err := checkNames(resp.Header); err != nil {
+			return nil, err
+		}
 		first := !c.answered
 		c.answered = true
 		if r.Matches(resp.StatusCode, resp.Header, first) {
@@ -335,6 +339,17 @@
 	return nil, errForeign
 }
 
+// checkNames rejects header names that contain a space, which http.ReadResponse accepts but does not apply: with
+// "Content-Length : 9" a body would have no length.
+func checkNames(h http.Header) error {
+	for name := range h {
+		if strings.ContainsRune(name, ' ') {
+			return fmt.Errorf("response head: %w", errHeaderName)
+		}
+	}
+	return nil
+}
+
 // skipBody reads the body of a response to another request, up to maxForeignBytes.
 func skipBody(body io.Reader) error {
 	n, err := io.Copy(io.Discard, io.LimitReader(body, maxForeignBytes+1))
