gateway: a stream that ends within an event may be a crash

Callers would have seen: a request that crashes its endpoints is sent on and on, if the endpoints stream without length or chunks. The connection of such a stream ends in order even if the endpoint's process has ended; that it ended within an event was not taken for a connection that was broken off, so the endpoint was not checked and the request not quarantined. Streams in chunks were.

Found by reading, not seen in a play. TestTruncatedStreams failed before in BrokenOff. Passed after.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 )
 
@@ -11,7 +12,7 @@
 const maxEventBytes = 64 << 10
 
 // errTruncatedEvent reports that a stream ended within an event.
-var errTruncatedEvent = errors.New("stream ended within an event")
+var errTruncatedEvent = fmt.Errorf("stream ended within an event: %w", io.ErrUnexpectedEOF)
 
 // eventReader splits a stream of server-sent events without changing its bytes.
 type eventReader struct{ br *bufio.Reader }
--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"ragwortstile/internal/upstream"
 )
 
 // read returns the raw text and the data of each event, and the error that ended the stream.
@@ -37,9 +39,10 @@
 }
 
 func TestTruncatedStreams(t *testing.T) {
-	for _, stream := range []string{"id: 1", "id: 1\n", "id: 1\ndata: x\n", "id: 1\ndata: longer than the buffer"} {
+	for _, stream := range []string{"id: 1", "id: 1\n", "id: 1\ndata: x\n", "id: 1\ndata: longer than the buffer", "id: 1\r\ndata: x\r\n\r", ": com"} {
 		_, _, err := read(strings.NewReader(stream))
 		must.ErrorIs(t, err, errTruncatedEvent)
+		must.True(t, upstream.BrokenOff(err)) // the endpoint may have ended with the request
 	}
 	broken := errors.New("reset")
 	_, _, err := read(io.MultiReader(strings.NewReader("id: 1\n\n"), iotest.ErrReader(broken)))
