--- a/internal/upstream/limit_test.go
+++ b/internal/upstream/limit_test.go
@@ -59,6 +59,7 @@
 	filler := strings.Repeat("x", 1<<10)
 	for name, tc := range map[string]struct{ text, repeated string }{
 		"no line end":       {"", filler},
+		"blank lines":       {"", "\r\n"},
 		"header lines":      {okHead, "A: " + filler + "\r\n"},
 		"one header line":   {okHead + "A: ", filler},
 		"informational":     {"", "HTTP/1.1 102 Processing\r\n\r\n"},
