gateway: reset callers without chunks whose stream is cut off

Callers that speak HTTP/1.0 would have seen a stream that was cut off between two events as a whole one: their responses have no chunks and end with their connection, which was closed in order. Callers of the platform speak HTTP/1.1 and are not affected.

Change: breakOff resets the connection of such a caller. TestCutStreamsOfCallersWithoutChunks failed before ("expected non-nil error") and passes; a whole stream still ends in order there. Calls have a length and need nothing.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -328,9 +329,30 @@
 	}
 	t.log.WithFields(logrus.Fields{"reason": err.Error(), "last": t.progress.LastID(), "events": t.events}).Info("stream broken off")
 	t.logEnd(0, reason)
+	if !t.r.ProtoAtLeast(1, 1) {
+		t.resetCaller()
+	}
 	panic(http.ErrAbortHandler)
 }
 
+// resetCaller resets the caller's connection. To a caller that speaks HTTP/1.0 a response ends with its connection, so
+// that a connection closed in order would make it look complete.
+func (t *turn) resetCaller() {
+	c, _, err := http.NewResponseController(t.w).Hijack()
+	if err != nil {
+		t.log.WithField("reason", err.Error()).Warn("caller's connection not reset")
+		return
+	}
+	defer c.Close()
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	if err := tcp.SetLinger(0); err != nil {
+		t.log.WithField("reason", err.Error()).Info("caller's connection not reset")
+	}
+}
+
 // Errors of streams.
 var (
 	errStalled       = errors.New("stream stalled")
