platform, gateway: bounds of events are tested without a time limit

For events after the first one, where the status is sent already, TestEventsAreBounded counts the bytes that are read.

--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -49,6 +49,16 @@
 	must.ErrorIs(t, err, broken)
 }
 
+// Guards against an event without end that takes memory until the deadline of its request.
+func TestEventsAreBounded(t *testing.T) {
+	for _, text := range []string{"x", "\n", "data: x\n", ": x\n"} {
+		endless := strings.NewReader(strings.Repeat(text, 2*maxEventBytes))
+		_, _, err := read(io.MultiReader(strings.NewReader("id: 1\n\n"), endless))
+		must.ErrorIs(t, err, bufio.ErrTooLong)
+		must.Greater(t, maxEventBytes/2, endless.Len()) // most of it is not read
+	}
+}
+
 func FuzzEvents(f *testing.F) {
 	f.Add("id: 1\ndata: one\n\n")
 	f.Fuzz(func(t *testing.T, stream string) {
