--- a/internal/upstream/body_test.go
+++ b/internal/upstream/body_test.go
@@ -65,9 +65,9 @@
 		t.Run(name, func(t *testing.T) {
 			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 			defer cancel()
-			resp, err := NewPool().Do(ctx, earlyServer(t, tc.end), Request{
+			resp, err := NewPool(nil).Do(ctx, earlyServer(t, tc.end), Request{
 				Method: "POST", URI: "/x", Host: "h", Header: http.Header{}, Body: make([]byte, large),
-				Matches: func(int, http.Header) bool { return true },
+				Matches: func(int, http.Header, bool) bool { return true },
 			})
 			must.NoError(t, err)
 			defer resp.Discard()
--- a/internal/upstream/cut_test.go
+++ b/internal/upstream/cut_test.go
@@ -57,7 +57,7 @@
 	defer cancel()
 	resp, err := p.Do(ctx, addr, Request{
 		Method: "POST", URI: "/x", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("body"),
-		Matches: func(_ int, h http.Header) bool { return h.Get("Id") == id },
+		Matches: func(_ int, h http.Header, _ bool) bool { return h.Get("Id") == id },
 	})
 	if err != nil {
 		return "", err
@@ -95,7 +95,7 @@
 					texts := make(chan string, 1)
 					addr := cutServer(t, texts, reset)
 					for n := range len(text) + 1 {
-						p := NewPool()
+						p := NewPool(nil)
 						if kept {
 							_, err := get(p, addr, "0")
 							must.NoError(t, err)
@@ -134,7 +134,7 @@
 	} {
 		texts := make(chan string, 1)
 		texts <- "HTTP/1.1 200 OK\r\n" + fields + "Id: 1\r\n\r\nfour"
-		body, err := get(NewPool(), cutServer(t, texts, false), "1")
+		body, err := get(NewPool(nil), cutServer(t, texts, false), "1")
 		must.Error(t, err, must.Sprintf("%q accepted with the body %q", fields, body))
 		must.False(t, errors.Is(err, ErrNotSent))
 	}
@@ -144,14 +144,14 @@
 func TestBodiesWhereNoneMayBe(t *testing.T) {
 	for _, tc := range []struct{ method, status string }{{"HEAD", "200 OK"}, {"GET", "204 No Content"}, {"GET", "304 Not Modified"}} {
 		addr, conns := script(t, "HTTP/1.1 "+tc.status+"\r\nContent-Length: 4\r\n\r\nbody", reply("", "next"))
-		p := NewPool()
+		p := NewPool(nil)
 		for n, want := range []string{"", "next"} {
 			method := tc.method
 			if n > 0 {
 				method = "GET"
 			}
 			resp, err := p.Do(t.Context(), addr, Request{Method: method, URI: "/", Host: "h", Header: http.Header{},
-				Matches: func(int, http.Header) bool { return true }})
+				Matches: func(int, http.Header, bool) bool { return true }})
 			must.NoError(t, err)
 			body, err := io.ReadAll(resp.Body)
 			must.NoError(t, err)
