gateway, reach: requests go through peers while an instance reaches no endpoint

Cause: an instance used its own connections only. Cut off from the endpoints, it tried one after the other for 0.4 s each and rejected the request after 1.6 s, although its peers reached all of them. Readiness does not help there: where most instances of an availability zone are cut off, the load balancer uses all of them. The class of fault: one way to a resource that has several.

Three endpoints that accept no connection, with none accepting one in between, tell that the instance is cut off; a probe of another endpoint follows each failure. From then on requests are sent by a peer that reaches the endpoints: the one with the fewest of them, the response passed on as it arrives. Which endpoint, whether to try again, whether it has run: all that stays with the instance that has the caller. Open connections are used as long as responses arrive over them. An instance that has neither a link nor a peer with one is not ready. Peers of earlier versions are not asked.

--- a/internal/breaks/list.go
+++ b/internal/breaks/list.go
@@ -230,9 +230,9 @@
 	},
 	{
 		guarantee: "platform: once", name: "a refusal without an ID on a kept connection counts for the request that waits there",
-		file: "internal/gateway/request.go",
-		old:  "reply.NotExecuted && first",
-		new:  "reply.NotExecuted",
+		file: "internal/gateway/protocol.go",
+		old:  "r.NotExecuted && first",
+		new:  "r.NotExecuted",
 		test: test{pkg: "platform", run: "^TestEarlierRefusalOnKeptConnection$"},
 	},
 	{
--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -44,6 +44,10 @@
 		g.mu.Unlock()
 		var memory runtime.MemStats
 		runtime.ReadMemStats(&memory)
+		cutOff := 0.0
+		if off, _ := g.cutOff(); off {
+			cutOff = 1
+		}
 		version := int64(0)
 		if t := g.view.table.Load(); t != nil {
 			version = t.Version
@@ -59,6 +63,7 @@
 			{"configuration_age_seconds", g.view.configAge().Seconds()},
 			{"limited_endpoints", float64(limited)},
 			{"quarantined_requests", float64(quarantined)},
+			{"cut_off_from_endpoints", cutOff},
 			{"endpoint_connections_total", float64(g.pool.Dials())},
 			{"heap_bytes", float64(memory.HeapInuse)},
 			{"memory_bytes", float64(memory.Sys)},
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -85,19 +85,31 @@
 }
 
 func (g *Gateway) runCrashCheck(e balance.Endpoint, check *crashCheck) {
-	time.Sleep(crashCheckDelay)
-	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
-	defer cancel()
-	reachable := g.pool.Reachable(ctx, e.Addr)
+	ended := g.hasEnded(e, check.at)
 	g.mu.Lock()
 	delete(g.crashChecks, e.ID)
 	g.mu.Unlock()
-	log := g.log.WithFields(logrus.Fields{"endpoint": e.ID, "count": len(check.digests)})
-	if reachable {
+	if ended {
+		g.reportCrash(e, check)
+	}
+}
+
+// hasEnded reports whether an endpoint that broke connections off is no longer there.
+func (g *Gateway) hasEnded(e balance.Endpoint, brokenAt time.Time) bool {
+	time.Sleep(crashCheckDelay)
+	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
+	defer cancel()
+	log := g.log.WithField("endpoint", e.ID)
+	if g.pool.Reachable(ctx, e.Addr) {
 		log.Debug("endpoint broke connections off and is still there")
-		return
+		return false
 	}
-	log.Info("endpoint ended with requests in progress")
+	return true
+}
+
+// reportCrash tells all instances which requests an endpoint has ended with.
+func (g *Gateway) reportCrash(e balance.Endpoint, check *crashCheck) {
+	g.log.WithFields(logrus.Fields{"endpoint": e.ID, "count": len(check.digests)}).Info("endpoint ended with requests in progress")
 	g.metrics.set.GetOrCreateCounter("ragwortstile_endpoint_crashes_total").Inc()
 	m := wire.RequestCrashes{}
 	g.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"ragwortstile/internal/peer"
 	"ragwortstile/internal/quarantine"
 	"ragwortstile/internal/ratelimit"
+	"ragwortstile/internal/reach"
 	"ragwortstile/internal/routing"
 	"ragwortstile/internal/upstream"
 	"ragwortstile/internal/wire"
@@ -91,7 +92,10 @@
 	quarantine   *quarantine.List
 	newLimits    map[string]bool // endpoints whose limit was observed here since the last load report
 	admission    *admissionQueues
-	reportedLoad bool // the last load report was not empty
+	links        *reach.Tracker // of the connections to endpoints
+	relays       *reach.Peers   // that send requests to endpoints on behalf of this instance
+	wasCutOff    bool           // what noteCutOff has last seen
+	reportedLoad bool           // the last load report was not empty
 }
 
 // New returns a Gateway. nonce distinguishes this run from other runs of the same instance.
@@ -101,8 +105,10 @@
 		pool: upstream.NewPool(s.DialEndpoint), responses: newResponseBuffers(s.MemoryBytes), prefixes: newPrefixCache(), affinity: newAffinity(), metrics: newInstanceMetrics(),
 		balancer: balance.New(s.Zone, uint64(time.Now().UnixNano())), limits: ratelimit.NewLimits(), permits: ratelimit.NewPermits(), issuer: ratelimit.NewIssuer(), ownIssuer: ratelimit.NewIssuer(),
 		newLimits: make(map[string]bool), crashChecks: make(map[string]*crashCheck), quarantine: quarantine.NewList(), admission: newAdmissionQueues(),
+		links: reach.NewTracker(), relays: reach.NewPeers(s.Zone),
 		storeDep: &dependency{name: "store", log: log},
 	}
+	g.pool.Observe((*linkObserver)(g))
 	keys, err := peer.NewKeyring(s.PeerKey)
 	if err != nil {
 		return nil, fmt.Errorf("peer key: %w", err)
@@ -154,6 +160,7 @@
 	g.add(supervisor, "borrowed beliefs", g.fetchFromPeers)
 	g.add(supervisor, "housekeeping", g.housekeeping)
 	g.add(supervisor, "load reports", g.reportLoad)
+	g.add(supervisor, "endpoint probes", g.probeEndpoints)
 	stopped := supervisor.ServeBackground(work)
 	go func() {
 		if err := g.node.Serve(work, listeners[2]); err != nil && work.Err() == nil {
@@ -224,9 +231,10 @@
 
 // ready reports whether the instance accepts callers. It stays ready during a store outage, since other
 // instances would serve callers no better. It is not ready while it is isolated from the other instances, since
-// these can serve callers, and after its start until a peer can tell it which requests are quarantined.
+// these can serve callers, while it reaches no endpoint, not even through a peer, and after its start until a peer can
+// tell it which requests are quarantined.
 func (g *Gateway) ready() bool {
-	return !g.stopping.Load() && g.view.complete() && !g.ledger.Isolated() &&
+	return !g.stopping.Load() && g.view.complete() && !g.ledger.Isolated() && g.reachesEndpoints() &&
 		(g.metPeers.Load() || time.Since(g.startedAt) > meetTimeout || g.meetPeers())
 }
 
@@ -358,6 +366,7 @@
 			g.pruneQueues()
 			g.mu.Lock()
 			g.quarantine.Prune(now)
+			g.relays.Prune(now)
 			g.mu.Unlock()
 		}
 	}
@@ -444,6 +453,9 @@
 		b.Claims = h.ledger.Holders()
 		return r.SendLast(ctx, b)
 	}
+	if request, ok := m.(wire.EndpointRequest); ok {
+		return (*Gateway)(h).serveRelay(ctx, request, r)
+	}
 	if get, ok := m.(wire.SendPermitGet); ok {
 		permit, err := (*Gateway)(h).issuePermit(get)
 		if err != nil {
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -54,6 +54,13 @@
 	Limit       ratelimit.Statement
 }
 
+// answers reports whether the response is that to a request. first tells that it is the first one on its connection. Later
+// ones must name the request: a refusal without an ID may be a copy of an earlier one, while the endpoint runs this
+// request.
+func (r Reply) answers(request string, first bool) bool {
+	return r.ID == request || (r.ID == "" && r.NotExecuted && first)
+}
+
 // Protocol decodes and encodes the platform's headers of requests and responses.
 type Protocol interface {
 	Decode(h http.Header) Meta
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -296,13 +296,12 @@
 	var reply Reply
 	attempt := Attempt{Endpoint: e.ID, Remaining: time.Until(q.deadline), LastEvent: lastEvent}
 	sent := time.Now()
-	resp, err := q.g.pool.Do(ctx, e.Addr, upstream.Request{
+	resp, err := q.exchange(ctx, e, upstream.Request{
 		Method: q.r.Method, URI: q.r.RequestURI, Host: q.r.Host,
 		Header: q.g.protocol.Encode(q.r.Header, attempt), Body: body,
 		Matches: func(status int, h http.Header, first bool) bool {
 			reply = q.g.protocol.DecodeReply(status, h)
-			// A refusal without an ID may be a copy of an earlier one, while the endpoint runs this request.
-			if reply.ID == q.meta.ID || (reply.ID == "" && reply.NotExecuted && first) {
+			if reply.answers(q.meta.ID, first) {
 				return true
 			}
 			q.log.WithFields(logrus.Fields{"endpoint": e.ID, "http": status}).Info("response skipped, it does not name the request")
@@ -429,20 +428,25 @@
 
 var errUnusable = errors.New("unusable response")
 
-// attemptRefused records that an endpoint has rejected the request without executing it. The connection is used
-// again only if the refusal has no body, which could hold the request up, and names the request: an endpoint whose
-// refusals have no ID could not refuse the next request on the connection, see send. It is not used again either if
-// the endpoint is not the intended one: the request may be sent there once more under that endpoint's ID, and a late
-// copy of the refusal would then name it.
+// attemptRefused records that an endpoint has rejected the request without executing it.
 func (q *request) attemptRefused(e target, resp *upstream.Response, reply Reply) attemptResult {
-	if resp.Header.Get("Content-Length") == "0" && reply.ID == q.meta.ID && resp.Status != http.StatusMisdirectedRequest {
+	finishResponse(resp, reply, q.meta.ID)
+	q.attemptEnded(e, balance.Refused, 0)
+	q.log.WithFields(logrus.Fields{"endpoint": e.ID, "http": resp.Status}).Info("endpoint refused")
+	return notExecuted
+}
+
+// finishResponse finishes a response that was read to its end, or a refusal. After a refusal the connection is used
+// again only if it has no body, which could hold the request up, and names the request: an endpoint whose refusals have
+// no ID could not refuse the next request on the connection, see Reply.answers. It is not used again either if the
+// endpoint is not the intended one: the request may be sent there once more under that endpoint's ID, and a late copy
+// of the refusal would then name it.
+func finishResponse(resp *upstream.Response, reply Reply, request string) {
+	if !reply.NotExecuted || resp.Header.Get("Content-Length") == "0" && reply.ID == request && resp.Status != http.StatusMisdirectedRequest {
 		resp.Reuse()
 	} else {
 		resp.Discard()
 	}
-	q.attemptEnded(e, balance.Refused, 0)
-	q.log.WithFields(logrus.Fields{"endpoint": e.ID, "http": resp.Status}).Info("endpoint refused")
-	return notExecuted
 }
 
 // attemptFailed records an attempt without a usable response.
@@ -458,9 +462,13 @@
 		q.log.WithFields(fields).Info("attempt failed")
 		return notExecuted
 	}
-	if upstream.BrokenOff(err) {
+	switch {
+	case upstream.BrokenOff(err):
 		fields["digest"] = q.digest().String()
 		q.g.checkCrash(e.Endpoint, q.digest())
+	case endedAtPeer(err):
+		fields["digest"] = q.digest().String()
+		q.g.reportCrash(e.Endpoint, &crashCheck{at: time.Now(), digests: map[quarantine.Digest]bool{q.digest(): true}})
 	}
 	q.log.WithFields(fields).Info("attempt failed")
 	return unknownOutcome
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"errors"
+	"iter"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -88,6 +90,55 @@
 	return slices.ContainsFunc(v.candidates(service), func(e balance.Endpoint) bool { return e.ID == endpoint })
 }
 
+// allEndpoints returns the usable endpoints of all services.
+func (v *storeView) allEndpoints() iter.Seq[balance.Endpoint] {
+	return func(yield func(balance.Endpoint) bool) {
+		all := v.endpoints.Load()
+		if all == nil {
+			return
+		}
+		for _, endpoints := range *all {
+			for _, e := range endpoints {
+				if !yield(e) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// endpointCount returns the number of usable endpoints of all services.
+func (v *storeView) endpointCount() int {
+	all := v.endpoints.Load()
+	if all == nil {
+		return 0
+	}
+	count := 0
+	for _, endpoints := range *all {
+		count += len(endpoints)
+	}
+	return count
+}
+
+// hasEndpoint reports whether an endpoint is usable and has the given address.
+func (v *storeView) hasEndpoint(id, addr string) bool {
+	for e := range v.allEndpoints() {
+		if e.ID == id && e.Addr == addr {
+			return true
+		}
+	}
+	return false
+}
+
+// otherEndpoint returns a random usable endpoint that has not the given ID.
+func (v *storeView) otherEndpoint(id string) (balance.Endpoint, bool) {
+	others := slices.DeleteFunc(slices.Collect(v.allEndpoints()), func(e balance.Endpoint) bool { return e.ID == id })
+	if len(others) == 0 {
+		return balance.Endpoint{}, false
+	}
+	return others[rand.N(len(others))], true
+}
+
 // follow reads the current state of a topic and then its changes, until ctx is done. It starts again from the
 // whole state when the store has trimmed changes that were not read yet.
 func (v *storeView) follow(ctx context.Context, topic string, pollWait, pause time.Duration, onSnapshot, onChanges func([]store.KeyedRecord)) error {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -27,6 +27,8 @@
 // Timeouts and sizes of connections.
 const (
 	dialTimeout = 400 * time.Millisecond
+	// slowDial is the time after which a connection that its request gave up on counts as not accepted.
+	slowDial = 150 * time.Millisecond
 	// unackedTimeout closes a connection on which sent data stays unacknowledged for this long.
 	unackedTimeout = 800 * time.Millisecond
 	// keepAliveMargin is subtracted from the keep-alive timeout that an endpoint announces, so that the endpoint
@@ -65,17 +67,29 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// OpenOnly makes Do fail with ErrNotSent rather than open a connection.
+	OpenOnly bool
 	// Matches reports whether a response belongs to the request. first tells that no other response was read from the
 	// connection before, so that the response cannot be a copy of an earlier one there.
 	Matches func(status int, h http.Header, first bool) bool
 }
 
+// Observer learns how connections fare. Its methods must return quickly.
+type Observer interface {
+	// Connected is called when an endpoint has accepted a connection, NotConnected when it has not.
+	Connected()
+	NotConnected(addr string)
+	// Responded is called when the head of a response has arrived.
+	Responded()
+}
+
 // Response is the response of an endpoint. The user must finish it with exactly one call of Reuse or Discard.
 type Response struct {
 	Status int
 	Header http.Header
 	Body   io.Reader
 
+	relay   *Relay // of a response that did not arrive over a connection of the pool; then the other fields are empty
 	conn    *conn
 	stop    func() bool
 	pool    *Pool
@@ -99,12 +113,16 @@
 
 // Pool holds the idle connections to all endpoints. It is safe for concurrent use.
 type Pool struct {
-	dialTo DialFunc
-	mu     sync.Mutex
-	idle   map[string][]*conn // by address, the most recently used last
-	dials  int64
+	dialTo   DialFunc
+	observer Observer // nil for none
+	mu       sync.Mutex
+	idle     map[string][]*conn // by address, the most recently used last
+	dials    int64
 }
 
+// Observe sets the observer of all connections. It must be called before the Pool is used.
+func (p *Pool) Observe(o Observer) { p.observer = o }
+
 // NewPool returns an empty Pool that opens connections with dial, or over TCP if dial is nil.
 func NewPool(dial DialFunc) *Pool {
 	if dial == nil {
@@ -138,14 +156,20 @@
 // Reachable reports whether an endpoint accepts connections at an address: an idle connection to it is still open, or a
 // new one, which is kept, can be opened.
 func (p *Pool) Reachable(ctx context.Context, addr string) bool {
-	c := p.takeIdle(addr)
-	if c == nil {
-		var err error
-		if c, err = p.dial(ctx, addr); err != nil {
-			return false
-		}
-		c.idleSince = time.Now()
+	if c := p.takeIdle(addr); c != nil {
+		p.putIdle(c)
+		return true
+	}
+	return p.Probe(ctx, addr)
+}
+
+// Probe reports whether an endpoint accepts a new connection at an address, and keeps the connection.
+func (p *Pool) Probe(ctx context.Context, addr string) bool {
+	c, err := p.dial(ctx, addr)
+	if err != nil {
+		return false
 	}
+	c.idleSince = time.Now()
 	p.putIdle(c)
 	return true
 }
@@ -248,9 +272,17 @@
 }
 
 func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	begun := time.Now()
+	dctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	nc, err := p.dialTo(ctx, "tcp", addr)
+	nc, err := p.dialTo(dctx, "tcp", addr)
+	switch {
+	case p.observer == nil:
+	case err == nil:
+		p.observer.Connected()
+	case ctx.Err() == nil || time.Since(begun) >= slowDial:
+		p.observer.NotConnected(addr)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
@@ -267,6 +299,9 @@
 func (p *Pool) Do(ctx context.Context, addr string, r Request) (*Response, error) {
 	c := p.takeIdle(addr)
 	if c == nil {
+		if r.OpenOnly {
+			return nil, fmt.Errorf("%w: no open connection", ErrNotSent)
+		}
 		var err error
 		if c, err = p.dial(ctx, addr); err != nil {
 			return nil, err
@@ -283,6 +318,9 @@
 		c.abort()
 		return nil, err
 	}
+	if p.observer != nil {
+		p.observer.Responded()
+	}
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: c.body(resp), conn: c, stop: stop, pool: p, closing: resp.Close}, nil
 }
 
@@ -390,12 +428,34 @@
 	}
 }
 
+// Relay is how a response arrives that did not arrive over a connection of a Pool.
+type Relay struct {
+	Body      io.Reader
+	Interrupt func() // makes reads of the body end; may be called concurrently with them
+	Close     func() // ends the request if it has not ended
+}
+
+// NewResponse returns the response that arrives by a relay.
+func NewResponse(status int, h http.Header, relay *Relay) *Response {
+	return &Response{Status: status, Header: h, Body: relay.Body, relay: relay}
+}
+
 // Interrupt closes the connection, so that a read of the body in another goroutine ends. The response must still be
 // finished.
-func (r *Response) Interrupt() { r.conn.abort() }
+func (r *Response) Interrupt() {
+	if r.relay != nil {
+		r.relay.Interrupt()
+		return
+	}
+	r.conn.abort()
+}
 
 // Discard closes the connection, which makes the endpoint cancel the request if it is still running.
 func (r *Response) Discard() {
+	if r.relay != nil {
+		r.relay.Close()
+		return
+	}
 	r.stop()
 	r.conn.abort()
 }
@@ -403,6 +463,10 @@
 // Reuse returns the connection to the pool if it is reusable, and closes it otherwise. The body must have been read
 // to its end.
 func (r *Response) Reuse() {
+	if r.relay != nil {
+		r.relay.Close()
+		return
+	}
 	c := r.conn
 	if !r.stop() || r.closing || c.br.Buffered() > 0 || !c.reusable(r.Header) {
 		c.abort()
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -58,6 +58,10 @@
 	KindSendPermitGet
 	KindSendPermit
 	KindRequestCrashes
+	KindEndpointRequest
+	KindEndpointResponse
+	KindEndpointData
+	KindEndpointEnd
 	kindEnd // one above the last kind
 )
 
@@ -115,6 +119,10 @@
 	KindSendPermitGet:    "send_permit_get",
 	KindSendPermit:       "send_permit",
 	KindRequestCrashes:   "request_crashes",
+	KindEndpointRequest:  "endpoint_request",
+	KindEndpointResponse: "endpoint_response",
+	KindEndpointData:     "endpoint_data",
+	KindEndpointEnd:      "endpoint_end",
 }
 
 // LastKind is the last kind that this binary knows, and UnstatedLastKind that of binaries whose Hello states none. A
@@ -141,7 +149,8 @@
 	switch k {
 	case KindForward, KindChunk, KindCopyPut, KindCopyGet, KindCopies, KindManifestGet, KindManifest,
 		KindExplain, KindExplained, KindTurnBegun, KindTurnEnd, KindTurnFound, KindTurnAdopt,
-		KindHistoryHold, KindHistoryCollected, KindStoreView:
+		KindHistoryHold, KindHistoryCollected, KindStoreView,
+		KindEndpointRequest, KindEndpointResponse, KindEndpointData, KindEndpointEnd:
 		return true
 	default:
 		return false
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -51,6 +51,10 @@
 	CodeInternal       ErrorCode = "internal"
 	CodeDraining       ErrorCode = "draining"
 	CodeFlowControl    ErrorCode = "flow_control"
+	CodeNotSent        ErrorCode = "not_sent"
+	CodeCutOff         ErrorCode = "cut_off"
+	CodeBrokenOff      ErrorCode = "broken_off"
+	CodeEndpointEnded  ErrorCode = "endpoint_ended"
 )
 
 // Error ends an exchange, or the connection if its exchange ID is 0. It implements the error interface.
--- a/internal/wire/registry.go
+++ b/internal/wire/registry.go
@@ -129,6 +129,18 @@
 // Kind implements Message.
 func (RequestCrashes) Kind() Kind { return KindRequestCrashes }
 
+// Kind implements Message.
+func (EndpointRequest) Kind() Kind { return KindEndpointRequest }
+
+// Kind implements Message.
+func (EndpointResponse) Kind() Kind { return KindEndpointResponse }
+
+// Kind implements Message.
+func (EndpointData) Kind() Kind { return KindEndpointData }
+
+// Kind implements Message.
+func (EndpointEnd) Kind() Kind { return KindEndpointEnd }
+
 // Kind implements Message.
 func (HistoryIndex) Kind() Kind { return KindHistoryIndex }
 
@@ -214,4 +226,8 @@
 	KindSendPermitGet:    decodeAs[SendPermitGet],
 	KindSendPermit:       decodeAs[SendPermit],
 	KindRequestCrashes:   decodeAs[RequestCrashes],
+	KindEndpointRequest:  decodeAs[EndpointRequest],
+	KindEndpointResponse: decodeAs[EndpointResponse],
+	KindEndpointData:     decodeAs[EndpointData],
+	KindEndpointEnd:      decodeAs[EndpointEnd],
 }
