peer: an exchange that fails for lack of credit does not end the connection

A replier whose handler gives up while it waits for credit says so with an Error, for which it needs no credit. The requester took that for a violation of its flow control and closed the connection between the two instances, with all other exchanges on it. Found by TestEndlessResponses through a peer, which was refused with 503 after it. The last reply may be an Error without credit now. TestFailureWithoutCreditKeepsTheConnection failed before.

--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -121,14 +121,15 @@
 	}
 }
 
-// push queues a reply for Recv. It fails with ErrFlowControl if the replier had no credit left.
+// push queues a reply for Recv. It fails with ErrFlowControl if the replier had no credit left. A replier that fails for
+// lack of credit may still say so.
 func (x *Exchange) push(e wire.Envelope, size int) error {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.lastReceived {
 		return fmt.Errorf("reply after the last one of exchange %d: %w", x.id, wire.ErrMalformed)
 	}
-	if x.allowed <= 0 {
+	if _, failed := e.Message.(wire.Error); x.allowed <= 0 && !(failed && e.Flags&wire.FlagLast != 0) {
 		return ErrFlowControl
 	}
 	x.allowed -= int64(size)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -29,6 +29,7 @@
 	canceled    chan struct{} // closed when a stream fails; may be nil
 	sent        int           // blocks sent by all streams
 	blocks      int           // blocks per stream
+	patience    time.Duration // after which a stream that waits for credit fails; 0 for never
 }
 
 func (h *recorder) Connected(Remote) {}
@@ -60,6 +61,11 @@
 const blockBytes = 256 << 10
 
 func (h *recorder) stream(ctx context.Context, r *Replier) error {
+	if h.patience > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, h.patience)
+		defer cancel()
+	}
 	for i := range h.blocks {
 		data := program.StreamData{Offset: int64(i) * blockBytes, Data: make([]byte, blockBytes)}
 		if err := r.Send(ctx, wire.Chunk{Data: &data}); err != nil {
@@ -241,6 +247,26 @@
 	must.Eq(t, int64(b.handler.blocks)*blockBytes, want)
 }
 
+// Guards against a connection that breaks because a replier without credit says that its exchange has failed.
+func TestFailureWithoutCreditKeepsTheConnection(t *testing.T) {
+	a, b := startNode(t, "a.1", nil), startNode(t, "b.1", nil)
+	b.handler.patience = 50 * time.Millisecond
+	link(t, a, b)
+	ctx, cancel := context.WithTimeout(context.Background(), testWait)
+	defer cancel()
+	x, err := a.OpenExchange(ctx, "b.1", wire.Forward{})
+	must.NoError(t, err)
+	defer x.Close()
+	waitFor(t, "end of the exchange", func() bool { return current(b, "a").openExchanges() == 0 })
+	_, err = ask(t, a, "b.1", wire.StatusGet{})
+	must.NoError(t, err)
+	for err == nil {
+		_, err = x.Recv(ctx)
+	}
+	var failure wire.Error
+	must.True(t, errors.As(err, &failure))
+}
+
 // Guards against a replier that continues after the requester closed the exchange, and against leaked
 // exchanges.
 func TestCancelReachesTheReplier(t *testing.T) {
