gateway: links that fail are not taken for endpoints that have ended

An instance whose links to the endpoints fail sees connections reset and new ones refused, as if every endpoint had ended, and reported the requests in progress there to all instances. After three such times a request was quarantined everywhere and refused with 503 for a minute.

An instance that has reached no endpoint since the connection broke asks up to three peers whether they reach the endpoint. Where one does, the endpoint has not ended. For requests that went through a peer, that peer looks, and says so with the failure.

TestFailingLinksAreNoCrashes failed before (503 instead of 502); TestCutResponsesOfCalls, TestCutStreams, TestEndlessResponses and TestResponsesThatEndWithTheirConnection go through a peer as well.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -94,7 +94,8 @@
 	}
 }
 
-// hasEnded reports whether an endpoint that broke connections off is no longer there.
+// hasEnded reports whether an endpoint that broke connections off is no longer there. An instance that has reached no
+// other endpoint since asks its peers, because its own links may have failed.
 func (g *Gateway) hasEnded(e balance.Endpoint, brokenAt time.Time) bool {
 	time.Sleep(crashCheckDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
@@ -104,7 +105,17 @@
 		log.Debug("endpoint broke connections off and is still there")
 		return false
 	}
-	return true
+	if g.reachedSince(brokenAt) || !g.reachedByPeer(ctx, e) {
+		return true
+	}
+	log.Info("endpoint broke connections off and is not reached, but a peer reaches it")
+	return false
+}
+
+func (g *Gateway) reachedSince(since time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.links.ReachedSince(since)
 }
 
 // reportCrash tells all instances which requests an endpoint has ended with.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -456,6 +456,9 @@
 	if request, ok := m.(wire.EndpointRequest); ok {
 		return (*Gateway)(h).serveRelay(ctx, request, r)
 	}
+	if probe, ok := m.(wire.EndpointProbe); ok {
+		return (*Gateway)(h).serveProbe(ctx, probe, r)
+	}
 	if get, ok := m.(wire.SendPermitGet); ok {
 		permit, err := (*Gateway)(h).issuePermit(get)
 		if err != nil {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	// maxRelays bounds the peers that are asked to send a request until one of them can.
+	// maxRelays bounds the peers that are asked to send a request, or to reach an endpoint, until one of them can.
 	maxRelays = 3
 	// relayChunkBytes bounds the parts in which a peer returns a body.
 	relayChunkBytes = 16 << 10
@@ -109,7 +109,7 @@
 		if !suspects {
 			continue
 		}
-		if e, ok := g.view.otherEndpoint(""); ok {
+		if e, ok := g.view.anyEndpoint(); ok {
 			go g.probe(ctx, e)
 		}
 	}
@@ -123,6 +123,7 @@
 
 // exchange sends a request to an endpoint, through a peer while this instance is cut off from the endpoints.
 func (q *request) exchange(ctx context.Context, e target, r upstream.Request) (*upstream.Response, error) {
+	q.viaPeer = false
 	cutOff, trustsOpen := q.g.cutOff()
 	if cutOff && trustsOpen && q.g.pool.HasIdle(e.Addr) {
 		r.OpenOnly = true
@@ -166,6 +167,7 @@
 		resp, err := q.relayThrough(ctx, p, m, r)
 		var refused wire.Error
 		if !errors.As(err, &refused) || refused.Code != wire.CodeCutOff {
+			q.viaPeer = true
 			log.Info("request sent through a peer")
 			return resp, err
 		}
@@ -181,7 +183,7 @@
 func (g *Gateway) chooseRelay(tried map[id.Session]bool) (id.Session, bool) {
 	var peers []reach.Peer
 	for _, r := range g.node.Connected() {
-		if r.LastKind >= wire.KindEndpointEnd {
+		if r.LastKind >= wire.KindEndpointProbe {
 			peers = append(peers, reach.Peer{Session: r.Session, Zone: r.Zone})
 		}
 	}
@@ -285,6 +287,30 @@
 	return n, nil
 }
 
+// reachedByPeer reports whether a peer reaches an endpoint.
+func (g *Gateway) reachedByPeer(ctx context.Context, e balance.Endpoint) bool {
+	tried := make(map[id.Session]bool)
+	for range maxRelays {
+		p, ok := g.chooseRelay(tried)
+		if !ok {
+			break
+		}
+		tried[p] = true
+		if _, err := g.node.Request(ctx, p, wire.EndpointProbe{Endpoint: e.ID, Addr: e.Addr}); err == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// serveProbe answers whether an endpoint accepts connections of this instance.
+func (g *Gateway) serveProbe(ctx context.Context, m wire.EndpointProbe, r *peer.Replier) error {
+	if !g.view.hasEndpoint(m.Endpoint, m.Addr) || !g.probe(ctx, balance.Endpoint{ID: m.Endpoint, Addr: m.Addr}) {
+		return wire.Error{Code: wire.CodeNotSent, Detail: "endpoint does not accept connections"}
+	}
+	return r.SendLast(ctx, wire.Ack{})
+}
+
 // serveRelay sends a request to an endpoint on behalf of a peer and passes the response on as it arrives.
 func (g *Gateway) serveRelay(ctx context.Context, m wire.EndpointRequest, r *peer.Replier) error {
 	if cutOff, _ := g.cutOff(); cutOff {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -71,6 +71,7 @@
 	tried      map[string]bool // IDs of the endpoints already tried
 	sends      int             // attempts of which anything may have been sent to an endpoint
 	mayHaveRun bool            // an endpoint may have executed the request
+	viaPeer    bool            // the current attempt was sent through a peer
 }
 
 // ServeHTTP implements http.Handler for requests of callers.
@@ -463,7 +464,7 @@
 		return notExecuted
 	}
 	switch {
-	case upstream.BrokenOff(err):
+	case upstream.BrokenOff(err) && !q.viaPeer:
 		fields["digest"] = q.digest().String()
 		q.g.checkCrash(e.Endpoint, q.digest())
 	case endedAtPeer(err):
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -130,13 +130,13 @@
 	return false
 }
 
-// otherEndpoint returns a random usable endpoint that has not the given ID.
-func (v *storeView) otherEndpoint(id string) (balance.Endpoint, bool) {
-	others := slices.DeleteFunc(slices.Collect(v.allEndpoints()), func(e balance.Endpoint) bool { return e.ID == id })
-	if len(others) == 0 {
+// anyEndpoint returns a random usable endpoint.
+func (v *storeView) anyEndpoint() (balance.Endpoint, bool) {
+	all := slices.Collect(v.allEndpoints())
+	if len(all) == 0 {
 		return balance.Endpoint{}, false
 	}
-	return others[rand.N(len(others))], true
+	return all[rand.N(len(all))], true
 }
 
 // follow reads the current state of a topic and then its changes, until ctx is done. It starts again from the
--- a/internal/wire/endpoint.go
+++ b/internal/wire/endpoint.go
@@ -31,3 +31,9 @@
 
 // EndpointEnd means that the body is complete. If the endpoint breaks it off, an Error is sent instead.
 type EndpointEnd struct{}
+
+// EndpointProbe asks a peer whether an endpoint accepts its connections. The reply is Ack, or an Error with CodeNotSent.
+type EndpointProbe struct {
+	Endpoint string `msgpack:"e"` // ID
+	Addr     string `msgpack:"a"` // IP address and port
+}
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -62,6 +62,7 @@
 	KindEndpointResponse
 	KindEndpointData
 	KindEndpointEnd
+	KindEndpointProbe
 	kindEnd // one above the last kind
 )
 
@@ -123,6 +124,7 @@
 	KindEndpointResponse: "endpoint_response",
 	KindEndpointData:     "endpoint_data",
 	KindEndpointEnd:      "endpoint_end",
+	KindEndpointProbe:    "endpoint_probe",
 }
 
 // LastKind is the last kind that this binary knows, and UnstatedLastKind that of binaries whose Hello states none. A
--- a/internal/wire/registry.go
+++ b/internal/wire/registry.go
@@ -141,6 +141,9 @@
 // Kind implements Message.
 func (EndpointEnd) Kind() Kind { return KindEndpointEnd }
 
+// Kind implements Message.
+func (EndpointProbe) Kind() Kind { return KindEndpointProbe }
+
 // Kind implements Message.
 func (HistoryIndex) Kind() Kind { return KindHistoryIndex }
 
@@ -230,4 +233,5 @@
 	KindEndpointResponse: decodeAs[EndpointResponse],
 	KindEndpointData:     decodeAs[EndpointData],
 	KindEndpointEnd:      decodeAs[EndpointEnd],
+	KindEndpointProbe:    decodeAs[EndpointProbe],
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -55,6 +55,7 @@
 		RequestCrashes{Crashes: []RequestCrash{{Request: RequestDigest{Path: 1, Body: 1 << 60}, Endpoint: "e1", Age: time.Second}}, Served: []RequestDigest{{Path: 2, Body: 3}}},
 		EndpointRequest{Endpoint: "e1", Addr: "10.0.0.1:80", RequestID: "r1", Method: "POST", URI: "/a?b", Host: "h", Header: map[string][]string{"A": {"b", "c"}}, Body: []byte("x"), Timeout: time.Second},
 		EndpointResponse{Status: 200, Header: map[string][]string{"A": {"b"}}}, EndpointData{Data: []byte("x")}, EndpointEnd{},
+		EndpointProbe{Endpoint: "e1", Addr: "10.0.0.1:80"},
 		SendPermitGet{Limit: EndpointLimit{ID: "e1", Limited: true, PerSecond: 2.5, Age: time.Second}},
 		SendPermit{Granted: true, Limit: EndpointLimit{ID: "e1"}}, SendPermit{RetryAfter: time.Second},
 		StoreView{Config: []byte("{}"), Age: time.Second, Endpoints: []KeyedRecord{{Key: "e1", Value: []byte("{}")}}, Claims: []PartitionClaims{{Member: "a@b"}}},
