upstream: connections outlive an endpoint that is silent for a second

A sound endpoint may fall silent for a second or so and go on. Connections to endpoints were closed by the system after 0.8 s without an acknowledgement (TCP_USER_TIMEOUT), so that requests that the endpoint was going to answer ended with 502 or a broken stream. It is 1.6 s now. Connections to endpoints that have failed are noticed later by as much; while all of them fail, requests go through peers.

TestEndpointThatIsSilentForASecond failed before (unexpected EOF).

--- a/internal/upstream/limit_test.go
+++ b/internal/upstream/limit_test.go
@@ -1,12 +1,14 @@
 package upstream
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"runtime"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -137,3 +139,33 @@
 		must.Eq(t, "mine", body)
 	}
 }
+
+// Guards against a sound endpoint that takes nothing for a second being cut off in the middle of a request.
+func TestEndpointThatIsSilentForASecond(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer l.Close()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		time.Sleep(1300 * time.Millisecond)
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		n, _ := io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(c, reply("1", strconv.FormatInt(n, 10)))
+	}()
+	body := make([]byte, 32<<20) // more than the buffers of a connection hold
+	resp, err := NewPool(nil).Do(t.Context(), l.Addr().String(), Request{
+		Method: "POST", URI: "/", Host: "h", Header: http.Header{}, Body: body, Matches: func(int, http.Header, bool) bool { return true },
+	})
+	must.NoError(t, err)
+	text, err := io.ReadAll(resp.Body)
+	must.NoError(t, err)
+	must.Eq(t, strconv.Itoa(len(body)), string(text))
+	resp.Discard()
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -29,8 +29,9 @@
 	dialTimeout = 400 * time.Millisecond
 	// slowDial is the time after which a connection that its request gave up on counts as not accepted.
 	slowDial = 150 * time.Millisecond
-	// unackedTimeout closes a connection on which sent data stays unacknowledged for this long.
-	unackedTimeout = 800 * time.Millisecond
+	// unackedTimeout closes a connection on which sent data stays unacknowledged for this long. A sound endpoint may be
+	// silent for a second.
+	unackedTimeout = 1600 * time.Millisecond
 	// keepAliveMargin is subtracted from the keep-alive timeout that an endpoint announces, so that the endpoint
 	// does not close a connection while a request is in flight.
 	keepAliveMargin = 500 * time.Millisecond
