breaks: follow the code; breaks of the two new guarantees

"An endpoint that loses answers counts as ended" did not build before either, and TestLostAnswersAreNoCrashes could not have caught it: crashes 0.1 s apart count once. New: a complete turn counts as safe while no instance reaches the store; an instance that reaches no endpoint does not ask its peers.

--- a/internal/breaks/list.go
+++ b/internal/breaks/list.go
@@ -273,10 +273,24 @@
 	{
 		guarantee: "platform: history", name: "records count as safe without copies during a store outage",
 		file: "internal/ledger/copies.go",
-		old:  "held, reaching := l.sendCopies(ctx, ld, entries)",
-		new:  "held, reaching := requiredCopies, map[string]bool{}",
+		old:  "copied, reaching := l.copyEntries(ctx, ld, entries)",
+		new:  "copied, reaching := true, map[string]bool{}",
 		test: test{pkg: "internal/ledger", run: "^TestCopiesOutliveAKilledHolder$"},
 	},
+	{
+		guarantee: "platform: history", name: "a complete turn counts as safe while no instance reaches the store",
+		file: "internal/ledger/copies.go",
+		old:  "\t\tif len(reaching) == 0 {\n\t\t\tcontinue\n\t\t}",
+		new:  "\t\tif len(reaching) == 0 {\n\t\t\tsafe = append(safe, e)\n\t\t\tcontinue\n\t\t}",
+		test: test{pkg: "internal/ledger", run: "^TestTurnsOutliveAllInstancesInAnOutage$"},
+	},
+	{
+		guarantee: "platform: endpoints", name: "an instance that reaches no endpoint does not ask its peers",
+		file: "internal/gateway/relay.go",
+		old:  "return p.Session, ok\n",
+		new:  "return p.Session, ok && len(peers) > 1000\n",
+		test: test{pkg: "platform", run: "^TestInstanceCutOffFromEndpoints$/^resets$"},
+	},
 	{
 		guarantee: "platform: history", name: "a partition leader ignores offered copies",
 		file: "internal/ledger/copies.go",
@@ -364,8 +378,8 @@
 	{
 		guarantee: "platform: crashes", name: "an endpoint that loses answers counts as ended",
 		file: "internal/gateway/crashes.go",
-		old:  "\tif reachable {\n",
-		new:  "\tif false {\n",
+		old:  "ended := g.hasEnded(e, check.at)",
+		new:  "ended := true",
 		test: test{pkg: "platform", run: "^TestLostAnswersAreNoCrashes$"},
 	},
 	{
