upstream: requests that get no acknowledgement tell that an instance may be cut off

An instance with little traffic and idle connections, whose links fell silent, sent one call after the other over another dead connection: only connections that were not accepted counted as a sign.

A connection that ends because nothing was acknowledged on it counts as well, so that another endpoint is probed.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -77,7 +77,8 @@
 
 // Observer learns how connections fare. Its methods must return quickly.
 type Observer interface {
-	// Connected is called when an endpoint has accepted a connection, NotConnected when it has not.
+	// Connected is called when an endpoint has accepted a connection, NotConnected when it has not, or has acknowledged
+	// nothing on an open one for unackedTimeout.
 	Connected()
 	NotConnected(addr string)
 	// Responded is called when the head of a response has arrived.
@@ -315,6 +316,9 @@
 	stop := context.AfterFunc(ctx, c.abort)
 	resp, err := c.exchange(r)
 	if err != nil {
+		if p.observer != nil && errors.Is(err, syscall.ETIMEDOUT) {
+			p.observer.NotConnected(addr)
+		}
 		stop()
 		c.abort()
 		return nil, err
