gateway, reach: peers that are cut off as well are known and asked last

The same peers were asked whether an endpoint has ended, and their "not reached" counted as a crash: calls were quarantined after three such cuts of a zone.

Load reports tell that their sender is cut off, and that it no longer is. Peers of other zones come first at equal load; a peer that refused is not asked for 5 s; six are tried instead of three; any request that a peer could not take goes to the next one. A peer that is cut off says so when it is asked about an endpoint, which then tells nothing.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -100,16 +100,19 @@
 	time.Sleep(crashCheckDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
-	log := g.log.WithField("endpoint", e.ID)
 	if g.pool.Reachable(ctx, e.Addr) {
-		log.Debug("endpoint broke connections off and is still there")
 		return false
 	}
-	if g.reachedSince(brokenAt) || !g.reachedByPeer(ctx, e) {
+	if g.reachedSince(brokenAt) {
 		return true
 	}
-	log.Info("endpoint broke connections off and is not reached, but a peer reaches it")
-	return false
+	askCtx, cancelAsk := context.WithTimeout(context.Background(), crashCheckTimeout)
+	defer cancelAsk()
+	if reached, known := g.reachedByPeer(askCtx, e); known {
+		return !reached
+	}
+	cutOff, _ := g.cutOff()
+	return !cutOff
 }
 
 func (g *Gateway) reachedSince(since time.Time) bool {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -388,13 +388,14 @@
 			own := g.balancer.LocalLoads(now)
 			turns := g.ownTurns()
 			limits := g.takeNewLimits(now)
-			due := len(own) > 0 || turns.Waiting > 0 || len(limits) > 0 || g.reportedLoad
-			g.reportedLoad = len(own) > 0 || turns.Waiting > 0
+			cutOff := g.noteCutOff()
+			due := len(own) > 0 || turns.Waiting > 0 || len(limits) > 0 || cutOff || g.reportedLoad
+			g.reportedLoad = len(own) > 0 || turns.Waiting > 0 || cutOff
 			g.mu.Unlock()
 			if !due {
 				continue
 			}
-			report := wire.LoadReport{Endpoints: make([]wire.EndpointLoad, 0, len(own)), Waiting: turns.Waiting, Begun: turns.Begun, Limits: limits}
+			report := wire.LoadReport{Endpoints: make([]wire.EndpointLoad, 0, len(own)), Waiting: turns.Waiting, Begun: turns.Begun, Limits: limits, CutOff: cutOff}
 			for id, load := range own {
 				report.Endpoints = append(report.Endpoints, wire.EndpointLoad{ID: id, Running: load.Running, Overdue: load.Overdue})
 			}
@@ -434,6 +435,11 @@
 			loads[e.ID] = balance.Load{Running: e.Running, Overdue: e.Overdue}
 		}
 		h.mu.Lock()
+		if m.CutOff {
+			h.relays.Refused(r.Session, time.Now())
+		} else {
+			h.relays.Recovered(r.Session)
+		}
 		h.balancer.SetPeerReport(r.Session.Instance(), balance.Report{Loads: loads, Turns: balance.Turns{Waiting: m.Waiting, Begun: m.Begun}}, time.Now())
 		h.mu.Unlock()
 		for _, limit := range m.Limits {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -21,7 +21,7 @@
 
 const (
 	// maxRelays bounds the peers that are asked to send a request, or to reach an endpoint, until one of them can.
-	maxRelays = 3
+	maxRelays = 6
 	// relayChunkBytes bounds the parts in which a peer returns a body.
 	relayChunkBytes = 16 << 10
 	// probeInterval is the time between tries to reach an endpoint while the instance may be cut off, and probeTimeout
@@ -59,8 +59,8 @@
 	o.links.Responded(time.Now())
 }
 
-// noteCutOff logs when the instance becomes cut off from all endpoints, or reaches them again. The caller holds the
-// lock.
+// noteCutOff returns whether the instance is cut off from all endpoints, and logs when that changes. The caller holds
+// the lock.
 func (g *Gateway) noteCutOff() bool {
 	cutOff := g.links.CutOff(g.view.endpointCount(), time.Now())
 	if cutOff == g.wasCutOff {
@@ -166,12 +166,12 @@
 		log := q.log.WithFields(logrus.Fields{"endpoint": e.ID, "peer": string(p)})
 		resp, err := q.relayThrough(ctx, p, m, r)
 		var refused wire.Error
-		if !errors.As(err, &refused) || refused.Code != wire.CodeCutOff {
+		if !errors.Is(err, upstream.ErrNotSent) || errors.As(err, &refused) && refused.Code == wire.CodeNotSent {
 			q.viaPeer = true
 			log.Info("request sent through a peer")
 			return resp, err
 		}
-		log.Info("peer is cut off from endpoints too")
+		log.WithField("reason", err.Error()).Info("peer does not send the request")
 		q.g.mu.Lock()
 		q.g.relays.Refused(p, time.Now())
 		q.g.mu.Unlock()
@@ -287,8 +287,8 @@
 	return n, nil
 }
 
-// reachedByPeer reports whether a peer reaches an endpoint.
-func (g *Gateway) reachedByPeer(ctx context.Context, e balance.Endpoint) bool {
+// reachedByPeer reports whether a peer reaches an endpoint. known is false if no peer can tell.
+func (g *Gateway) reachedByPeer(ctx context.Context, e balance.Endpoint) (reached, known bool) {
 	tried := make(map[id.Session]bool)
 	for range maxRelays {
 		p, ok := g.chooseRelay(tried)
@@ -296,19 +296,27 @@
 			break
 		}
 		tried[p] = true
-		if _, err := g.node.Request(ctx, p, wire.EndpointProbe{Endpoint: e.ID, Addr: e.Addr}); err == nil {
-			return true
+		_, err := g.node.Request(ctx, p, wire.EndpointProbe{Endpoint: e.ID, Addr: e.Addr})
+		var told wire.Error
+		switch {
+		case err == nil:
+			return true, true
+		case errors.As(err, &told) && told.Code == wire.CodeNotSent:
+			known = true
 		}
 	}
-	return false
+	return false, known
 }
 
 // serveProbe answers whether an endpoint accepts connections of this instance.
 func (g *Gateway) serveProbe(ctx context.Context, m wire.EndpointProbe, r *peer.Replier) error {
-	if !g.view.hasEndpoint(m.Endpoint, m.Addr) || !g.probe(ctx, balance.Endpoint{ID: m.Endpoint, Addr: m.Addr}) {
-		return wire.Error{Code: wire.CodeNotSent, Detail: "endpoint does not accept connections"}
+	if g.view.hasEndpoint(m.Endpoint, m.Addr) && g.probe(ctx, balance.Endpoint{ID: m.Endpoint, Addr: m.Addr}) {
+		return r.SendLast(ctx, wire.Ack{})
+	}
+	if cutOff, _ := g.cutOff(); cutOff {
+		return wire.Error{Code: wire.CodeCutOff, Detail: "no endpoint is reached"}
 	}
-	return r.SendLast(ctx, wire.Ack{})
+	return wire.Error{Code: wire.CodeNotSent, Detail: "endpoint does not accept connections"}
 }
 
 // serveRelay sends a request to an endpoint on behalf of a peer and passes the response on as it arrives.
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -67,8 +67,8 @@
 	return !t.CutOff(listed, now) || now.Sub(t.respondedAt) < quietTime
 }
 
-// refusedTime is how long a peer that is cut off as well is not asked again.
-const refusedTime = time.Second
+// refusedTime is how long a peer that is cut off as well is not asked again, unless it says that it has recovered.
+const refusedTime = 5 * time.Second
 
 // Peer is an instance that may send requests on behalf of this one.
 type Peer struct {
@@ -88,8 +88,8 @@
 	return &Peers{zone: zone, running: make(map[id.Session]int), refused: make(map[id.Session]time.Time)}
 }
 
-// Choose returns the peer with the fewest requests in progress, one in the own availability zone if several have equally
-// few, without those in tried and those that are cut off.
+// Choose returns the peer with the fewest requests in progress, one in another availability zone if several have equally
+// few, since zones are often cut off as a whole. Those in tried and those that are cut off are left out.
 func (p *Peers) Choose(connected []Peer, tried map[id.Session]bool, now time.Time) (Peer, bool) {
 	var best Peer
 	found := false
@@ -98,7 +98,7 @@
 			continue
 		}
 		fewer := p.running[c.Session] - p.running[best.Session]
-		if !found || fewer < 0 || fewer == 0 && c.Zone == p.zone && best.Zone != p.zone {
+		if !found || fewer < 0 || fewer == 0 && c.Zone != p.zone && best.Zone == p.zone {
 			best, found = c, true
 		}
 	}
@@ -117,6 +117,9 @@
 // Refused records that a peer is cut off as well.
 func (p *Peers) Refused(session id.Session, now time.Time) { p.refused[session] = now }
 
+// Recovered records that a peer is not cut off.
+func (p *Peers) Recovered(session id.Session) { delete(p.refused, session) }
+
 // Begun records that a request goes through a peer.
 func (p *Peers) Begun(session id.Session) { p.running[session]++ }
 
@@ -127,7 +130,7 @@
 	}
 }
 
-// Prune drops what is known of peers that have not refused anything lately.
+// Prune drops refusals that are over.
 func (p *Peers) Prune(now time.Time) {
 	for session := range p.refused {
 		p.usable(session, now)
--- a/internal/wire/turn.go
+++ b/internal/wire/turn.go
@@ -65,6 +65,7 @@
 	Begun     int            `msgpack:"b,omitempty"` // those of them whose program has begun
 	// Limits are the limits of endpoints that the sender has seen begin, change or end since its last report.
 	Limits []EndpointLimit `msgpack:"l,omitempty"`
+	CutOff bool            `msgpack:"c,omitempty"` // the sender reaches no endpoint
 }
 
 // EndpointLimit is what an instance knows of the limit of an endpoint.
