gateway: an instance that stops finishes the requests of its peers

A peer that was stopped broke off the requests that it had sent on behalf of an instance cut off from the endpoints: it waited for its own callers only. Calls that may not be repeated ended with 502 although their endpoint ran them.

An instance that stops takes no such requests any more, which go to other peers, and waits for those in progress within its grace period.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,6 +78,7 @@
 	storeDep  *dependency
 
 	active    atomic.Int64
+	relaying  atomic.Int64 // requests in progress that were sent for peers
 	stopping  atomic.Bool
 	startedAt time.Time
 	metPeers  atomic.Bool // see meetPeers
@@ -219,6 +220,9 @@
 	if err := front.Shutdown(ctx); err != nil {
 		g.log.WithFields(logrus.Fields{"count": g.active.Load(), "reason": err.Error()}).Warn("grace period is over with requests in progress")
 	}
+	for g.relaying.Load() > 0 && ctx.Err() == nil {
+		time.Sleep(relayPollInterval)
+	}
 }
 
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -22,6 +22,8 @@
 const (
 	// maxRelays bounds the peers that are asked to send a request, or to reach an endpoint, until one of them can.
 	maxRelays = 6
+	// relayPollInterval is how often an instance that stops looks whether requests of peers are still in progress.
+	relayPollInterval = 20 * time.Millisecond
 	// relayChunkBytes bounds the parts in which a peer returns a body.
 	relayChunkBytes = 16 << 10
 	// probeInterval is the time between tries to reach an endpoint while the instance may be cut off, and probeTimeout
@@ -321,9 +323,11 @@
 
 // serveRelay sends a request to an endpoint on behalf of a peer and passes the response on as it arrives.
 func (g *Gateway) serveRelay(ctx context.Context, m wire.EndpointRequest, r *peer.Replier) error {
-	if cutOff, _ := g.cutOff(); cutOff {
-		return wire.Error{Code: wire.CodeCutOff, Detail: "no endpoint is reached"}
+	if cutOff, _ := g.cutOff(); cutOff || g.stopping.Load() {
+		return wire.Error{Code: wire.CodeCutOff, Detail: "no endpoint is reached, or the instance stops"}
 	}
+	g.relaying.Add(1)
+	defer g.relaying.Add(-1)
 	if !g.view.hasEndpoint(m.Endpoint, m.Addr) {
 		return wire.Error{Code: wire.CodeNotSent, Detail: "endpoint is not listed"}
 	}
