--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -22,10 +22,10 @@
 
 // pattern is what happens to connections from a time on.
 type pattern struct {
-	from      time.Duration
-	dark      int           // endpoints that accept no connections, from the first one
-	took      time.Duration // until a connection to one of these fails
-	openAlive bool          // responses arrive over open connections to all endpoints
+	from        time.Duration
+	unreachable int           // endpoints that accept no connections, from the first one
+	took        time.Duration // until a connection to one of these fails
+	openAlive   bool          // responses arrive over open connections to all endpoints
 }
 
 // play runs requests through a Tracker, every second of them over a new connection, and returns for how long it said
@@ -49,7 +49,7 @@
 		}
 		p := patterns[current]
 		connect := func() {
-			if e := rng.IntN(endpoints); e >= p.dark {
+			if e := rng.IntN(endpoints); e >= p.unreachable {
 				tr.Connected(now)
 				tr.Responded(now)
 			} else {
@@ -83,14 +83,14 @@
 }
 
 func TestEndedEndpointIsNoCutOff(t *testing.T) {
-	cutOff, _ := play(t, 10*time.Second, pattern{openAlive: true}, pattern{from: time.Second, dark: 1, took: dialTimeout, openAlive: true})
+	cutOff, _ := play(t, 10*time.Second, pattern{openAlive: true}, pattern{from: time.Second, unreachable: 1, took: dialTimeout, openAlive: true})
 	must.Eq(t, []time.Duration{0, 0}, cutOff)
 }
 
 // All links are silent for ten seconds: the instance notices it within a second and does not use its open connections.
 // When the links are back, the next probe ends it.
 func TestSilentLinks(t *testing.T) {
-	cutOff, trusted := play(t, 20*time.Second, pattern{openAlive: true}, pattern{from: 2 * time.Second, dark: endpoints, took: dialTimeout},
+	cutOff, trusted := play(t, 20*time.Second, pattern{openAlive: true}, pattern{from: 2 * time.Second, unreachable: endpoints, took: dialTimeout},
 		pattern{from: 12 * time.Second, openAlive: true})
 	must.Eq(t, 0, cutOff[0])
 	must.GreaterEq(t, 9*time.Second, cutOff[1])
@@ -113,9 +113,9 @@
 	must.False(t, tr.CutOff(endpoints, now.Add(evidenceTTL+time.Millisecond)))
 }
 
-// A third of the endpoints is dark: the instance seldom takes itself for cut off, and then until the next probe.
-func TestDarkEndpointsAreNoLastingCutOff(t *testing.T) {
-	cutOff, _ := play(t, 20*time.Second, pattern{openAlive: true}, pattern{from: 0, dark: endpoints / 3, took: dialTimeout, openAlive: true})
+// A third of the endpoints is unreachable: the instance seldom takes itself for cut off, and then until the next probe.
+func TestUnreachableEndpointsAreNoLastingCutOff(t *testing.T) {
+	cutOff, _ := play(t, 20*time.Second, pattern{openAlive: true}, pattern{from: 0, unreachable: endpoints / 3, took: dialTimeout, openAlive: true})
 	must.Less(t, 2*time.Second, cutOff[1])
 }
 
