gateway: the path of a request in stages

Each stage now has a file: identify.go, body.go, place.go and send.go; a stage that ends a request returns a rejection, which is written to the caller in one place. No behaviour changes.

--- a/internal/breaks/list.go
+++ b/internal/breaks/list.go
@@ -223,7 +223,7 @@
 	// Requirements on the platform instances: packages gateway, ledger, history, telemetry and platform.
 	{
 		guarantee: "platform: once", name: "a non-idempotent call with an unknown outcome is sent again",
-		file: "internal/gateway/request.go",
+		file: "internal/gateway/send.go",
 		old:  "if q.mayHaveRun && !q.route.Repeatable() || q.quarantined() || q.callerGone() {\n\t\t\tbreak",
 		new:  "if q.mayHaveRun && q.route.Kind > 100 {\n\t\t\tbreak",
 		test: test{pkg: "platform", run: "^TestCallsRunOnce$"},
@@ -237,7 +237,7 @@
 	},
 	{
 		guarantee: "platform: once", name: "a connection is used again after a refusal by another endpoint than the intended one",
-		file: "internal/gateway/request.go",
+		file: "internal/gateway/send.go",
 		old:  " && resp.Status != http.StatusMisdirectedRequest",
 		new:  "",
 		test: test{pkg: "platform", run: "^TestEarlierRefusalOfTheSameRequest$"},
@@ -356,7 +356,7 @@
 	},
 	{
 		guarantee: "platform: limits", name: "a request to a limited endpoint uses no permit",
-		file: "internal/gateway/request.go",
+		file: "internal/gateway/place.go",
 		old:  "\t\tg.permits.Use(e.ID, now)\n",
 		new:  "",
 		test: test{pkg: "platform", run: "^TestInstancesTogetherExceedALimit$"},
@@ -461,7 +461,7 @@
 	},
 	{
 		guarantee: "platform: leaving", name: "answers that say that an endpoint leaves are not read",
-		file: "internal/gateway/request.go",
+		file: "internal/gateway/send.go",
 		old:  "\tif err == nil && reply.Leaving {\n",
 		new:  "\tif err != nil && reply.Leaving {\n",
 		test: test{pkg: "platform", run: "^TestAllEndpointsLeave$"},
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -84,18 +84,12 @@
 	}
 }
 
-// rejection is the reason why a turn is not sent, and when its caller may come back.
-type rejection struct {
-	reason     string
-	retryAfter time.Duration
-}
-
 // checkRoom returns a rejection if no program may begin now. It reserves nothing.
 func (q *request) checkRoom(service string) *rejection {
 	g, now := q.g, time.Now()
 	candidates := g.view.candidates(service)
 	if len(candidates) == 0 {
-		return &rejection{reasonNoEndpoint, minRetryAfter}
+		return unavailable(reasonNoEndpoint, minRetryAfter)
 	}
 	g.mu.Lock()
 	begun := g.ownTurns().Begun + g.balancer.PeerTurns().Begun
@@ -112,7 +106,7 @@
 	}
 	g.metrics.turnDecided(service, admission.First, admission.Reject, 0)
 	q.logRejected(logrus.Fields{"rank": admission.First.String(), "waiting": begun, "waited": 0}, retryAfter)
-	return &rejection{reasonOverload, retryAfter}
+	return unavailable(reasonOverload, retryAfter)
 }
 
 func (q *request) logRejected(fields logrus.Fields, retryAfter time.Duration) {
@@ -151,7 +145,7 @@
 	now := turn.EnqueuedAt
 	call := &admissionCall{query: query, decided: make(chan struct{})}
 	if len(call.query.Candidates) == 0 {
-		return nil, &rejection{reasonNoEndpoint, minRetryAfter}
+		return nil, unavailable(reasonNoEndpoint, minRetryAfter)
 	}
 	g := q.g
 	g.mu.Lock()
@@ -194,7 +188,7 @@
 		return &slot{g: q.g, key: key, target: call.target}, nil
 	case admission.Reject:
 		q.logRejected(fields, ticket.RetryAfter)
-		return nil, &rejection{reasonOverload, ticket.RetryAfter}
+		return nil, unavailable(reasonOverload, ticket.RetryAfter)
 	default:
 		return nil, nil
 	}
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -53,9 +52,19 @@
 
 // refuseQuarantined refuses the request until the end of its quarantine. It is no error of the caller's that could be
 // told, and the request may run then, so it is refused as one that was not run.
-func (q *request) refuseQuarantined() {
+func (q *request) refuseQuarantined() { q.reject(q.rejectQuarantined()) }
+
+// checkQuarantine rejects a request that is quarantined.
+func (q *request) checkQuarantine() *rejection {
+	if q.quarantined() {
+		return q.rejectQuarantined()
+	}
+	return nil
+}
+
+func (q *request) rejectQuarantined() *rejection {
 	q.log.WithField("digest", q.digest().String()).Info("request not sent, endpoints crash with it")
-	q.refuseFor(http.StatusServiceUnavailable, reasonQuarantined, max(time.Until(q.quarantinedUntil), minRetryAfter))
+	return unavailable(reasonQuarantined, max(time.Until(q.quarantinedUntil), minRetryAfter))
 }
 
 // endpointGoesOn records that the request was run by an endpoint that goes on.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -73,7 +73,7 @@
 	t.begun = q.route.History && (q.meta.Previous != "" || q.meta.BadPrevious)
 	if q.route.History && !t.begun {
 		if rejected := q.checkRoom(service); rejected != nil {
-			q.refuseFor(http.StatusServiceUnavailable, rejected.reason, rejected.retryAfter)
+			q.reject(rejected)
 			return
 		}
 	}
@@ -122,7 +122,7 @@
 	}
 	t.reportEnd()
 	if rejected != nil {
-		q.refuseFor(http.StatusServiceUnavailable, rejected.reason, rejected.retryAfter)
+		q.reject(rejected)
 	} else {
 		q.giveUp(ctx)
 	}
