--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -11,6 +11,7 @@
 
 	"ragwortstile/internal/quarantine"
 	"ragwortstile/internal/routing"
+	"ragwortstile/internal/team"
 )
 
 const (
@@ -55,6 +56,7 @@
 	r             *http.Request
 	meta          Meta
 	route         *routing.Route
+	team          *team.Team // nil if the caller belongs to none
 	configVersion int64
 	limits        routing.Limits
 	body          []byte
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -7,6 +7,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"ragwortstile/internal/team"
 )
 
 // Kind determines whether requests of a route may be sent more than once.
@@ -43,6 +45,7 @@
 	Priority      int           // 0 is the highest priority
 	MaxAttempts   int           // greatest number of endpoints that one request may be sent to
 	Sticky        bool
+	Public        bool          // callers need no API key
 	History       bool          // complete turns are kept, so that a request carries only the new input of its turn
 	Resumable     bool          // a stream that broke off may continue at another endpoint after its last event
 	Retention     time.Duration // how long complete turns, and what programs have spent of their budgets, are kept
@@ -108,6 +111,7 @@
 	Version  int64
 	Routes   []Route
 	Services map[string]Service
+	Teams    []team.Team // empty: callers need no API key
 	Limits   Limits
 }
 
