ledger: a file for each job of the ledger and of the leader of a partition

Membership of the group, requests to holders, and turns now have files of their own, as have the appends and the turns of a leader. No code changed.

--- a/internal/breaks/list.go
+++ b/internal/breaks/list.go
@@ -426,7 +426,7 @@
 	},
 	{
 		guarantee: "platform: crashes", name: "reports of crashes are not passed on",
-		file: "internal/ledger/ledger.go",
+		file: "internal/ledger/group.go",
 		old:  "\treturn list[:min(len(list), max)]\n",
 		new:  "\treturn list[:0]\n",
 		test: test{pkg: "internal/ledger", run: "^TestMessagesReachAllInstances$"},
