configcheck: check of a configuration before it is sent

An entry that can never match, limits that contradict each other or a key of two teams showed only as refused requests. config check reports them with their place, and what changes against the version in force, as text or JSON.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -97,6 +97,7 @@
 			gatewayCommand(stdio),
 			demoCommand(stdio),
 			manifestCommand(stdio),
+			configCommand(stdio),
 			statusCommand(stdio),
 			explainCommand(stdio),
 			benchCommand(stdio),
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -21,6 +21,8 @@
 	dir := t.TempDir()
 	bad := filepath.Join(dir, "bad.yaml")
 	must.NoError(t, os.WriteFile(bad, []byte("deployment: x\nshare: 1\n"), 0o600))
+	config := filepath.Join(dir, "config.json")
+	must.NoError(t, os.WriteFile(config, []byte(`{"version":1,"limits":{"max_header_bytes":1,"header_timeout_ms":1,"idle_timeout_ms":2}}`), 0o600))
 	cases := []struct {
 		name string
 		args []string
@@ -38,6 +40,7 @@
 		{"extra argument", []string{"version", "x"}, ExitUsage, "unexpected argument"},
 		{"faulty manifest", []string{"manifest", "check", bad}, ExitFailed, "bad.yaml: line 2"},
 		{"missing file", []string{"manifest", "check", filepath.Join(dir, "none")}, ExitFailed, "no such file"},
+		{"faulty configuration", []string{"config", "check", config}, ExitFailed, "errors: 2"},
 		{"connection refused", []string{"status", "--url", "http://127.0.0.1:1"}, ExitFailed, "refused"},
 	}
 	for _, c := range cases {
@@ -72,3 +75,21 @@
 	must.StrContains(t, stdout, "ragwortstile")
 	must.StrContains(t, stdout, "go1.")
 }
+
+// Guards against findings that name a field otherwise than the file, and against keys in the output.
+func TestConfigCheck(t *testing.T) {
+	name := filepath.Join(t.TempDir(), "config.json")
+	must.NoError(t, os.WriteFile(name, []byte(`{"version":2,
+		"routes":[{"name":"r","hostname":"h","path_prefix":"/a/","kind":"idempotent","timeout_ms":9,"service":"s"}],
+		"services":[{"name":"s","max_connections":9}],
+		"limits":{"max_header_bytes":1,"max_body_bytes":1,"header_timeout_ms":1,"idle_timeout_ms":2},
+		"tenants":[{"name":"a","api_keys":["secret","secret"]}]}`), 0o600))
+	code, stdout, stderr := runCommand("config", "check", name)
+	must.Eq(t, ExitFailed, code)
+	must.Eq(t, "error: tenants[0].api_keys[1]: listed before, for team \"a\": an ambiguous key belongs to no team\n", stdout)
+	must.StrContains(t, stderr, "errors: 1")
+	code, stdout, _ = runCommand("config", "check", "--json", "--in-force", name, name)
+	must.Eq(t, ExitFailed, code)
+	must.StrContains(t, stdout, `"path": "version"`)
+	must.StrNotContains(t, stdout, "secret")
+}
