gateway, platform: API keys, revocation and data scoped by team

Cause: with teams in the configuration, routes that are not public need an API key, and a revoked key must not run requests, at instances that are cut off, frozen or suspended either. Change: identify judges the key by the configuration and the age of its proof: 401 only with a recent proof, 503 without one. The key is judged again before each send. Peers get configurations with hashes of the keys. IDs in the ledger and in the caches are scoped by the team. Without teams nothing of this takes effect.

--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -100,26 +100,26 @@
 )
 
 // savings returns by endpoint the fraction of its time that a request is expected to save there.
-func (a *affinity) savings(m Meta, prefix []byte) map[string]float64 {
-	if m.Program == "" || len(prefix) == 0 {
+func (a *affinity) savings(program string, prefix []byte) map[string]float64 {
+	if program == "" || len(prefix) == 0 {
 		return nil
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	p, ok := a.placements[m.Program]
+	p, ok := a.placements[program]
 	if !ok {
 		return nil
 	}
 	return map[string]float64{p.endpoint: prefixSaving * min(1, float64(len(prefix))/(3*bytesPerTurn))}
 }
 
-func (a *affinity) record(m Meta, endpoint string) {
-	if m.Program == "" {
+func (a *affinity) record(program, endpoint string) {
+	if program == "" {
 		return
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.placements[m.Program] = placement{endpoint: endpoint, addedAt: time.Now()}
+	a.placements[program] = placement{endpoint: endpoint, addedAt: time.Now()}
 }
 
 func (a *affinity) prune(now time.Time) {
--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -91,11 +91,11 @@
 
 func TestAffinity(t *testing.T) {
 	a := newAffinity()
-	m := Meta{Program: "p"}
-	must.Nil(t, a.savings(m, []byte("text")))
-	a.record(m, "e")
-	must.MapContainsKey(t, a.savings(m, []byte("text")), "e")
-	must.Nil(t, a.savings(m, nil))
+	program := "p"
+	must.Nil(t, a.savings(program, []byte("text")))
+	a.record(program, "e")
+	must.MapContainsKey(t, a.savings(program, []byte("text")), "e")
+	must.Nil(t, a.savings(program, nil))
 	a.prune(time.Now().Add(2 * affinityTTL))
-	must.Nil(t, a.savings(m, []byte("text")))
+	must.Nil(t, a.savings(program, []byte("text")))
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -126,6 +126,9 @@
 		RecordRetention: s.StoreRetention, MinTTL: s.StoreMinTTL, Store: store, Node: g.node, Log: log, OnStoreResult: g.storeDep.record,
 	})
 	g.view = newStoreView(topics, store, log, g.storeDep)
+	if s.Clock != nil {
+		g.view.clock = s.Clock
+	}
 	g.view.onConfig = func(t *routing.Table) { g.ledger.SetRetention(t.MaxRetention()) }
 	g.view.onEndpoints = func(listed, addrs map[string]bool) {
 		g.pool.CloseUnlisted(addrs)
@@ -152,7 +155,7 @@
 	defer stopWork()
 	supervisor := suture.New("instance", suture.Spec{EventHook: g.logSupervisorEvent, Timeout: time.Second})
 	g.add(supervisor, "configuration", func(ctx context.Context) error {
-		return g.view.followConfig(ctx, g.settings.ConfigApplyTimeout)
+		return g.view.followConfig(ctx, g.settings.maxUnknownAge())
 	})
 	g.add(supervisor, "endpoints", func(ctx context.Context) error {
 		return g.view.followEndpoints(ctx, g.settings.EndpointDrainTimeout)
@@ -254,7 +257,8 @@
 }
 
 // fetchFromPeers gets the configuration, the endpoint list and the holders of the history partitions from peers
-// while this instance cannot read them from the store.
+// while this instance cannot read them from the store. It gets only the proof that the configuration is the newest one
+// when its own gets old, whether or not the store answers otherwise.
 func (g *Gateway) fetchFromPeers(ctx context.Context) error {
 	for {
 		known := g.view.complete()
@@ -267,12 +271,20 @@
 			return ctx.Err()
 		case <-time.After(pause):
 		}
+		g.view.noteProof(g.settings.maxKnownAge())
+		have := g.view.have()
 		if known && !g.storeDep.lost() || !g.storeDep.failing() {
-			continue
+			if !g.needsProof() {
+				continue
+			}
+			have = g.view.proofQuestion()
 		}
 		g.dialSeeds(ctx)
-		for _, v := range g.peerViews(ctx) {
-			g.view.applyPeerView(v.StoreView, string(v.from))
+		asked := g.view.clock()
+		for _, v := range g.peerViews(ctx, have) {
+			if g.view.applyPeerView(v.StoreView, string(v.from)) {
+				g.view.confirmByPeer(v.StoreView, string(v.from), asked)
+			}
 			g.ledger.LearnHolders(v.Claims)
 		}
 	}
@@ -286,14 +298,13 @@
 
 // peerViews asks some peers for what this instance lacks and returns their answers, the newest first. Peers may be
 // cut off from the store too, so that the first answer to arrive can be out of date.
-func (g *Gateway) peerViews(ctx context.Context) []peerView {
+func (g *Gateway) peerViews(ctx context.Context, have wire.StoreViewGet) []peerView {
 	remotes := g.node.Connected()
 	rand.Shuffle(len(remotes), func(i, j int) { remotes[i], remotes[j] = remotes[j], remotes[i] })
 	remotes = remotes[:min(len(remotes), peerFetchTries)]
 	ctx, cancel := context.WithTimeout(ctx, peerFetchInterval)
 	defer cancel()
 	answers := make(chan *peerView, len(remotes))
-	have := g.view.have()
 	for _, r := range remotes {
 		go func() { answers <- g.askPeerView(ctx, r.Session, have) }()
 	}
--- a/internal/gateway/identify.go
+++ b/internal/gateway/identify.go
@@ -4,7 +4,7 @@
 	"net/http"
 )
 
-// identify finds the route of the request and the time that it has.
+// identify finds the route of the request, the team of its caller and the time that it has.
 func (q *request) identify() *rejection {
 	table := q.g.view.table.Load()
 	if table == nil || !q.g.view.complete() {
@@ -19,6 +19,9 @@
 		}
 		return &rejection{status: http.StatusNotFound, reason: reasonNoRoute}
 	}
+	if rejected := q.identifyTeam(); rejected != nil {
+		return rejected
+	}
 	if q.meta.ID == "" {
 		return &rejection{status: http.StatusBadRequest, reason: reasonNoID}
 	}
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -29,6 +29,7 @@
 	LastEvent         string        // ID of the event after which the caller wants a stream to continue
 	Affinity          string        // key of the object that the request concerns
 	PromptParts       []PromptPart  // shared parts of the prompt, in order
+	APIKey            string        // of the caller's team; must get into no log, error or metric
 }
 
 // PromptPart is a part of a prompt that several requests have in common.
@@ -42,6 +43,8 @@
 	Endpoint  string        // ID, so that another endpoint that has taken over the address rejects the request
 	Remaining time.Duration // time left until the deadline
 	LastEvent string        // ID of the event after which a stream continues; empty for a whole stream
+	HasTeams  bool          // the configuration has teams: what the caller sent of its team is not forwarded
+	Team      string        // name of the caller's team; empty for none
 }
 
 // Reply is the information that the headers of a response carry.
@@ -88,5 +91,6 @@
 	ConfigKey      string
 	EndpointTopic  string
 	DecodeConfig   func(data []byte) (routing.Config, error)
+	ShareConfig    func(data []byte) ([]byte, error) // returns a configuration as peers get it, without API keys
 	DecodeEndpoint func(id string, data []byte) (discovery.Endpoint, error)
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -124,6 +124,9 @@
 // exchange sends a request to an endpoint, through a peer while this instance is cut off from the endpoints.
 func (q *request) exchange(ctx context.Context, e target, r upstream.Request) (*upstream.Response, error) {
 	q.viaPeer = false
+	if !q.authorized() {
+		return nil, fmt.Errorf("%w: %w", upstream.ErrNotSent, errNotAuthorized)
+	}
 	cutOff, trustsOpen := q.g.cutOff()
 	if cutOff && trustsOpen && q.g.pool.HasIdle(e.Addr) {
 		r.OpenOnly = true
@@ -162,6 +165,9 @@
 		if !ok || q.callerGone() {
 			break
 		}
+		if !q.authorized() {
+			return nil, fmt.Errorf("%w: %w", upstream.ErrNotSent, errNotAuthorized)
+		}
 		tried[p] = true
 		log := q.log.WithFields(logrus.Fields{"endpoint": e.ID, "peer": string(p)})
 		resp, err := q.relayThrough(ctx, p, m, r)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -45,6 +45,10 @@
 	reasonCallerLeft     = "caller_left"
 	reasonQuarantined    = "crashes_endpoints"
 	reasonStopping       = "instance_stops"
+	reasonNoKey          = "no_api_key"
+	reasonUnknownKey     = "unknown_api_key"
+	reasonUnconfirmed    = "api_key_not_confirmed"
+	reasonTeamChanged    = "team_changed"
 )
 
 // request is a caller's request in progress. Its stages are: identify (route and limits), hold (the body in memory), the
@@ -57,6 +61,8 @@
 	meta          Meta
 	route         *routing.Route
 	team          *team.Team // nil if the caller belongs to none
+	hasTeams      bool       // the configuration that identified the caller has teams
+	unauthorized  *rejection // set once the API key is found to be no longer accepted
 	configVersion int64
 	limits        routing.Limits
 	body          []byte
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -32,12 +32,14 @@
 // send sends the request to an endpoint and returns the head of the response.
 func (q *request) send(ctx context.Context, e target, body []byte, lastEvent string) (*upstream.Response, Reply, error) {
 	var reply Reply
-	attempt := Attempt{Endpoint: e.ID, Remaining: time.Until(q.deadline), LastEvent: lastEvent}
+	attempt := Attempt{
+		Endpoint: e.ID, Remaining: time.Until(q.deadline), LastEvent: lastEvent, HasTeams: q.hasTeams, Team: q.teamName(),
+	}
 	sent := time.Now()
 	resp, err := q.exchange(ctx, e, upstream.Request{
 		Method: q.r.Method, URI: q.r.RequestURI, Host: q.r.Host,
 		Header: q.g.protocol.Encode(q.r.Header, attempt), Body: body,
-		Wanted: func() bool { return !q.callerGone() },
+		Wanted: func() bool { return !q.callerGone() && q.authorized() },
 		Matches: func(status int, h http.Header, first bool) bool {
 			reply = q.g.protocol.DecodeReply(status, h)
 			if reply.answers(q.meta.ID, first) {
@@ -107,6 +109,9 @@
 		if q.mayHaveRun && !q.route.Repeatable() || q.quarantined() || q.callerGone() {
 			break
 		}
+		if !q.authorized() {
+			break
+		}
 		e, ok := pick()
 		if !ok {
 			break
@@ -139,6 +144,8 @@
 		q.refuse(http.StatusGatewayTimeout, reasonTimeout)
 	case q.mayHaveRun:
 		q.refuse(http.StatusBadGateway, reasonUnknownOutcome)
+	case q.unauthorized != nil:
+		q.reject(q.unauthorized)
 	case !q.quarantinedUntil.IsZero():
 		q.refuseQuarantined()
 	case q.sends > 0:
@@ -196,9 +203,9 @@
 // attemptFailed records an attempt without a usable response.
 func (q *request) attemptFailed(ctx context.Context, e target, err error) attemptResult {
 	fields := logrus.Fields{"endpoint": e.ID, "reason": err.Error(), "age": time.Since(q.start).Milliseconds()}
-	if ctx.Err() != nil || errors.Is(err, upstream.ErrNotSent) && q.callerGone() {
+	if ctx.Err() != nil || errors.Is(err, upstream.ErrNotSent) && (q.callerGone() || q.unauthorized != nil) {
 		q.attemptEnded(e, balance.Abandoned, 0)
-		q.log.WithFields(fields).Info("attempt abandoned: deadline passed or caller left")
+		q.log.WithFields(fields).Info("attempt abandoned: deadline passed, caller left or API key no longer accepted")
 		return abandoned
 	}
 	q.attemptEnded(e, balance.Failed, 0)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"ragwortstile/internal/team"
 	"ragwortstile/internal/upstream"
 )
 
@@ -25,6 +26,9 @@
 	StopGrace            time.Duration // from the stop signal to the end of the process
 	EndpointDrainTimeout time.Duration // from the listing of an endpoint as draining to the last new request to it
 	ConfigApplyTimeout   time.Duration // from a configuration change until it must be applied
+	RevokeTimeout        time.Duration // from the revocation of an API key until no request with it may run; 0: no bound
+
+	Clock team.Clock // by which the age of the configuration's proof is measured; nil: team.SystemClock
 
 	StoreAddr        string
 	StoreParts       int           // partitions of a topic
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -98,7 +98,7 @@
 			if e, ok := t.slot.use(); ok {
 				return e, true
 			}
-			return q.pick(service, q.g.affinity.savings(q.meta, t.prefix))
+			return q.pick(service, q.g.affinity.savings(q.program(), t.prefix))
 		},
 		func(e target) attemptResult { return t.attempt(ctx, e, confirmed) },
 	)
@@ -116,7 +116,7 @@
 // rejected or its caller leaves.
 func (t *turn) takeSlot(ctx context.Context, service string) *slot {
 	q := t.request
-	slot, rejected := q.admitTurn(ctx, service, t.begun, q.g.affinity.savings(q.meta, t.prefix))
+	slot, rejected := q.admitTurn(ctx, service, t.begun, q.g.affinity.savings(q.program(), t.prefix))
 	if slot != nil {
 		return slot
 	}
@@ -131,9 +131,7 @@
 
 // inLedger reports whether the ledger has to permit the turn: to keep it in the history, or to count its tokens
 // against the budget of its program.
-func (t *turn) inLedger() bool {
-	return t.route.History || t.meta.HasBudget && t.meta.Program != ""
-}
+func (t *turn) inLedger() bool { return t.isKept() }
 
 // openTurn gets permission from the ledger to run the turn, and the text before the turn. If the permission is
 // not granted, it refuses the request and returns false.
@@ -149,12 +147,12 @@
 	}
 	previous := ""
 	if q.route.History {
-		previous = q.meta.Previous
+		previous = q.previous()
 	}
 	prefix, known := q.g.prefixes.get(previous)
 	t.prefix = prefix
 	t.begin = history.Begin{
-		Program: q.meta.Program, Turn: q.meta.ID, Previous: previous, HasChain: known,
+		Program: q.program(), Turn: q.turn(), Previous: previous, HasChain: known,
 		MaxTokens: q.meta.MaxTokensOut, ExpectedTokens: q.meta.ExpectedTokensOut, Budget: q.meta.Budget, EnforceBudget: q.meta.HasBudget,
 		MaxDuration: time.Until(q.deadline) + reservationSlack,
 	}
@@ -205,7 +203,7 @@
 	if !t.inLedger() {
 		return
 	}
-	end := history.End{Program: t.meta.Program, Turn: t.meta.ID, Tokens: t.events * t.tokensPerEvent}
+	end := history.End{Program: t.begin.Program, Turn: t.begin.Turn, Tokens: t.events * t.tokensPerEvent}
 	if t.reserved.Load() {
 		end.Reserved, end.Confirmed = t.meta.MaxTokensOut, true
 	}
@@ -260,7 +258,7 @@
 			return q.attemptFailed(ctx, e, err)
 		}
 	}
-	q.g.affinity.record(q.meta, e.ID)
+	q.g.affinity.record(q.program(), e.ID)
 	return t.forwardStream(ctx, e, resp, reader, first, begun, len(body))
 }
 
@@ -458,12 +456,12 @@
 func (t *turn) recordTurn(ctx context.Context) error {
 	q := t.request
 	err := q.g.ledger.End(ctx, history.End{
-		Program: q.meta.Program, Turn: q.meta.ID, Previous: q.meta.Previous, Complete: true,
+		Program: t.begin.Program, Turn: t.begin.Turn, Previous: t.begin.Previous, Complete: true,
 		Input: q.body, Output: t.output, Tokens: t.events * t.tokensPerEvent, Reserved: q.meta.MaxTokensOut, Confirmed: true, Retention: q.route.Retention,
 	})
 	if err != nil {
 		return err
 	}
-	q.g.prefixes.put(q.meta.ID, bytes.Join([][]byte{t.prefix, q.body, t.output}, nil))
+	q.g.prefixes.put(t.begin.Turn, bytes.Join([][]byte{t.prefix, q.body, t.output}, nil))
 	return nil
 }
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -17,6 +17,7 @@
 	"ragwortstile/internal/discovery"
 	"ragwortstile/internal/routing"
 	"ragwortstile/internal/store"
+	"ragwortstile/internal/team"
 	"ragwortstile/internal/wire"
 )
 
@@ -53,14 +54,19 @@
 	table           atomic.Pointer[routing.Table]
 	endpoints       atomic.Pointer[map[string][]balance.Endpoint]
 	left            atomic.Pointer[map[string]bool] // endpoints that have said that they leave, and get nothing more
-	configCheckedAt atomic.Int64                    // when the store last confirmed the configuration, in monotonic nanoseconds since processStart
+	configCheckedAt atomic.Int64                    // when the store last answered a read of the configuration, in monotonic nanoseconds since processStart
+	clock           team.Clock
+	proof           team.Freshness // that the configuration is the newest one
+	provenByPeer    atomic.Bool    // the latest proof came from a peer
+	unproven        atomic.Bool    // what noteProof has last seen
 
 	onConfig    func(*routing.Table)
 	onEndpoints func(listed map[string]bool, addrs map[string]bool)
 
 	mu              sync.Mutex
 	list            *discovery.List
-	configRecord    []byte            // encoded as in the store
+	configRecord    []byte            // encoded as in the store, but without API keys
+	doubtful        bool              // the store has another configuration than the one in use, which cannot be applied, or none
 	endpointRecords map[string][]byte // by endpoint ID, encoded as in the store
 	endpointOffset  int64             // end of the topic as of the list, also of a list that came from a peer
 }
@@ -69,13 +75,17 @@
 var processStart = time.Now()
 
 func newStoreView(topics Topics, compacted store.CompactedTopics, log logrus.FieldLogger, dep *dependency) *storeView {
-	return &storeView{topics: topics, store: compacted, log: log, dep: dep, list: discovery.NewList(lapseGrace), endpointRecords: make(map[string][]byte)}
+	return &storeView{
+		topics: topics, store: compacted, log: log, dep: dep, clock: team.SystemClock,
+		list: discovery.NewList(lapseGrace), endpointRecords: make(map[string][]byte),
+	}
 }
 
 // complete reports whether the configuration and the endpoint list are both loaded, as serving requests needs.
 func (v *storeView) complete() bool { return v.table.Load() != nil && v.endpoints.Load() != nil }
 
-// configAge returns the time since the configuration was last known to be the newest one.
+// configAge returns the time since the store last answered a read of the configuration. Unlike proofAge it does not tell
+// up to when a configuration with other keys cannot have been written.
 func (v *storeView) configAge() time.Duration {
 	return time.Since(processStart) - time.Duration(v.configCheckedAt.Load())
 }
@@ -143,19 +153,24 @@
 	return all[rand.N(len(all))], true
 }
 
+// changeHandler handles records that were read from a topic. sent is when the read was sent.
+type changeHandler func(records []store.KeyedRecord, sent team.Instant)
+
 // follow reads the current state of a topic and then its changes, until ctx is done. It starts again from the
 // whole state when the store has trimmed changes that were not read yet.
-func (v *storeView) follow(ctx context.Context, topic string, pollWait, pause time.Duration, onSnapshot, onChanges func([]store.KeyedRecord)) error {
+func (v *storeView) follow(ctx context.Context, topic string, pollWait, pause time.Duration, onSnapshot, onChanges changeHandler) error {
 	retry := minRetryDelay
 	offset, loaded := int64(0), false
+	wait := pollWait
 	for ctx.Err() == nil {
 		var records []store.KeyedRecord
 		var err error
 		rctx, cancel := context.WithTimeout(ctx, pollWait+readTimeoutMargin)
+		sent := v.clock()
 		if !loaded {
 			records, offset, err = v.store.Newest(rctx, topic)
 		} else {
-			records, offset, err = v.store.Changes(rctx, topic, offset, pollWait)
+			records, offset, err = v.store.Changes(rctx, topic, offset, wait)
 		}
 		cancel()
 		v.dep.record(err)
@@ -171,6 +186,7 @@
 			}
 			v.log.WithFields(logrus.Fields{"name": topic, "reason": err.Error()}).Debug("list not read")
 			v.readFailed(topic)
+			wait = v.nextWait(topic, pollWait, true)
 			retry = v.sleep(ctx, retry)
 			continue
 		}
@@ -180,10 +196,11 @@
 			v.list.SetAvailable(time.Now())
 		}
 		if loaded {
-			onChanges(records)
+			onChanges(records, sent)
 		} else {
-			onSnapshot(records)
+			onSnapshot(records, sent)
 		}
+		wait = v.nextWait(topic, pollWait, loaded && len(records) > 0)
 		if topic == v.topics.EndpointTopic {
 			v.endpointOffset = max(v.endpointOffset, offset)
 		}
@@ -196,6 +213,15 @@
 	return ctx.Err()
 }
 
+// nextWait returns how long the next read of changes waits. While keys are to be confirmed, a read after a failed one, or
+// after one that returned changes and may not have returned all of them, does not wait: the proof would get old meanwhile.
+func (v *storeView) nextWait(topic string, pollWait time.Duration, confirm bool) time.Duration {
+	if confirm && topic == v.topics.ConfigTopic && v.hasTeams() {
+		return 0
+	}
+	return pollWait
+}
+
 func (v *storeView) readFailed(topic string) {
 	if topic != v.topics.EndpointTopic {
 		return
@@ -216,37 +242,64 @@
 
 // followConfig keeps the configuration up to date with long polls that notice a change within applyTimeout.
 func (v *storeView) followConfig(ctx context.Context, applyTimeout time.Duration) error {
-	apply := func(records []store.KeyedRecord) {
-		v.configCheckedAt.Store(int64(time.Since(processStart)))
-		for _, r := range records {
-			if r.Key == v.topics.ConfigKey && len(r.Value) > 0 {
-				v.applyConfig(r)
-			}
+	onSnapshot := func(records []store.KeyedRecord, sent team.Instant) { v.applyConfigRecords(records, sent, true) }
+	onChanges := func(records []store.KeyedRecord, sent team.Instant) { v.applyConfigRecords(records, sent, false) }
+	return v.follow(ctx, v.topics.ConfigTopic, time.Duration(pollWaitFraction*float64(applyTimeout)), 0, onSnapshot, onChanges)
+}
+
+// applyConfigRecords applies what a read of the configuration topic that was sent at the given time returned, and notes
+// what it proves. The caller holds the lock.
+func (v *storeView) applyConfigRecords(records []store.KeyedRecord, sent team.Instant, snapshot bool) {
+	v.configCheckedAt.Store(int64(time.Since(processStart)))
+	found := false
+	for _, r := range records {
+		if r.Key == v.topics.ConfigKey && len(r.Value) > 0 {
+			found = true
+			v.doubtful = !v.applyConfig(r)
 		}
 	}
-	return v.follow(ctx, v.topics.ConfigTopic, time.Duration(pollWaitFraction*float64(applyTimeout)), 0, apply, apply)
+	if snapshot && !found {
+		v.doubtful = true
+	}
+	// A read of changes returns a limited number of bytes, so that only an empty one shows that there are no more.
+	if !v.doubtful && (snapshot || len(records) == 0) {
+		v.confirm(team.Proof{At: sent})
+	}
 }
 
-func (v *storeView) applyConfig(r store.KeyedRecord) {
+// applyConfig applies a configuration if it is newer than the one in use. It returns false if the configuration cannot be
+// applied. The caller holds the lock.
+func (v *storeView) applyConfig(r store.KeyedRecord) bool {
 	c, err := v.topics.DecodeConfig(r.Value)
 	if err != nil {
 		v.log.WithFields(logrus.Fields{"offset": r.Offset, "reason": err.Error()}).Error("configuration rejected; keeping the previous one")
-		return
+		return false
 	}
 	old := v.table.Load()
 	if old != nil && c.Version <= old.Version {
-		return
+		return true
+	}
+	record := bytes.Clone(r.Value)
+	if len(c.Teams) > 0 {
+		if record, err = v.topics.ShareConfig(r.Value); err != nil {
+			v.log.WithFields(logrus.Fields{"offset": r.Offset, "reason": err.Error()}).Error("configuration rejected, peers cannot get it without its keys")
+			return false
+		}
 	}
-	v.configRecord = bytes.Clone(r.Value)
+	v.configRecord = record
 	t := routing.NewTable(c)
 	v.table.Store(t)
 	v.log.WithFields(logrus.Fields{"version": c.Version, "count": len(c.Routes), "offset": r.Offset}).Info("configuration applied")
+	logFindings(v.log.WithField("version", c.Version), t.Findings)
 	v.onConfig(t)
+	return true
 }
 
 // followEndpoints keeps the endpoint list up to date, reading it several times per drainTimeout.
 func (v *storeView) followEndpoints(ctx context.Context, drainTimeout time.Duration) error {
-	return v.follow(ctx, v.topics.EndpointTopic, 0, drainTimeout/endpointPollDivisor, v.applyEndpointList, v.applyEndpointChanges)
+	onSnapshot := func(records []store.KeyedRecord, _ team.Instant) { v.applyEndpointList(records) }
+	onChanges := func(records []store.KeyedRecord, _ team.Instant) { v.applyEndpointChanges(records) }
+	return v.follow(ctx, v.topics.EndpointTopic, 0, drainTimeout/endpointPollDivisor, onSnapshot, onChanges)
 }
 
 // applyEndpointChanges applies records that follow those read before. The caller holds the lock.
@@ -309,7 +362,7 @@
 func (v *storeView) snapshot(have wire.StoreViewGet) wire.StoreView {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	m := wire.StoreView{Age: v.configAge(), EndpointOffset: v.endpointOffset}
+	m := wire.StoreView{Age: v.proofAge(), EndpointOffset: v.endpointOffset}
 	if t := v.table.Load(); t != nil && t.Version > have.ConfigVersion {
 		m.Config = v.configRecord
 	}
@@ -334,8 +387,9 @@
 }
 
 // applyPeerView applies the configuration and the endpoint list of a peer where they are newer than those of this
-// instance. An older list is ignored, since endpoints that have left since would be used again.
-func (v *storeView) applyPeerView(m wire.StoreView, from string) {
+// instance. An older list is ignored, since endpoints that have left since would be used again. It returns false if the
+// peer has a newer configuration, which cannot be applied: what the peer knows does not confirm that of this instance.
+func (v *storeView) applyPeerView(m wire.StoreView, from string) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	newer := len(m.Endpoints) > 0 && (m.EndpointOffset > v.endpointOffset || v.endpoints.Load() == nil)
@@ -343,8 +397,9 @@
 		v.log.WithFields(logrus.Fields{"peer": from, "age": m.Age.Milliseconds(), "count": len(m.Endpoints), "offset": m.EndpointOffset}).
 			Info("beliefs borrowed, the store is out of reach")
 	}
+	applied := true
 	if len(m.Config) > 0 {
-		v.applyConfig(store.KeyedRecord{Key: v.topics.ConfigKey, Value: m.Config})
+		applied = v.applyConfig(store.KeyedRecord{Key: v.topics.ConfigKey, Value: m.Config})
 	}
 	if newer {
 		records := make([]store.KeyedRecord, 0, len(m.Endpoints))
@@ -355,6 +410,7 @@
 		v.endpointOffset = m.EndpointOffset
 		v.list.SetUnavailable()
 	}
+	return applied
 }
 
 // applyEndpointList replaces the endpoint list by a complete one.
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -115,15 +115,20 @@
 	Limits   Limits
 }
 
-// Table finds the routes of requests. It is immutable.
+// Table finds the routes of requests and the teams of their callers. It is immutable. Its Teams have no keys, which are
+// kept as hashes only.
 type Table struct {
 	Config
-	byHost map[string][]*Route // longest prefix first
+	Findings []team.Finding // faults in the teams; the rest of the configuration is in force
+	owners   *team.Index
+	byHost   map[string][]*Route // longest prefix first
 }
 
 // NewTable indexes a configuration. The caller must not change c afterwards.
 func NewTable(c Config) *Table {
 	t := &Table{Config: c, byHost: make(map[string][]*Route)}
+	t.owners, t.Findings = team.NewIndex(c.Teams)
+	t.Teams = t.owners.Teams()
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		host := strings.ToLower(r.Host)
@@ -145,6 +150,12 @@
 	return nil
 }
 
+// HasTeams reports whether callers need an API key on routes that are not public.
+func (t *Table) HasTeams() bool { return len(t.Teams) > 0 }
+
+// Owner returns the team that owns an API key, or nil if no team does.
+func (t *Table) Owner(key string) *team.Team { return t.owners.Owner(key) }
+
 // MaxRetention returns the longest retention of all routes.
 func (t *Table) MaxRetention() time.Duration {
 	var longest time.Duration
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -24,7 +24,7 @@
 var fieldOrder = []string{
 	logrus.FieldKeyTime, logrus.FieldKeyLevel, logrus.FieldKeyMsg,
 	"program", "call", "instance", "epoch", "reason",
-	"attempt", "slot", "tenant", "duty", "pool", "endpoint", "zone", "version", "fence", "error",
+	"attempt", "slot", "tenant", "team", "duty", "pool", "endpoint", "zone", "version", "fence", "error",
 	"service", "part", "route", "load", "events", "first", "waited", "turns", "reached", "members", "sends", "config", "rank", "waiting", "slack", "retry", "last", "limit", "digest",
 	"count", "bytes", "took", "age", "status", "name", "peer", "stream", "offset", "http", "listen", "remote", "dialed", droppedField,
 }
