--- a/internal/gateway/proof.go
+++ b/internal/gateway/proof.go
@@ -15,8 +15,9 @@
 	// it. It covers the difference between the rates of the clocks of the store, of callers and of instances.
 	revokeMargin = 300 * time.Millisecond
 	// askProofFraction is the age from which on peers are asked for their proof, as a fraction of the age up to which a key
-	// can be called unknown. Long polls renew the proof at half of that age (pollWaitFraction).
-	askProofFraction = 0.75
+	// can be called unknown. In normal operation the age reaches twice the wait of a long poll (pollWaitFraction), since
+	// the proof counts from when a poll was sent and lasts until the next one returns; peers are not asked then.
+	askProofFraction = 0.95
 	// proofRetryAfter is the Retry-After of a request whose key cannot be judged for lack of a proof: what it takes to get
 	// one from a peer, once a peer can be reached. Peers are asked every peerRefetchInterval.
 	proofRetryAfter = 400 * time.Millisecond
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -131,7 +131,9 @@
 
 // inLedger reports whether the ledger has to permit the turn: to keep it in the history, or to count its tokens
 // against the budget of its program.
-func (t *turn) inLedger() bool { return t.isKept() }
+func (t *turn) inLedger() bool {
+	return t.route.History || t.meta.HasBudget && t.meta.Program != ""
+}
 
 // openTurn gets permission from the ledger to run the turn, and the text before the turn. If the permission is
 // not granted, it refuses the request and returns false.
