--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -127,7 +127,8 @@
 	// records before end, so that a call of Changes from end on misses no record.
 	Newest(ctx context.Context, topic string) (records []KeyedRecord, end int64, err error)
 	// Changes returns the records from an offset on and the end offset for the next call, waiting up to wait
-	// for the first record. A record without a value removes its key.
+	// for the first record. A record without a value removes its key. It returns a TrimmedError if records from that
+	// offset on have been deleted, or if the topic ends before it.
 	Changes(
 		ctx context.Context, topic string, from int64, wait time.Duration,
 	) (records []KeyedRecord, end int64, err error)
