--- a/internal/breaks/list.go
+++ b/internal/breaks/list.go
@@ -494,4 +494,32 @@
 		new:  "\trecordNew\n\t// RecordGrant raises",
 		test: test{pkg: "internal/history", run: "^TestRecordsOfTheVersionBefore$"},
 	},
+	{
+		guarantee: "platform: teams", name: "the age of a proof stands still while the machine is suspended",
+		file: "internal/team/proof.go",
+		old:  "return max(i.Monotonic-earlier.Monotonic, i.Boot-earlier.Boot, 0)",
+		new:  "return max(i.Monotonic-earlier.Monotonic, 0)",
+		test: test{pkg: "internal/team", run: "^TestAgeIsThatOfTheFasterClock$"},
+	},
+	{
+		guarantee: "platform: teams", name: "a proof counts from the answer of the store",
+		file: "internal/gateway/view.go",
+		old:  "v.confirm(team.Proof{At: sent})",
+		new:  "v.confirm(team.Proof{At: v.clock()})",
+		test: test{pkg: "internal/gateway", run: "^TestAgeOfTheProofWhileFollowing$"},
+	},
+	{
+		guarantee: "platform: teams", name: "a key is not judged again before a retry",
+		file: "internal/gateway/authorize.go",
+		old:  "if q.unauthorized != nil {\n\t\treturn false",
+		new:  "if q.sends > 0 {\n\t\treturn true",
+		test: test{pkg: "platform", run: "^TestRetriesAreAuthorizedAgain$"},
+	},
+	{
+		guarantee: "platform: teams", name: "teams share the IDs of their programs and turns",
+		file: "internal/team/team.go",
+		old:  "return t.Name + scopeSeparator + id",
+		new:  "return id",
+		test: test{pkg: "platform", run: "^TestTurnsBelongToTheirTeam$"},
+	},
 }
--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -71,6 +71,9 @@
 		} {
 			fmt.Fprintf(w, "ragwortstile_%s %g\n", gauge.name, gauge.value)
 		}
+		if g.view.hasTeams() {
+			fmt.Fprintf(w, "ragwortstile_configuration_proof_age_seconds %g\n", g.view.proofAge().Seconds())
+		}
 	})
 	return mux
 }
