--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -362,7 +362,11 @@
 func (v *storeView) snapshot(have wire.StoreViewGet) wire.StoreView {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	m := wire.StoreView{Age: v.proofAge(), EndpointOffset: v.endpointOffset}
+	m := wire.StoreView{Age: v.configAge(), EndpointOffset: v.endpointOffset}
+	if v.hasTeams() {
+		m.Age = v.proofAge()
+		m.Proven = m.Age < team.NoProofAge
+	}
 	if t := v.table.Load(); t != nil && t.Version > have.ConfigVersion {
 		m.Config = v.configRecord
 	}
--- a/internal/wire/earlier_test.go
+++ b/internal/wire/earlier_test.go
@@ -22,6 +22,7 @@
 	KindGroupChanged:   {".s"},
 	KindLoadReport:     {".lv", ".lv.id", ".lv.s"},
 	KindRequestCrashes: {".po", ".c.b"},
+	KindStoreView:      {".pv"},
 }
 
 // content is the message of a frame without its Go type.
--- a/internal/wire/turn.go
+++ b/internal/wire/turn.go
@@ -218,6 +218,9 @@
 	Endpoints      []KeyedRecord     `msgpack:"e"`           // empty if the peer has no list that is newer than the requested one
 	Claims         []PartitionClaims `msgpack:"h"`           // known leaders of the partitions
 	EndpointOffset int64             `msgpack:"o,omitempty"` // end of the topic in the store as of the list; 0: unknown
+	// Proven reports that Age counts from when the read that confirmed the configuration was sent. It is set only where the
+	// configuration has teams. The ages of earlier versions count from the answer, and prove nothing.
+	Proven bool `msgpack:"pv,omitempty"`
 }
 
 // KeyedRecord is a record of the store with its key.
