--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -59,6 +59,7 @@
 		SendPermitGet{Limit: EndpointLimit{ID: "e1", Limited: true, PerSecond: 2.5, Age: time.Second}},
 		SendPermit{Granted: true, Limit: EndpointLimit{ID: "e1"}}, SendPermit{RetryAfter: time.Second},
 		StoreView{Config: []byte("{}"), Age: time.Second, Endpoints: []KeyedRecord{{Key: "e1", Value: []byte("{}")}}, Claims: []PartitionClaims{{Member: "a@b"}}},
+		StoreView{Proven: true},
 		StatusGet{}, Status{Session: "a.1", Slots: SlotEpochs{{Slot: 2, Epoch: 3}}, Peers: []PeerAge{{Session: "b.1", Age: 2}}},
 	}
 }
