gateway: an unknown route is judged by the proof where there are teams

Cause: 404 ends a program, and the age by the answers of the store says nothing of a suspended machine, nor of what peers confirm. Change: with teams in the configuration, the age of the proof decides between 404 and 503; without teams the age is what it was. Result: go test -race of internal/gateway, internal/team, internal/routing and internal/breaks passes.

--- a/internal/gateway/identify.go
+++ b/internal/gateway/identify.go
@@ -6,6 +6,7 @@
 
 // identify finds the route of the request, the team of its caller and the time that it has.
 func (q *request) identify() *rejection {
+	age := q.g.view.routesAge() // before the configuration, see team.Freshness
 	table := q.g.view.table.Load()
 	if table == nil || !q.g.view.complete() {
 		return unavailable(reasonNoConfig, minRetryAfter)
@@ -14,7 +15,7 @@
 	q.route = table.Match(q.r.Host, q.r.URL.EscapedPath())
 	if q.route == nil {
 		// A newer configuration that this instance has not read yet may contain the route, so 404 would be wrong.
-		if q.g.view.configAge() > 2*q.g.settings.ConfigApplyTimeout {
+		if age > 2*q.g.settings.ConfigApplyTimeout {
 			return unavailable(reasonStaleConfig, minRetryAfter)
 		}
 		return &rejection{status: http.StatusNotFound, reason: reasonNoRoute}
--- a/internal/gateway/proof.go
+++ b/internal/gateway/proof.go
@@ -48,6 +48,14 @@
 // after it, so that the proof holds for the configuration.
 func (v *storeView) proofAge() time.Duration { return v.proof.Age(v.clock()) }
 
+// routesAge returns the age of the routes, for the decision whether an unknown one can be said not to exist.
+func (v *storeView) routesAge() time.Duration {
+	if v.hasTeams() {
+		return v.proofAge()
+	}
+	return v.configAge()
+}
+
 // confirm records a proof for the configuration that has been applied, and logs when peers begin or cease to be its
 // source.
 func (v *storeView) confirm(p team.Proof) {
