--- /dev/null
+++ b/internal/quota/census.go
@@ -0,0 +1,129 @@
+package quota
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// ownShareAfter is the time for which an issuer doesn't answer until an instance issues its own share. It is longer
+	// than the silence after which both ends close a connection between instances (1 s), so that the issuer has ceased
+	// to grant that share before.
+	ownShareAfter = 1250 * time.Millisecond
+	// censusMemory is the time for which the share of an instance that isn't reached is left to it.
+	censusMemory = 10 * time.Second
+	// ownShareFor is the time since the loss of another instance for which an instance issues its own share. It ends
+	// before the other one, which may have noticed the loss earlier and be the issuer, uses that share again.
+	ownShareFor = censusMemory - ownShareAfter
+	// goneMemory is the time for which an instance that isn't reached and no longer counts is remembered: it may be the
+	// issuer, and no longer count this one.
+	goneMemory = 10 * time.Minute
+)
+
+// Census counts the instances. It is not safe for concurrent use.
+type Census struct {
+	own     string
+	seen    map[string]time.Time // when other instances were last connected
+	gone    map[string]time.Time // the same of those that no longer count
+	reached int                  // including this one
+	proven  bool
+	since   time.Time // when proven became false
+	told    int       // instances that a peer knows
+	toldAt  time.Time
+}
+
+// NewCensus returns a Census of an instance that knows no other.
+func NewCensus(own string) *Census {
+	return &Census{own: own, seen: make(map[string]time.Time), gone: make(map[string]time.Time), reached: 1}
+}
+
+// Update records the instances that are connected now. proven tells whether the store has lately confirmed the
+// partitions that this instance holds, so that no other issuer has the store's confirmation: only then instances that
+// are not reached are forgotten after censusMemory.
+func (c *Census) Update(connected []string, proven bool, now time.Time) {
+	for _, name := range connected {
+		c.seen[name] = now
+		delete(c.gone, name)
+	}
+	c.reached = 1 + len(connected)
+	if c.proven && !proven {
+		c.since = now
+	}
+	c.proven = proven
+	if proven {
+		for name, at := range c.seen {
+			if now.Sub(at) > censusMemory {
+				delete(c.seen, name)
+				c.gone[name] = at
+			}
+		}
+	}
+	for name, at := range c.gone {
+		if now.Sub(at) > goneMemory {
+			delete(c.gone, name)
+		}
+	}
+}
+
+// MayIssueOwn reports whether the instance may issue its own share: no other one has been lost for so long that it may
+// have ceased to count this one.
+func (c *Census) MayIssueOwn(now time.Time) bool {
+	for _, at := range c.seen {
+		if now.Sub(at) > ownShareFor {
+			return false
+		}
+	}
+	return len(c.gone) == 0
+}
+
+// Told records how many instances a peer knows: an issuer that has just started doesn't know those that are cut off.
+func (c *Census) Told(instances int, now time.Time) {
+	if instances >= c.told || now.Sub(c.toldAt) > censusMemory {
+		c.told, c.toldAt = instances, now
+	}
+}
+
+// Known returns how many instances this one knows itself. What peers have told doesn't count, so that instances don't
+// go on telling each other of one that is gone.
+func (c *Census) Known() int { return 1 + len(c.seen) }
+
+// Count returns how many instances there are, including those that may be cut off.
+func (c *Census) Count(now time.Time) int {
+	n := c.Known()
+	if now.Sub(c.toldAt) <= censusMemory {
+		n = max(n, c.told)
+	}
+	return n
+}
+
+// Rank returns the position of an instance in the order of all that are known.
+func (c *Census) Rank(name string) int {
+	names := make([]string, 0, len(c.seen))
+	for other := range c.seen {
+		names = append(names, other)
+	}
+	if _, ok := c.seen[c.own]; !ok {
+		names = append(names, c.own)
+	}
+	slices.Sort(names)
+	rank, _ := slices.BinarySearch(names, name)
+	return rank
+}
+
+// Share returns the share of a limit that an issuer on this instance may grant. The instances that it doesn't reach
+// issue their own share, or another issuer grants it. Without the store's confirmation it grants almost nothing once
+// others may have forgotten the instances on its side.
+func (c *Census) Share(headroom float64, now time.Time) float64 {
+	n := c.Count(now)
+	reached := float64(c.reached) / float64(n)
+	if c.reached >= n {
+		return 1
+	}
+	if !c.proven && now.Sub(c.since) > censusMemory-ownShareAfter {
+		return min(headroom, reached)
+	}
+	if c.proven {
+		reached += headroom
+	}
+	return min(reached, 1)
+}
