gateway, quota: quotas of teams are kept

Cause: a request of a team with a limit needs a permission for each send that an endpoint runs. Change: a stage after the quarantine takes a permission, tryEndpoints renews it before each further send, and what was refused or never sent is given back. 429 carries a Retry-After.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -163,6 +163,7 @@
 	}
 	g.mu.Unlock()
 	if waits {
+		q.releaseUnit() // it would expire
 		select {
 		case <-call.decided:
 		case <-ctx.Done():
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,6 +71,7 @@
 	affinity  *affinity
 	metrics   *instanceMetrics
 	storeDep  *dependency
+	quotas    *quotas
 
 	active    atomic.Int64
 	relaying  atomic.Int64 // requests in progress that were sent for peers
@@ -108,6 +109,7 @@
 		links: reach.NewTracker(), relays: reach.NewPeers(s.Zone),
 		storeDep: &dependency{name: "store", log: log},
 	}
+	g.quotas = newQuotas(g)
 	g.graceOver, g.endGrace = context.WithCancel(context.Background())
 	g.pool.Observe((*linkObserver)(g))
 	keys, err := peer.NewKeyring(s.PeerKey)
@@ -162,6 +164,9 @@
 	g.add(supervisor, "housekeeping", g.housekeeping)
 	g.add(supervisor, "load reports", g.reportLoad)
 	g.add(supervisor, "endpoint probes", g.probeEndpoints)
+	if g.quotas.enforced() {
+		g.add(supervisor, "quotas", g.quotas.run)
+	}
 	stopped := supervisor.ServeBackground(work)
 	go func() {
 		if err := g.node.Serve(work, listeners[2]); err != nil && work.Err() == nil {
@@ -443,7 +448,7 @@
 }
 
 // Serve implements peer.Handler.
-func (h *peerHandler) Serve(ctx context.Context, _ peer.Remote, m wire.Message, r *peer.Replier) error {
+func (h *peerHandler) Serve(ctx context.Context, remote peer.Remote, m wire.Message, r *peer.Replier) error {
 	if get, ok := m.(wire.StoreViewGet); ok {
 		b := h.view.snapshot(get)
 		b.Claims = h.ledger.Holders()
@@ -462,6 +467,13 @@
 		}
 		return r.SendLast(ctx, permit)
 	}
+	if get, ok := m.(wire.QuotaGet); ok {
+		lease, err := h.quotas.grant(get, remote.Session.Instance())
+		if err != nil {
+			return err
+		}
+		return r.SendLast(ctx, lease)
+	}
 	known, err := h.ledger.HandleRequest(ctx, m, r)
 	if !known {
 		return wire.Error{Code: wire.CodeUnsupported, Detail: m.Kind().String()}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -48,7 +48,7 @@
 )
 
 // request is a caller's request in progress. Its stages are: identify (route and limits), hold (the body in memory), the
-// checks of checkStop and checkQuarantine, placing at an endpoint (place.go, admission.go) and sending (send.go, stream.go,
+// checks of checkStop and checkQuarantine, the quota of the team (quota.go), placing at an endpoint (place.go, admission.go) and sending (send.go, stream.go,
 // relay.go).
 type request struct {
 	g             *Gateway
@@ -69,6 +69,9 @@
 	quarantinedUntil time.Time // set if the request is not sent because it is quarantined
 	brokenOffBy      []string  // endpoints that broke the connection off in earlier attempts
 
+	unit      unit       // permission of the team's quota for the next send
+	overQuota *rejection // set if a further send was refused by the quota
+
 	tried      map[string]bool // IDs of the endpoints already tried
 	sends      int             // attempts of which anything may have been sent to an endpoint
 	mayHaveRun bool            // an endpoint may have executed the request
@@ -76,18 +79,26 @@
 }
 
 // ServeHTTP implements http.Handler for requests of callers.
-func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) { g.newRequest(w, r).serve() }
+
+func (g *Gateway) newRequest(w http.ResponseWriter, r *http.Request) *request {
+	return &request{g: g, w: w, r: r, meta: g.protocol.Decode(r.Header), start: time.Now()}
+}
+
+// serve runs the stages of the request.
+func (q *request) serve() {
+	g, w := q.g, q.w
 	g.active.Add(1)
 	defer g.active.Add(-1)
 	if g.stopping.Load() || g.ledger.Isolated() {
 		w.Header().Set("Connection", "close")
 	}
-	q := &request{g: g, w: w, r: r, meta: g.protocol.Decode(r.Header), start: time.Now()}
 	q.log = g.log.WithField("call", q.meta.ID)
 	if q.meta.Program != "" {
 		q.log = q.log.WithField("program", q.meta.Program)
 	}
-	for _, stage := range []func() *rejection{q.identify, q.hold, q.checkStop, q.checkQuarantine} {
+	defer q.releaseUnit()
+	for _, stage := range []func() *rejection{q.identify, q.hold, q.checkStop, q.checkQuarantine, q.admitQuota} {
 		if rejected := stage(); rejected != nil {
 			q.reject(rejected)
 			return
@@ -104,7 +115,7 @@
 type rejection struct {
 	status     int
 	reason     string
-	retryAfter time.Duration // of 503
+	retryAfter time.Duration // of 429 and 503
 }
 
 // unavailable returns a rejection with status 503, which promises that the request never runs.
@@ -132,7 +143,7 @@
 // refuseFor is refuse with the time after which the caller of a request that may be repeated should come back. A
 // random part is added, so that callers do not all come back at once.
 func (q *request) refuseFor(status int, reason string, retryAfter time.Duration) {
-	if status == http.StatusServiceUnavailable {
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		retryAfter += rand.N(max(retryAfter, retryAfterSpread))
 	} else {
 		retryAfter = 0
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -37,7 +37,7 @@
 	resp, err := q.exchange(ctx, e, upstream.Request{
 		Method: q.r.Method, URI: q.r.RequestURI, Host: q.r.Host,
 		Header: q.g.protocol.Encode(q.r.Header, attempt), Body: body,
-		Wanted: func() bool { return !q.callerGone() },
+		Wanted: func() bool { return !q.callerGone() && q.unitValid() },
 		Matches: func(status int, h http.Header, first bool) bool {
 			reply = q.g.protocol.DecodeReply(status, h)
 			if reply.answers(q.meta.ID, first) {
@@ -49,6 +49,9 @@
 	})
 	if !errors.Is(err, upstream.ErrNotSent) {
 		q.sends++
+		if err != nil || !reply.NotExecuted {
+			q.useUnit()
+		}
 	}
 	if err == nil && reply.Leaving {
 		q.g.observeLeaving(e.ID, e.StartUnixMs)
@@ -111,6 +114,10 @@
 		if !ok {
 			break
 		}
+		if q.overQuota = q.renewUnit(); q.overQuota != nil {
+			q.attemptEnded(e, balance.Abandoned, 0)
+			break
+		}
 		q.tried[e.ID] = true
 		before := q.sends
 		switch attempt(e) {
@@ -141,6 +148,8 @@
 		q.refuse(http.StatusBadGateway, reasonUnknownOutcome)
 	case !q.quarantinedUntil.IsZero():
 		q.refuseQuarantined()
+	case q.overQuota != nil:
+		q.reject(q.overQuota)
 	case q.sends > 0:
 		q.refuse(http.StatusServiceUnavailable, reasonNotExecuted)
 	default:
@@ -201,6 +210,11 @@
 		q.log.WithFields(fields).Info("attempt abandoned: deadline passed or caller left")
 		return abandoned
 	}
+	if errors.Is(err, upstream.ErrNotSent) && !q.unitValid() {
+		q.attemptEnded(e, balance.Abandoned, 0)
+		q.log.WithFields(fields).Info("attempt abandoned: the lease of the team's quota has expired")
+		return notExecuted
+	}
 	q.attemptEnded(e, balance.Failed, 0)
 	if errors.Is(err, upstream.ErrNotSent) {
 		q.log.WithFields(fields).Info("attempt failed")
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"ragwortstile/internal/upstream"
@@ -26,6 +27,10 @@
 	EndpointDrainTimeout time.Duration // from the listing of an endpoint as draining to the last new request to it
 	ConfigApplyTimeout   time.Duration // from a configuration change until it must be applied
 
+	QuotaWindow  time.Duration // window in which the quotas of teams hold; 0: they are not enforced
+	QuotaOverage float64       // part by which a quota may be exceeded
+	QuotaSlack   float64       // requests beyond that
+
 	StoreAddr        string
 	StoreParts       int           // partitions of a topic
 	StoreRecordBytes int           // limit of a record
@@ -41,3 +46,8 @@
 	}
 	return s.PeerAddr
 }
+
+// hasSeeds reports whether the settings name other instances.
+func (s Settings) hasSeeds() bool {
+	return slices.ContainsFunc(s.Seeds, func(addr string) bool { return addr != s.advertisedAddr() })
+}
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -54,6 +54,7 @@
 	terms    Terms              // when asked
 	retryAt  [Classes]time.Time // when the issuer expects a token for the class
 	fresh    bool
+	foundAt  time.Time          // when the issuer answered again after it had not
 	askAt    [Classes]time.Time // when to ask again for the class
 	quietTo  time.Time          // not to ask before, as the issuer did not answer
 	lostAt   time.Time          // since when the issuer has not answered; zero if it has
@@ -203,6 +204,9 @@
 // Answered applies the issuer's answer. The life of a lease begins when the instance asked for it, so that an answer
 // that arrives late can't be used late.
 func (a *Account) Answered(r Answer, now time.Time) {
+	if !a.lostAt.IsZero() {
+		a.foundAt = now
+	}
 	a.asking, a.lostAt, a.cutAt, a.ownUse, a.own, a.fresh = false, time.Time{}, time.Time{}, false, 0, r.Fresh
 	unit := Unit{Lease: r.Lease, Granted: a.askedAt, Expires: a.askedAt.Add(a.terms.Lease)}
 	for class, n := range r.Granted {
@@ -247,7 +251,8 @@
 
 // TakeOwn takes the permission for a request from the instance's own share, which it may issue some time after it has
 // lost the connection to the issuer. It starts empty. rank is the position of this instance for the team among all: only
-// the first of them issue, as each adds the content of its bucket to what is issued in a window.
+// the first of them issue, as each adds the content of its bucket to what is issued in a window. An issuer has named rank
+// and instances within CensusMemory; instances is 0 if none has, as a restarted instance may know few of the others.
 func (a *Account) TakeOwn(terms Terms, instances, rank int, now time.Time) (Unit, bool) {
 	if a.cutAt.IsZero() || now.Sub(a.cutAt) < ownShareAfter || rank >= terms.OwnShares || instances < 1 {
 		a.ownUse = false
@@ -256,7 +261,7 @@
 	if !a.ownUse {
 		a.ownUse, a.own, a.ownAt = true, 0, a.cutAt.Add(ownShareAfter)
 	}
-	a.own = min(a.own+terms.Rate/float64(instances)*now.Sub(a.ownAt).Seconds(), 1)
+	a.own = min(a.own+terms.Rate*terms.ownShare(instances)*now.Sub(a.ownAt).Seconds(), 1)
 	a.ownAt = now
 	if a.own < 1 {
 		return Unit{}, false
@@ -294,7 +299,7 @@
 		return Wait, 0
 	}
 	limit := waitLimit
-	if a.fresh {
+	if a.fresh || now.Sub(a.foundAt) < freshFor { // requests that waited for the issuer have piled up
 		limit = freshWaitLimit
 	}
 	if waited+wait > limit {
--- a/internal/quota/census.go
+++ b/internal/quota/census.go
@@ -10,11 +10,13 @@
 	// than the silence after which both ends close a connection between instances (1 s), so that the issuer has ceased
 	// to grant that share before.
 	ownShareAfter = 1250 * time.Millisecond
-	// censusMemory is the time for which the share of an instance that isn't reached is left to it.
-	censusMemory = 10 * time.Second
+	// CensusMemory is the time for which the share of an instance that isn't reached is left to it.
+	CensusMemory = 10 * time.Second
 	// ownShareFor is the time since the loss of another instance for which an instance issues its own share. It ends
 	// before the other one, which may have noticed the loss earlier and be the issuer, uses that share again.
-	ownShareFor = censusMemory - ownShareAfter
+	ownShareFor = CensusMemory - ownShareAfter
+	// renewTime is the time in which a membership of the store's group is renewed, and lost partitions are given up.
+	renewTime = time.Second
 	// goneMemory is the time for which an instance that isn't reached and no longer counts is remembered: it may be the
 	// issuer, and no longer count this one.
 	goneMemory = 10 * time.Minute
@@ -22,37 +24,46 @@
 
 // Census counts the instances. It is not safe for concurrent use.
 type Census struct {
-	own     string
-	seen    map[string]time.Time // when other instances were last connected
-	gone    map[string]time.Time // the same of those that no longer count
-	reached int                  // including this one
-	proven  bool
-	since   time.Time // when proven became false
-	told    int       // instances that a peer knows
-	toldAt  time.Time
+	own      string
+	others   bool // there should be other instances
+	started  time.Time
+	seen     map[string]time.Time // when other instances were last connected
+	gone     map[string]time.Time // the same of those that no longer count
+	reached  int                  // including this one
+	proven   bool
+	since    time.Time // when proven became false
+	regained time.Time // when proven became true again
+	updated  time.Time
+	told     int // instances that a peer knows
+	toldAt   time.Time
 }
 
-// NewCensus returns a Census of an instance that knows no other.
-func NewCensus(own string) *Census {
-	return &Census{own: own, seen: make(map[string]time.Time), gone: make(map[string]time.Time), reached: 1}
+// NewCensus returns a Census of an instance that starts now and has reached no other. others tells whether there should
+// be others.
+func NewCensus(own string, others bool, now time.Time) *Census {
+	return &Census{own: own, others: others, started: now, since: now, seen: make(map[string]time.Time), gone: make(map[string]time.Time), reached: 1}
 }
 
 // Update records the instances that are connected now. proven tells whether the store has lately confirmed the
 // partitions that this instance holds, so that no other issuer has the store's confirmation: only then instances that
-// are not reached are forgotten after censusMemory.
+// are not reached are forgotten after CensusMemory.
 func (c *Census) Update(connected []string, proven bool, now time.Time) {
 	for _, name := range connected {
 		c.seen[name] = now
 		delete(c.gone, name)
 	}
 	c.reached = 1 + len(connected)
+	c.updated = now
 	if c.proven && !proven {
 		c.since = now
 	}
+	if !c.proven && proven {
+		c.regained = now
+	}
 	c.proven = proven
-	if proven {
+	if c.confirmed(now) {
 		for name, at := range c.seen {
-			if now.Sub(at) > censusMemory {
+			if now.Sub(at) > CensusMemory {
 				delete(c.seen, name)
 				c.gone[name] = at
 			}
@@ -78,7 +89,7 @@
 
 // Told records how many instances a peer knows: an issuer that has just started doesn't know those that are cut off.
 func (c *Census) Told(instances int, now time.Time) {
-	if instances >= c.told || now.Sub(c.toldAt) > censusMemory {
+	if instances >= c.told || now.Sub(c.toldAt) > CensusMemory {
 		c.told, c.toldAt = instances, now
 	}
 }
@@ -90,7 +101,7 @@
 // Count returns how many instances there are, including those that may be cut off.
 func (c *Census) Count(now time.Time) int {
 	n := c.Known()
-	if now.Sub(c.toldAt) <= censusMemory {
+	if now.Sub(c.toldAt) <= CensusMemory {
 		n = max(n, c.told)
 	}
 	return n
@@ -110,20 +121,48 @@
 	return rank
 }
 
-// Share returns the share of a limit that an issuer on this instance may grant. The instances that it doesn't reach
-// issue their own share, or another issuer grants it. Without the store's confirmation it grants almost nothing once
-// others may have forgotten the instances on its side.
-func (c *Census) Share(headroom float64, now time.Time) float64 {
+// Share returns the share of a limit that an issuer on this instance, which issues since some time, may grant. What it
+// leaves is for the instances that it doesn't reach:
+//   - Those that it lost since it issues have no other issuer while the store confirms this one. They may issue their own
+//     share, as far as the terms allow.
+//   - Among those that it lost before may be the former issuer, which grants the share of all that it reaches.
+//
+// Without the store's confirmation another issuer may have taken over. It grants almost nothing once that one may have
+// forgotten the instances on this side.
+func (c *Census) Share(terms Terms, since, now time.Time) float64 {
 	n := c.Count(now)
-	reached := float64(c.reached) / float64(n)
-	if c.reached >= n {
+	young := now.Sub(c.started) <= CensusMemory
+	switch {
+	case young && c.others && c.reached == 1:
+		return terms.Headroom // it may be cut off from all others, and one of them issue
+	case young && c.others && c.reached >= n:
+		return 1 - ownRate // some that it has never reached may issue their own share
+	case c.reached >= n:
 		return 1
+	case !c.confirmed(now):
+		reached := float64(c.reached) / float64(n)
+		if now.Sub(c.since) > CensusMemory-ownShareAfter {
+			return min(terms.Headroom, reached)
+		}
+		return reached
 	}
-	if !c.proven && now.Sub(c.since) > censusMemory-ownShareAfter {
-		return min(headroom, reached)
+	lost, before := 0, n-c.Known() // the age of what peers have told is not known
+	for _, at := range c.seen {
+		switch {
+		case !at.Before(c.updated): // reached
+		case since.Before(at):
+			lost++
+		default:
+			before++
+		}
 	}
-	if c.proven {
-		reached += headroom
+	own := float64(min(lost, terms.OwnShares)) * terms.ownShare(n)
+	if young {
+		own = ownRate
 	}
-	return min(reached, 1)
+	return min(1-own-float64(before)/float64(n)+terms.Headroom, 1)
 }
+
+// confirmed reports whether the store confirms what this instance holds. After it was lost that takes until the
+// membership has been renewed.
+func (c *Census) confirmed(now time.Time) bool { return c.proven && now.Sub(c.regained) >= renewTime }
--- a/internal/quota/issuer.go
+++ b/internal/quota/issuer.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -64,11 +65,17 @@
 	at       time.Time // up to when tokens were added
 	started  time.Time
 	fresh    bool
-	promised [Classes]time.Time // up to when requests that weren't granted were told to come back
+	denied   [Classes][]denial // that were told to ask again later
 	leases   map[uint64]lease
 	programs *Programs
 }
 
+// denial is a number of requests that an instance asks for again at a time.
+type denial struct {
+	n     int
+	until time.Time
+}
+
 type lease struct {
 	n  int
 	at time.Time
@@ -104,6 +111,14 @@
 	return b
 }
 
+// Since returns since when the issuer has issued for a team without a break, and the present if it doesn't.
+func (i *Issuer) Since(team string, now time.Time) time.Time {
+	if b := i.buckets[team]; b != nil {
+		return b.started
+	}
+	return now
+}
+
 // End ceases to issue for a team.
 func (i *Issuer) End(team string) { delete(i.buckets, team) }
 
@@ -125,18 +140,19 @@
 	if b == nil {
 		b = i.start(team, l, now)
 	}
-	b.refill(l, terms, share, now)
+	terms.Rate *= share
+	terms.Bucket *= share // two issuers, each with a part of the instances, must not fill a bucket each
+	b.refill(l, terms, now)
 	b.credit(w.Credits, terms, now)
 	var a Answer
 	b.notePrograms(w, &a, now)
-	rate := terms.Rate * share
 	granted := 0
 	for class := range Classes {
 		a.Granted[class] = min(max(w.Need[class], 0), b.above(b.reserve(class, terms)))
 		b.tokens -= float64(a.Granted[class])
 		granted += a.Granted[class]
 		if missing := w.Need[class] - a.Granted[class]; missing > 0 {
-			a.RetryAfter[class] = b.retryAfter(class, missing, b.reserve(class, terms), rate, now)
+			a.RetryAfter[class] = b.retryAfter(class, missing, b.reserve(class, terms), terms.Rate, now)
 		}
 	}
 	if granted == total(w.Need) {
@@ -163,13 +179,13 @@
 }
 
 // refill adds the tokens since the last call. The tokens of a higher limit don't count for a lower one.
-func (b *bucket) refill(l Limit, terms Terms, share float64, now time.Time) {
+func (b *bucket) refill(l Limit, terms Terms, now time.Time) {
 	if l.PerSecond < b.limit.PerSecond || l.Burst < b.limit.Burst {
 		b.tokens, b.at = 0, now
 	}
 	b.limit = l
 	if elapsed := now.Sub(b.at).Seconds(); elapsed > 0 {
-		b.tokens += terms.Rate * share * elapsed
+		b.tokens += terms.Rate * elapsed
 		b.at = now
 	}
 	b.tokens = min(b.tokens, terms.Bucket)
@@ -241,22 +257,20 @@
 // above returns the whole tokens above a level.
 func (b *bucket) above(level float64) int { return int(max(math.Floor(b.tokens-level), 0)) }
 
-// retryAfter returns when the requests of a class that were not granted may be. Each answer promises other tokens, so
-// that not all come back for the same ones.
+// retryAfter returns when the first of some requests of a class that were not granted may be, after those that other
+// instances were not granted and will ask for again.
 func (b *bucket) retryAfter(class Class, missing int, level, rate float64, now time.Time) time.Duration {
-	if rate <= 0 {
-		return maxRetryAfter
-	}
-	interval := time.Duration(min(float64(time.Second)/rate, float64(maxRetryAfter)))
-	next := now.Add(min(time.Duration(max(level+1-b.tokens, 0)*float64(interval)), maxRetryAfter))
-	if b.promised[class].After(next) {
-		next = b.promised[class]
+	b.denied[class] = slices.DeleteFunc(b.denied[class], func(d denial) bool { return !d.until.After(now) })
+	ahead := 0
+	for _, d := range b.denied[class] {
+		ahead += d.n
 	}
-	b.promised[class] = next.Add(time.Duration(missing) * interval)
-	if latest := now.Add(maxRetryAfter); b.promised[class].After(latest) {
-		b.promised[class] = latest
+	retry := maxRetryAfter
+	if seconds := (max(level+1-b.tokens, 0) + float64(ahead)) / rate; seconds < maxRetryAfter.Seconds() {
+		retry = max(time.Duration(seconds*float64(time.Second)), minRetryAfter)
 	}
-	return max(min(next.Sub(now), maxRetryAfter), minRetryAfter)
+	b.denied[class] = append(b.denied[class], denial{n: missing, until: now.Add(min(retry, maxQuiet))})
+	return retry
 }
 
 const (
--- a/internal/quota/terms.go
+++ b/internal/quota/terms.go
@@ -40,6 +40,8 @@
 	ownPart      = 0.2 // own shares
 	headroomPart = 0.1 // what an issuer grants beyond the share of the instances that it reaches
 	startPart    = 0.2 // what new issuers start with
+	// ownRate is the largest share of the rate that all instances together issue to themselves.
+	ownRate = 0.1
 	// maxStarts bounds the changes of the issuer within a window that the start allowance is made for. A change that is
 	// not planned takes at least the TTL of a membership (1 s or more).
 	maxStarts = 4
@@ -79,6 +81,11 @@
 	return t
 }
 
+// ownShare returns the share of the rate that an instance may issue to itself, if it is one of OwnShares.
+func (t Terms) ownShare(instances int) float64 {
+	return min(1/float64(instances), ownRate/float64(max(t.OwnShares, 1)))
+}
+
 // Class is the precedence of a request within the quota of its team.
 type Class uint8
 
--- a/internal/wire/quota.go
+++ b/internal/wire/quota.go
@@ -28,6 +28,7 @@
 	Fresh      bool            `msgpack:"f,omitempty"` // the issuer has just started without tokens
 	Begun      []uint64        `msgpack:"b,omitempty"` // programs of Unknown that have begun
 	Loops      []uint64        `msgpack:"o,omitempty"` // programs that have made many times the usual number of requests
-	Instances  int             `msgpack:"i,omitempty"` // that the issuer knows
+	Known      int             `msgpack:"i,omitempty"` // instances that the issuer knows itself
+	ToldOf     int             `msgpack:"m,omitempty"` // instances in all, if it was told of more
 	Rank       int             `msgpack:"k,omitempty"` // of the receiver among them
 }
