--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"ragwortstile/internal/team"
@@ -30,6 +31,10 @@
 
 	Clock team.Clock // by which the age of the configuration's proof is measured; nil: team.SystemClock
 
+	QuotaWindow  time.Duration // window in which the quotas of teams hold; 0: they are not enforced
+	QuotaOverage float64       // part by which a quota may be exceeded
+	QuotaSlack   float64       // requests beyond that
+
 	StoreAddr        string
 	StoreParts       int           // partitions of a topic
 	StoreRecordBytes int           // limit of a record
@@ -45,3 +50,8 @@
 	}
 	return s.PeerAddr
 }
+
+// hasSeeds reports whether the settings name other instances.
+func (s Settings) hasSeeds() bool {
+	return slices.ContainsFunc(s.Seeds, func(addr string) bool { return addr != s.advertisedAddr() })
+}
