admission, replay: fair share of capacity among teams

Cause: a queue knows no teams. A team that sends a multiple of its usual load takes the room that opens up for all, and the programs of the others are refused in proportion to its surge.

Change: Shares measures the service that each team attains (slot time, half of it weighed by tokens) here and at peers, and the demand that was refused for the share. It finds the max-min level at which the demand fits the usable slots. First turns of a team whose demand is far above the level are refused at once or paced; the others get higher limits of the load meanwhile. Replay patterns get teams, cut-off instances, lost and late reports and restarts.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -73,6 +73,10 @@
 	Patience   time.Duration // pause after which the caller leaves
 	Deadline   time.Time     // of the request
 	EnqueuedAt time.Time     // when the decision was first asked for
+	// Team and TeamPriority are used if the queue has Shares. Team is empty for callers without a team. The team's
+	// priority goes before that of the route, which orders the turns of teams of equal priority.
+	Team         string
+	TeamPriority int
 	// Call says that this is not a turn but a call, which waits only for an endpoint that may get requests.
 	Call bool
 }
@@ -115,6 +119,7 @@
 	Waiting    int           // turns that waited here at the time of the decision
 	index      int           // in the heap; -1 if not waiting
 	lowered    bool          // has the limit of low priority
+	Standing   Standing      // of the team of a first turn, if the queue has Shares
 }
 
 func (t *Ticket) bounds() Bounds {
@@ -125,10 +130,22 @@
 		return Bounds{MaxLoad: onTimeLimit}
 	case t.Rank == Late:
 		return Bounds{MaxLoad: lateLimit, AnySpeed: true}
+	default:
+		return Bounds{MaxLoad: 1, MaxTotal: t.firstLimit()}
+	}
+}
+
+// firstLimit returns the load of all endpoints up to which the program of a first turn may begin.
+func (t *Ticket) firstLimit() float64 {
+	switch {
+	case t.Standing.Crowded && t.lowered:
+		return lowProtectedLimit
+	case t.Standing.Crowded:
+		return protectedLimit
 	case t.lowered:
-		return Bounds{MaxLoad: 1, MaxTotal: lowFirstLimit}
+		return lowFirstLimit
 	default:
-		return Bounds{MaxLoad: 1, MaxTotal: FirstLimit}
+		return FirstLimit
 	}
 }
 
@@ -149,12 +166,18 @@
 // Queue holds the turns for one service that wait at an instance. It is not safe for concurrent use.
 type Queue struct {
 	// Calls says that the queue holds calls. Their rate is that at which they are sent while others wait.
-	Calls    bool
+	Calls bool
+	// Shares divides the capacity among teams, and Capacity tells what there is. Without them all turns are treated alike.
+	Shares   *Shares
+	Capacity func() Capacity
 	waiting  ticketHeap
 	credit   float64   // turns that may be sent because others have ended or there is room
 	interval float64   // moving average of the seconds between ends of turns of this instance; 0: unknown
 	lastEnd  time.Time // of a turn
 	low      float64   // accumulates lowShare for each first turn of low priority
+	// lowOf does so for each pair of priorities of teams and routes, if the queue has Shares: with one sum for all, two
+	// kinds that arrive in turn could leave one of them without its part.
+	lowOf map[[2]int]float64
 }
 
 // Len returns the number of waiting turns.
@@ -174,12 +197,17 @@
 // Add decides on a new turn. If its Action is Wait, a later call of Plan decides.
 func (q *Queue) Add(turn Turn, now time.Time, place Place) *Ticket {
 	t := &Ticket{Turn: turn, Rank: turn.rank(now), index: -1}
-	if t.Rank == First && t.Priority > 0 {
-		q.low += lowShare
-		if t.lowered = q.low < 1; !t.lowered {
-			q.low--
+	if q.Shares == nil {
+		t.Team, t.TeamPriority = "", 0
+	}
+	if t.Rank == First && q.Shares != nil {
+		t.Standing = q.Shares.standing(t.Team, t.TeamPriority, t.Priority, q.Capacity(), now)
+		if t.Standing.Over {
+			q.rejectOver(t, now)
+			return t
 		}
 	}
+	t.lowered = q.lowers(t)
 	ahead := 0
 	for _, other := range q.waiting {
 		if !less(t, other) {
@@ -199,6 +227,45 @@
 	return t
 }
 
+// lowers reports whether a turn gets the limit of low priority.
+func (q *Queue) lowers(t *Ticket) bool {
+	if t.Rank != First || t.Priority <= 0 && (q.Shares == nil || t.TeamPriority <= 0) {
+		return false
+	}
+	low := q.low
+	if q.Shares != nil {
+		low = q.lowOf[[2]int{t.TeamPriority, t.Priority}]
+	}
+	low += lowShare
+	lowered := low < 1
+	if !lowered {
+		low--
+	}
+	if q.Shares == nil {
+		q.low = low
+		return lowered
+	}
+	if q.lowOf == nil {
+		q.lowOf = make(map[[2]int]float64)
+	}
+	q.lowOf[[2]int{t.TeamPriority, t.Priority}] = low
+	return lowered
+}
+
+// MayBegin returns the limit of the load of all endpoints up to which a program may begin. The ticket is rejected if its
+// team is over its share.
+func (q *Queue) MayBegin(turn Turn, now time.Time) (t *Ticket, limit float64) {
+	t = &Ticket{Turn: turn, Rank: First, index: -1}
+	if q.Shares == nil {
+		return t, FirstLimit
+	}
+	t.Standing = q.Shares.standing(t.Team, t.TeamPriority, t.Priority, q.Capacity(), now)
+	if t.Standing.Over {
+		q.rejectOver(t, now)
+	}
+	return t, t.firstLimit()
+}
+
 // Remove takes back a waiting turn whose caller has left.
 func (q *Queue) Remove(t *Ticket) {
 	if t.index >= 0 {
@@ -292,6 +359,12 @@
 	t.Action, t.Waiting, t.RetryAfter = Reject, len(q.waiting), boundRetryAfter(wait)
 }
 
+// rejectOver rejects a first turn of a team that is over its share.
+func (q *Queue) rejectOver(t *Ticket, now time.Time) {
+	q.Shares.refused(t.Team, now)
+	t.Action, t.Waiting, t.RetryAfter = Reject, len(q.waiting), t.Standing.RetryAfter
+}
+
 // RetryAfter returns when the caller of a turn that is rejected now may come back.
 func (q *Queue) RetryAfter() time.Duration {
 	return boundRetryAfter(q.expectedWait(len(q.waiting) + 1))
@@ -306,8 +379,8 @@
 	return time.Duration(math.Min(float64(position)*q.interval, maxRetryAfter.Seconds()*2) * float64(time.Second))
 }
 
-// less reports whether a turn is served before another one: by rank, then by the time that is left to its program,
-// and first turns by priority and arrival.
+// less reports whether a turn is served before another one: by rank, then by the time that is left to its program, and
+// first turns by priority, by the virtual counters of their teams, which are 0 without teams, and by arrival.
 func less(a, b *Ticket) bool {
 	switch {
 	case a.Rank != b.Rank:
@@ -316,6 +389,12 @@
 		return a.Due.Before(b.Due)
 	case a.Rank == First && a.lowered != b.lowered:
 		return b.lowered
+	case a.Rank == First && a.lowered && a.TeamPriority != b.TeamPriority:
+		return a.TeamPriority < b.TeamPriority
+	case a.Rank == First && a.lowered && a.Standing.shared && a.Priority != b.Priority:
+		return a.Priority < b.Priority
+	case a.Rank == First && a.Standing.Counter != b.Standing.Counter:
+		return a.Standing.Counter < b.Standing.Counter
 	default:
 		return a.EnqueuedAt.Before(b.EnqueuedAt)
 	}
--- a/internal/replay/engine.go
+++ b/internal/replay/engine.go
@@ -98,4 +98,12 @@
 			e.gone = e.gone || c.Gone
 		}
 	}
+	for i, instance := range s.instances {
+		instance.cutOff = false
+		for _, c := range s.pattern.Changes {
+			if c.active(s.now) && float64(i*7%len(s.instances)) < c.CutOff*float64(len(s.instances)) {
+				instance.cutOff = true
+			}
+		}
+	}
 }
--- a/internal/replay/pattern.go
+++ b/internal/replay/pattern.go
@@ -9,6 +9,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"gopkg.in/yaml.v3"
@@ -46,6 +47,11 @@
 	Priority  int     `yaml:"priority"`
 	Worth     float64 `yaml:"worth"` // of a program in time
 	LateWorth float64 `yaml:"late_worth"`
+	// Team is the team that begins the programs. With Teams, that many teams do, each at PerSecond: Team-0, Team-1 and so
+	// on. Without it the pattern has no teams.
+	Team         string `yaml:"team"`
+	Teams        int    `yaml:"teams"`
+	TeamPriority int    `yaml:"team_priority"`
 }
 
 // Change is a change of the load or of the endpoints for some time.
@@ -57,6 +63,14 @@
 	Share    float64 `yaml:"share"`    // of the endpoints that Slowdown or Gone concern
 	Slowdown float64 `yaml:"slowdown"` // factor of their times
 	Gone     bool    `yaml:"gone"`     // they leave and come back
+	OnlyTeam string  `yaml:"team"`     // team that Load concerns; empty: all
+	// CutOff is the share of the instances whose load reports pass in neither direction.
+	CutOff float64 `yaml:"cut_off"`
+	// ReportLoss is the share of load reports that are lost, and ReportLateMs the delay of the others.
+	ReportLoss   float64 `yaml:"report_loss"`
+	ReportLateMs float64 `yaml:"report_late_ms"`
+	// Restart restarts all instances at the beginning of the change: their state and the turns in progress are lost.
+	Restart bool `yaml:"restart"`
 }
 
 // Decode reads a pattern in YAML and reports all that is wrong with it.
@@ -89,12 +103,14 @@
 		require(e.Count > 0 && e.Slots > 0 && e.QueueSize >= 0 && e.TimeScale > 0, "endpoints[%d]: count, slots and time_scale must be positive", i)
 	}
 	for i, k := range p.Programs {
+		require(k.Teams >= 0 && (k.Teams == 0 || k.Team != ""), "programs[%d] %s: teams needs team", i, k.Name)
 		require(k.PerSecond > 0 && k.Turns >= 1 && k.TurnMs > 0 && k.AimFactor >= 1, "programs[%d] %s: per_second and turn_ms must be positive, turns and aim_factor at least 1", i, k.Name)
 	}
 	for i, c := range p.Changes {
 		require(c.ForMs > 0, "changes[%d]: for_ms: %v is not positive", i, c.ForMs)
 		require(c.Share >= 0 && c.Share <= 1, "changes[%d]: share: %v is not between 0 and 1", i, c.Share)
-		require(c.Load != 0 || c.Slowdown != 0 || c.Gone, "changes[%d]: changes nothing", i)
+		require(c.CutOff >= 0 && c.CutOff <= 1 && c.ReportLoss >= 0 && c.ReportLoss <= 1, "changes[%d]: cut_off and report_loss must be between 0 and 1", i)
+		require(c.Load != 0 || c.Slowdown != 0 || c.Gone || c.disturbsInstances(), "changes[%d]: changes nothing", i)
 	}
 	return errors.Join(errs...)
 }
@@ -110,6 +126,38 @@
 	return p
 }
 
+// kinds returns the kinds of programs, one for each team.
+func (p Pattern) kinds() []Programs {
+	var out []Programs
+	for _, k := range p.Programs {
+		if k.Teams == 0 {
+			out = append(out, k)
+			continue
+		}
+		for n := range k.Teams {
+			one := k
+			one.Team = fmt.Sprintf("%s-%d", k.Team, n)
+			out = append(out, one)
+		}
+	}
+	return out
+}
+
+// hasTeams reports whether programs belong to teams.
+func (p Pattern) hasTeams() bool {
+	return slices.ContainsFunc(p.Programs, func(k Programs) bool { return k.Team != "" })
+}
+
+// disturbsInstances reports whether the change concerns instances or the messages between them.
+func (c Change) disturbsInstances() bool {
+	return c.CutOff > 0 || c.ReportLoss > 0 || c.ReportLateMs > 0 || c.Restart
+}
+
+// concernsLoad reports whether the change multiplies the arrivals of a kind.
+func (c Change) concernsLoad(k Programs) bool {
+	return c.Load > 0 && (c.Only == "" || c.Only == k.Name) && (c.OnlyTeam == "" || c.OnlyTeam == k.Team)
+}
+
 func (c Change) active(at time.Duration) bool {
 	ms := float64(at) / float64(time.Millisecond)
 	return ms >= c.AtMs && ms < c.AtMs+c.ForMs
--- a/internal/replay/program.go
+++ b/internal/replay/program.go
@@ -7,6 +7,9 @@
 	"ragwortstile/internal/balance"
 )
 
+// timePerToken is the time that an idle engine takes for a token.
+const timePerToken = 5 * time.Millisecond
+
 // program is a caller's program.
 type program struct {
 	s        *simulation
@@ -48,6 +51,12 @@
 	kind := p.s.result.ByKind[p.kind.Name]
 	f(&kind)
 	p.s.result.ByKind[p.kind.Name] = kind
+	if p.kind.Team != "" {
+		if p.s.result.ByTeam[p.kind.Team] == nil {
+			p.s.result.ByTeam[p.kind.Team] = make([]Second, p.s.pattern.Seconds)
+		}
+		f(&p.s.result.ByTeam[p.kind.Team][p.second])
+	}
 }
 
 func (p *program) nextTurn() {
@@ -102,12 +111,15 @@
 	endpoint string
 	number   int64
 	work     *work
+	sent     time.Duration
+	serial   int // in the order of attempts
 }
 
 func (p *program) attempt(deadline time.Duration) {
 	p.attempts++
 	s := p.s
-	a := &attempt{p: p, i: s.instances[s.rand.IntN(len(s.instances))], deadline: deadline, tried: make(map[string]bool)}
+	s.attempts++
+	a := &attempt{p: p, i: s.instances[s.rand.IntN(len(s.instances))], deadline: deadline, tried: make(map[string]bool), serial: s.attempts}
 	if s.policy == Direct {
 		if !a.i.place(a, admission.Bounds{}) {
 			p.failed(deadline, 0)
@@ -119,6 +131,7 @@
 	turn := admission.Turn{
 		Begun: p.begun, Priority: p.kind.Priority, Due: epoch.Add(p.due), Target: time.Duration(p.kind.AimMs * float64(time.Millisecond)),
 		Patience: callerPatience, Deadline: epoch.Add(deadline), EnqueuedAt: s.clock(),
+		Team: p.kind.Team, TeamPriority: p.kind.TeamPriority,
 	}
 	t := a.i.queue.Add(turn, s.clock(), func(_ *admission.Ticket, b admission.Bounds) bool { return a.i.place(a, b) })
 	if t.Action == admission.Wait {
@@ -150,6 +163,11 @@
 // send gives the turn to the chosen engine. The caller leaves if the first event takes too long.
 func (a *attempt) send() {
 	s, sent := a.p.s, a.p.s.now
+	a.i.running[a] = true
+	a.sent = sent
+	if a.i.queue.Shares != nil {
+		a.i.queue.Shares.Sent(a.p.kind.Team, !a.p.begun, s.clock())
+	}
 	a.work = &work{idle: a.p.turns[0]}
 	a.work.began = func(at time.Duration) {
 		e := a.engine()
@@ -173,7 +191,16 @@
 }
 
 func (a *attempt) ended(result balance.Result, took time.Duration) {
+	idle := a.work.idle
 	a.work = nil
+	delete(a.i.running, a)
+	if a.i.queue.Shares != nil {
+		tokens := int64(0)
+		if result == balance.Served {
+			tokens = int64(idle / timePerToken)
+		}
+		a.i.queue.Shares.Ended(a.p.kind.Team, a.p.s.now-a.sent, tokens, a.p.s.clock())
+	}
 	a.i.balancer.Ended(a.endpoint, a.number, result, took, a.p.s.clock())
 	a.i.queue.Ended(a.p.s.clock())
 	if a.i.queue.Len() > 0 {
--- a/internal/replay/run.go
+++ b/internal/replay/run.go
@@ -2,13 +2,9 @@
 
 import (
 	"container/heap"
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"time"
-
-	"ragwortstile/internal/admission"
-	"ragwortstile/internal/balance"
 )
 
 // Policy is a way to decide on turns.
@@ -55,6 +51,23 @@
 	Pattern string            `json:"pattern"`
 	Seconds []Second          `json:"seconds"`
 	ByKind  map[string]Second `json:"by_kind"`
+	// ByTeam counts the programs of each team by the second in which they began.
+	ByTeam map[string][]Second `json:"by_team,omitempty"`
+}
+
+// InAim returns the programs of the chosen teams that ended in their aim, as a share of those that began in the seconds
+// from and before to.
+func (r Result) InAim(from, to int, chosen func(team string) bool) float64 {
+	begun, inAim := 0, 0
+	for name, seconds := range r.ByTeam {
+		if !chosen(name) {
+			continue
+		}
+		for _, s := range seconds[from:to] {
+			begun, inAim = begun+s.Begun, inAim+s.InAim
+		}
+	}
+	return float64(inAim) / float64(max(begun, 1))
 }
 
 // Share returns the worth earned as a share of the worth owed, over the seconds from and before to.
@@ -115,6 +128,7 @@
 	scheduled int
 	engines   []*engine
 	instances []*instance
+	attempts  int
 	result    Result
 }
 
@@ -134,13 +148,21 @@
 		pattern: p, policy: policy, rand: rand.New(rand.NewPCG(p.Seed, 1)), engines: newEngines(p),
 		result: Result{Policy: policy, Pattern: p.Name, Seconds: make([]Second, p.Seconds), ByKind: make(map[string]Second)},
 	}
+	if p.hasTeams() {
+		s.result.ByTeam = make(map[string][]Second)
+	}
 	for i := range p.Instances {
 		s.instances = append(s.instances, newInstance(s, i))
 	}
 	end := time.Duration(p.Seconds)*time.Second + drainTime
-	for _, kind := range p.Programs {
+	for _, kind := range p.kinds() {
 		s.arrive(kind)
 	}
+	for _, c := range p.Changes {
+		if c.Restart {
+			s.after(time.Duration(c.AtMs*float64(time.Millisecond)), s.restart)
+		}
+	}
 	for at := time.Duration(0); at < end; at += 100 * time.Millisecond {
 		s.after(at, s.applyChanges)
 	}
@@ -171,7 +193,7 @@
 func (s *simulation) arrive(kind Programs) {
 	rate := kind.PerSecond
 	for _, c := range s.pattern.Changes {
-		if c.Load > 0 && c.active(s.now) && (c.Only == "" || c.Only == kind.Name) {
+		if c.active(s.now) && c.concernsLoad(kind) {
 			rate *= c.Load
 		}
 	}
@@ -189,77 +211,3 @@
 	const sigma = 0.5
 	return mean * math.Exp(sigma*s.rand.NormFloat64()-sigma*sigma/2)
 }
-
-// instance is one instance with its queue and its view of the load.
-type instance struct {
-	s        *simulation
-	name     string
-	balancer *balance.Balancer
-	queue    *admission.Queue
-	calls    map[*admission.Ticket]*attempt
-}
-
-func newInstance(s *simulation, number int) *instance {
-	i := &instance{
-		s: s, name: fmt.Sprint("i", number), balancer: balance.New("", s.pattern.Seed+uint64(number)), queue: &admission.Queue{},
-		calls: make(map[*admission.Ticket]*attempt),
-	}
-	interval := time.Duration(s.pattern.ReportMs * float64(time.Millisecond))
-	s.after(time.Duration(s.rand.Float64()*float64(interval)), func() { i.report(interval) })
-	return i
-}
-
-// report sends the load of the instance to the others and uses the room that it sees, as the gateway does.
-func (i *instance) report(interval time.Duration) {
-	now := i.s.clock()
-	if own := i.queue.Len(); own > 0 {
-		share := float64(own) / float64(own+i.balancer.PeerTurns().Waiting)
-		i.queue.AddCredit(share * i.balancer.Room(i.candidates(), admission.MaxLimit, now))
-		i.plan()
-	}
-	r := balance.Report{Loads: i.balancer.LocalLoads(now), Turns: balance.Turns{Waiting: i.queue.Len(), Begun: i.queue.Begun()}}
-	for _, other := range i.s.instances {
-		if other != i {
-			other.balancer.SetPeerReport(i.name, r, now)
-		}
-	}
-	i.s.after(interval, func() { i.report(interval) })
-}
-
-func (i *instance) candidates() []balance.Endpoint {
-	out := make([]balance.Endpoint, 0, len(i.s.engines))
-	for _, e := range i.s.engines {
-		if !e.gone {
-			out = append(out, e.Endpoint)
-		}
-	}
-	return out
-}
-
-func (i *instance) place(a *attempt, b admission.Bounds) bool {
-	now := i.s.clock()
-	candidates := i.candidates()
-	if b.MaxTotal > 0 && i.balancer.Occupancy(candidates, i.queue.Begun()+i.balancer.PeerTurns().Begun, now) >= b.MaxTotal {
-		return false
-	}
-	e, _, ok := i.balancer.Pick(balance.Query{Candidates: candidates, Tried: a.tried, MaxLoad: b.MaxLoad, AnySpeed: b.AnySpeed}, now)
-	if ok {
-		a.endpoint, a.number = e.ID, i.balancer.Sent(e.ID, now)
-	}
-	return ok
-}
-
-func (i *instance) plan() {
-	for _, t := range i.queue.Plan(i.s.clock(), func(t *admission.Ticket, b admission.Bounds) bool { return i.place(i.calls[t], b) }) {
-		a := i.calls[t]
-		delete(i.calls, t)
-		a.decided(t)
-	}
-	if at := i.queue.NextExpiry(); !at.IsZero() {
-		i.s.after(at.Sub(i.s.clock()), func() {
-			if i.queue.Len() > 0 {
-				i.plan()
-			}
-		})
-	}
-}
