gateway, wire: the capacity of a service is divided among teams

Cause: admission could tell teams apart, but the gateway neither named them nor counted what they attain, and instances knew nothing of each other's teams.

Change: each turn names its team; its slot time and tokens are counted when it leaves its endpoint. LoadReport.Teams carries at most 8 teams of the sender and is omitted without teams. A first turn of a team over its share gets 503 with the time after which its service has fallen to the share.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -201,7 +201,7 @@
 		t.Team, t.TeamPriority = "", 0
 	}
 	if t.Rank == First && q.Shares != nil {
-		t.Standing = q.Shares.standing(t.Team, t.TeamPriority, t.Priority, q.Capacity(), now)
+		t.Standing = q.Shares.standing(t.Team, t.TeamPriority, t.Priority, q.Capacity(), true, now)
 		if t.Standing.Over {
 			q.rejectOver(t, now)
 			return t
@@ -259,7 +259,7 @@
 	if q.Shares == nil {
 		return t, FirstLimit
 	}
-	t.Standing = q.Shares.standing(t.Team, t.TeamPriority, t.Priority, q.Capacity(), now)
+	t.Standing = q.Shares.standing(t.Team, t.TeamPriority, t.Priority, q.Capacity(), false, now)
 	if t.Standing.Over {
 		q.rejectOver(t, now)
 	}
--- a/internal/admission/share.go
+++ b/internal/admission/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -95,6 +96,9 @@
 	RetryAfter time.Duration
 }
 
+// Limited reports whether there is too little room for all, so that Share is finite.
+func (s Standing) Limited() bool { return s.shared && !math.IsInf(s.Share, 1) }
+
 // Shares divides the capacity of one service among teams. It measures the service that each team attains at this
 // instance, adds what peers report, and finds the level up to which all teams can be served (max-min fairness): teams
 // below the level get what they ask for, and what they leave is lent to the others. It is not safe for concurrent use.
@@ -384,8 +388,9 @@
 	return minLevel
 }
 
-// standing compares what a team has attained with its share, for a first turn of a route.
-func (s *Shares) standing(name string, priority, routePriority int, c Capacity, now time.Time) Standing {
+// standing compares what a team has attained with its share, for a first turn of a route. begins is false if it is only
+// asked whether a program may begin.
+func (s *Shares) standing(name string, priority, routePriority int, c Capacity, begins bool, now time.Time) Standing {
 	s.refresh(c, now)
 	out := Standing{shared: true, Attained: s.attained(name, now), Share: s.level, Counter: s.account(name, now).counter}
 	out.Crowded = len(s.over) > 1 || len(s.over) == 1 && s.over[0] != name
@@ -411,7 +416,7 @@
 		// Without new programs the moving average falls to the share in this time.
 		out.RetryAfter = boundRetryAfter(time.Duration(math.Log(out.Attained/out.Share) * float64(serviceTime)))
 	case out.Attained > out.Share*pacedPart:
-		if wait := s.pace(name, out, now); wait > 0 {
+		if wait := s.pace(name, out, begins, now); wait > 0 {
 			out.Over, out.RetryAfter = true, boundRetryAfter(wait)
 		}
 	}
@@ -420,7 +425,7 @@
 
 // pace returns 0 if a program of the team may begin here now, or the time until one may. Over all instances that serve the
 // team, programs begin at the rate that takes up its share, and faster while the team is below it.
-func (s *Shares) pace(name string, standing Standing, now time.Time) time.Duration {
+func (s *Shares) pace(name string, standing Standing, begins bool, now time.Time) time.Duration {
 	a := s.account(name, now)
 	below := standing.Share / standing.Attained
 	perSecond := below * below * standing.Share / s.programService() / float64(s.peerSums[name].reporters+1)
@@ -433,10 +438,15 @@
 	if a.allowed < 1 {
 		return time.Duration((1 - a.allowed) / perSecond * float64(time.Second))
 	}
-	a.allowed -= s.rand.ExpFloat64()
+	if begins {
+		a.allowed -= s.rand.ExpFloat64()
+	}
 	return 0
 }
 
+// Level returns the slots that each team may use, and false while there is room for all.
+func (s *Shares) Level() (float64, bool) { return s.level, !math.IsInf(s.level, 1) }
+
 // Sharing holds the shares of all services.
 type Sharing struct {
 	services map[string]*Shares
@@ -458,6 +468,13 @@
 	return shares
 }
 
+// Each calls f for each service.
+func (s *Sharing) Each(f func(service string, shares *Shares)) {
+	for _, name := range slices.Sorted(maps.Keys(s.services)) {
+		f(name, s.services[name])
+	}
+}
+
 // Prune forgets the services that are not listed.
 func (s *Sharing) Prune(listed func(service string) bool) {
 	for name := range s.services {
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -40,6 +40,11 @@
 	target  target
 	load    int // of the target
 	decided chan struct{}
+
+	shares  *admission.Shares // nil if the capacity is not divided among teams
+	team    string
+	first   bool // begins a program
+	attains attaining
 }
 
 func newAdmissionQueues() *admissionQueues {
@@ -56,6 +61,8 @@
 
 	used     bool
 	released bool
+	attains  attaining
+	tokens   func() int64 // of the response so far; nil: 0
 }
 
 // use returns the endpoint, once.
@@ -75,6 +82,11 @@
 		return
 	}
 	s.released = true
+	tokens := int64(0)
+	if s.tokens != nil {
+		tokens = s.tokens()
+	}
+	s.attains.ended(tokens, now)
 	if !s.used {
 		s.g.balancer.Ended(s.target.ID, s.target.number, balance.Abandoned, 0, now)
 	}
@@ -94,18 +106,32 @@
 	g.mu.Lock()
 	begun := g.ownTurns().Begun + g.balancer.PeerTurns().Begun
 	queue := g.admission.queues[queueKey{service: service}]
-	full := queue != nil && g.balancer.Occupancy(candidates, begun, now) >= admission.FirstLimit &&
-		(begun > 0 || !g.sparePermit(candidates, now))
+	full := false
+	var ticket *admission.Ticket
 	var retryAfter time.Duration
-	if full {
-		retryAfter = queue.RetryAfter()
+	if queue != nil {
+		g.setShares(queue, service)
+		var limit float64
+		ticket, limit = queue.MayBegin(q.turn(false, now), now)
+		full = g.balancer.Occupancy(candidates, begun, now) >= limit && (begun > 0 || !g.sparePermit(candidates, now))
+		if full {
+			retryAfter = queue.RetryAfter()
+		}
 	}
 	g.mu.Unlock()
-	if !full {
+	over := ticket != nil && ticket.Standing.Over
+	if !full && !over {
 		return nil
 	}
+	ticket.Action = admission.Reject
 	g.metrics.turnDecided(service, admission.First, admission.Reject, 0)
-	q.logRejected(logrus.Fields{"rank": admission.First.String(), "waiting": begun, "waited": 0}, retryAfter)
+	g.metrics.firstTurnDecided(ticket)
+	fields := logrus.Fields{"rank": admission.First.String(), "waiting": begun, "waited": 0}
+	logStanding(fields, ticket)
+	if over {
+		return q.overShare(fields, ticket)
+	}
+	q.logRejected(fields, retryAfter)
 	return unavailable(reasonOverload, retryAfter)
 }
 
@@ -115,15 +141,21 @@
 
 // admitTurn waits until the turn may be sent. It returns neither a slot nor a rejection if ctx ends before.
 func (q *request) admitTurn(ctx context.Context, service string, begun bool, savings map[string]float64) (*slot, *rejection) {
-	now := time.Now()
+	turn := q.turn(begun, time.Now())
+	return q.enqueue(ctx, queueKey{service: service}, turn, q.query(service, savings))
+}
+
+// turn returns the turn for which a decision is needed.
+func (q *request) turn(begun bool, now time.Time) admission.Turn {
 	turn := admission.Turn{
 		Begun: begun, Priority: q.route.Priority, Target: q.route.TargetLatency, Deadline: q.deadline, EnqueuedAt: now,
 		Patience: max(callerPatience, patienceTargetLatency*q.route.TargetLatency, patienceTargetGap*q.route.TargetGap),
 	}
+	turn.Team, turn.TeamPriority = q.teamOf()
 	if q.meta.HasProgramTimeout {
 		turn.Due = q.start.Add(q.meta.ProgramTimeout)
 	}
-	return q.enqueue(ctx, queueKey{service: service}, turn, q.query(service, savings))
+	return turn
 }
 
 // admitCall waits until a call may be sent to an endpoint, while endpoints of its service limit their requests. It
@@ -154,6 +186,8 @@
 		queue = &admission.Queue{Calls: key.calls}
 		g.admission.queues[key] = queue
 	}
+	g.setShares(queue, key.service)
+	call.shares, call.team, call.first = queue.Shares, turn.Team, !turn.Begun
 	ticket := queue.Add(turn, now, func(_ *admission.Ticket, b admission.Bounds) bool { return g.place(call, b, now) })
 	waits := ticket.Action == admission.Wait
 	if waits {
@@ -178,6 +212,7 @@
 func (q *request) admitted(key queueKey, ticket *admission.Ticket, call *admissionCall) (*slot, *rejection) {
 	waited := time.Since(ticket.EnqueuedAt)
 	q.g.metrics.turnDecided(key.service, ticket.Rank, ticket.Action, waited)
+	q.g.metrics.firstTurnDecided(ticket)
 	fields := logrus.Fields{"rank": ticket.Rank.String(), "waiting": ticket.Waiting, "waited": waited.Milliseconds()}
 	if !ticket.Due.IsZero() {
 		fields["slack"] = time.Until(ticket.Due).Milliseconds()
@@ -185,8 +220,12 @@
 	switch ticket.Action {
 	case admission.Send:
 		q.logChosen(call.target, call.load, fields)
-		return &slot{g: q.g, key: key, target: call.target}, nil
+		return &slot{g: q.g, key: key, target: call.target, attains: call.attains}, nil
 	case admission.Reject:
+		logStanding(fields, ticket)
+		if ticket.Standing.Over {
+			return nil, q.overShare(fields, ticket)
+		}
 		q.logRejected(fields, ticket.RetryAfter)
 		return nil, unavailable(reasonOverload, ticket.RetryAfter)
 	default:
@@ -222,6 +261,7 @@
 	e, load, ok := g.balancer.Pick(query, now)
 	if ok {
 		call.target, call.load = g.register(e, now), load
+		call.sent(now)
 	}
 	return ok
 }
@@ -307,6 +347,7 @@
 			delete(g.admission.queues, key)
 		}
 	}
+	g.shares.sharing.Prune(func(service string) bool { return g.admission.queues[queueKey{service: service}] != nil })
 }
 
 // turnDecided records the decision on a turn and the time that it took.
--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -16,10 +16,11 @@
 type instanceMetrics struct {
 	set    *metrics.Set
 	routes *labelSet
+	teams  *labelSet
 }
 
 func newInstanceMetrics() *instanceMetrics {
-	return &instanceMetrics{set: metrics.NewSet(), routes: newLabelSet(maxRouteSeries)}
+	return &instanceMetrics{set: metrics.NewSet(), routes: newLabelSet(maxRouteSeries), teams: newLabelSet(maxTeamSeries)}
 }
 
 // requestEnded records the status, the reason and the duration of a finished request.
@@ -37,6 +38,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		c.set.WritePrometheus(w)
+		g.writeShares(w)
 		parts, turns := g.ledger.HeldCounts()
 		g.mu.Lock()
 		limited := g.limits.Count()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -92,6 +92,7 @@
 	newLimits    map[string]bool // endpoints whose limit was observed here since the last load report
 	newLeaving   []toldLeaving   // endpoints that have said here a short time ago that they leave
 	admission    *admissionQueues
+	shares       *teamShares
 	links        *reach.Tracker // of the connections to endpoints
 	relays       *reach.Peers   // that send requests to endpoints on behalf of this instance
 	wasCutOff    bool           // what noteCutOff has last seen
@@ -105,7 +106,8 @@
 		pool: upstream.NewPool(s.DialEndpoint), responses: newResponseBuffers(s.MemoryBytes), prefixes: newPrefixCache(), affinity: newAffinity(), metrics: newInstanceMetrics(),
 		balancer: balance.New(s.Zone, uint64(time.Now().UnixNano())), limits: ratelimit.NewLimits(), permits: ratelimit.NewPermits(), issuer: ratelimit.NewIssuer(), ownIssuer: ratelimit.NewIssuer(),
 		newLimits: make(map[string]bool), crashChecks: make(map[string]*crashCheck), quarantine: quarantine.NewList(), admission: newAdmissionQueues(),
-		links: reach.NewTracker(), relays: reach.NewPeers(s.Zone),
+		shares: newTeamShares(uint64(time.Now().UnixNano())),
+		links:  reach.NewTracker(), relays: reach.NewPeers(s.Zone),
 		storeDep: &dependency{name: "store", log: log},
 	}
 	g.graceOver, g.endGrace = context.WithCancel(context.Background())
@@ -376,13 +378,14 @@
 			limits := g.takeNewLimits(now)
 			cutOff := g.noteCutOff()
 			leaving := g.recentLeaving(now)
-			due := len(own) > 0 || turns.Waiting > 0 || len(limits) > 0 || len(leaving) > 0 || cutOff || g.reportedLoad
-			g.reportedLoad = len(own) > 0 || turns.Waiting > 0 || cutOff
+			teams := g.reportTeams(now)
+			due := len(teams) > 0 || len(own) > 0 || turns.Waiting > 0 || len(limits) > 0 || len(leaving) > 0 || cutOff || g.reportedLoad
+			g.reportedLoad = len(teams) > 0 || len(own) > 0 || turns.Waiting > 0 || cutOff
 			g.mu.Unlock()
 			if !due {
 				continue
 			}
-			report := wire.LoadReport{Endpoints: make([]wire.EndpointLoad, 0, len(own)), Waiting: turns.Waiting, Begun: turns.Begun, Limits: limits, CutOff: cutOff, Leaving: leaving}
+			report := wire.LoadReport{Endpoints: make([]wire.EndpointLoad, 0, len(own)), Waiting: turns.Waiting, Begun: turns.Begun, Limits: limits, CutOff: cutOff, Leaving: leaving, Teams: teams}
 			for id, load := range own {
 				report.Endpoints = append(report.Endpoints, wire.EndpointLoad{ID: id, Running: load.Running, Overdue: load.Overdue})
 			}
@@ -428,6 +431,7 @@
 			h.relays.Recovered(r.Session)
 		}
 		h.balancer.SetPeerReport(r.Session.Instance(), balance.Report{Loads: loads, Turns: balance.Turns{Waiting: m.Waiting, Begun: m.Begun}}, time.Now())
+		(*Gateway)(h).learnTeams(r.Session.Instance(), m.Teams, time.Now())
 		h.mu.Unlock()
 		for _, limit := range m.Limits {
 			(*Gateway)(h).learnLimit(limit)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -36,6 +36,7 @@
 	reasonBadBody        = "body_unreadable"
 	reasonNoEndpoint     = "no_endpoint"
 	reasonOverload       = "endpoints_full"
+	reasonOverShare      = "team_over_share"
 	reasonNotExecuted    = "refused_by_endpoints"
 	reasonUnknownOutcome = "outcome_unknown"
 	reasonTimeout        = "time_over"
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -85,6 +85,7 @@
 		return
 	}
 	t.slot = slot
+	slot.tokens = func() int64 { return t.events * t.tokensPerEvent }
 	defer slot.release()
 	t.run(ctx, service)
 }
--- a/internal/wire/turn.go
+++ b/internal/wire/turn.go
@@ -69,6 +69,17 @@
 	// Leaving are the endpoints that have said to the sender since its last report that they leave. Earlier versions do not
 	// know the field.
 	Leaving []EndpointLeaving `msgpack:"lv,omitempty"`
+	// Teams are the teams with the most service at the sender, at most 8. Earlier versions do not know the field; a report
+	// without it says nothing of teams.
+	Teams []TeamService `msgpack:"t,omitempty"`
+}
+
+// TeamService is the service that a team attains at the sender of a load report, in thousandths of a slot.
+type TeamService struct {
+	Service string `msgpack:"v,omitempty"` // of the endpoints
+	Team    string `msgpack:"n,omitempty"` // empty: callers without a team
+	Milli   int    `msgpack:"m,omitempty"` // slots in use on average
+	Wanted  int    `msgpack:"w,omitempty"` // slots that programs refused by the sender would have used
 }
 
 // EndpointLeaving is an endpoint that has said that it leaves.
