admission, gateway, wire: the usual service of a team, the part of the load that an instance sees

Change: a share is at least 1.5 times the usual service of its team, and a quarter of what its demand alone would give. Load reports state how many instances the sender hears. Accounts hold the sums over peers; the level is computed in one pass.

--- a/internal/admission/share.go
+++ b/internal/admission/share.go
@@ -25,6 +25,10 @@
 	reportTTL = 600 * time.Millisecond
 	// refreshInterval is the time between computations of the level, which sorts all active teams.
 	refreshInterval = 20 * time.Millisecond
+	// manyInterval replaces refreshInterval for more than manyTeams teams: with 2,500, a computation takes some 0.5 ms, and
+	// the reports of peers come once in this time.
+	manyInterval = 100 * time.Millisecond
+	manyTeams    = 500
 	// idleAfter is the time without service after which a team is forgotten. Its counter is not lower when it returns,
 	// because a new account starts at the minimum of the active ones.
 	idleAfter = 10 * time.Second
@@ -45,8 +49,8 @@
 	// protectedLimit and lowProtectedLimit replace FirstLimit and lowFirstLimit for teams within their share while another
 	// team asks for more than its own: the begun programs of that team fill endpoints for some seconds after its first
 	// turns are refused.
-	protectedLimit    = 1.0
-	lowProtectedLimit = 0.95
+	protectedLimit    = 0.95
+	lowProtectedLimit = 0.9
 	// demandTolerance is the demand of a team, as a multiple of its share, up to which none of its programs are refused
 	// because of the share: near its share the noise of the measures is as large as what a refusal would free.
 	demandTolerance = 1.5
@@ -64,6 +68,14 @@
 	programSmoothing = 10 * time.Second
 	// defaultProgramService is assumed for a program, in slot seconds, until the service has been measured.
 	defaultProgramService = 1.0
+	// leastPart is the part of what it would get by its demand alone that each team may use, however large: all teams are
+	// to be served at least a quarter as often as all of them on average.
+	leastPart = 0.25
+	// usualTime is the time constant of the usual service of a team, and usualPart times it is the least that its share
+	// falls to: in a surge of another team the level comes close to what large teams use without any surge of theirs, and
+	// their service varies by a third. What was lent for longer than usualTime is given back in about the same time.
+	usualTime = 10 * time.Second
+	usualPart = 1.5
 	// lowWeight is the weight of the share of teams whose priority is not the highest.
 	lowWeight = 0.5
 )
@@ -80,8 +92,8 @@
 type Capacity struct {
 	Slots     float64
 	Occupancy float64 // load as a share of the slots
-	// Part is the part of the slots that this instance may count on: 1, or the inverse of the number of instances while
-	// it hears from no other one. Occupancy is its own load then.
+	// Part is the part of the load that this instance sees, by the number of instances that it hears. What teams attain and
+	// may use is in the same measure.
 	Part float64
 }
 
@@ -104,8 +116,8 @@
 // below the level get what they ask for, and what they leave is lent to the others. It is not safe for concurrent use.
 type Shares struct {
 	accounts   map[string]*account
+	list       []*account // the same, in the order of their beginning
 	peers      map[string]peerServices
-	peerSums   map[string]peerSum // over the reports of all peers, by team
 	rand       *rand.Rand
 	began      float64 // programs that began here, and
 	spent      float64 // slot seconds of turns that ended here, both with programSmoothing
@@ -121,6 +133,8 @@
 
 // account is what is known of a team.
 type account struct {
+	name    string
+	peers   peerSum // over the reports of all peers
 	running int     // turns of this instance at endpoints
 	rate    float64 // slots in use by this instance, moving average up to updated
 	wanted  float64 // slots that programs refused here would have used, moving average up to updated
@@ -131,26 +145,29 @@
 
 	// As of the last refresh:
 	attained   float64 // slots in use over all instances
+	demand     float64 // slots that the team would use if none of its programs were refused
+	usual      float64 // moving average of attained over usualTime, or over age if that is less
+	age        time.Duration
 	active     bool
 	lastActive time.Time
 }
 
+// peerSum adds up what peers report of a team.
+type peerSum struct {
+	milli, wanted, reporters int
+}
+
 // peerServices is the newest report of a peer.
 type peerServices struct {
 	list []Attained
 	at   time.Time
 }
 
-// peerSum adds up what peers report of a team.
-type peerSum struct {
-	milli, wanted, reporters int
-}
-
 // NewShares returns the shares of a service without active teams. The seed spreads the paces of instances.
 func NewShares(seed uint64) *Shares {
 	return &Shares{
 		rand:     rand.New(rand.NewPCG(seed, 0)),
-		accounts: make(map[string]*account), peers: make(map[string]peerServices), peerSums: make(map[string]peerSum), level: math.Inf(1),
+		accounts: make(map[string]*account), peers: make(map[string]peerServices), level: math.Inf(1),
 	}
 }
 
@@ -159,21 +176,36 @@
 func (s *Shares) account(name string, now time.Time) *account {
 	a := s.accounts[name]
 	if a == nil {
-		a = &account{updated: now, lastActive: now, counter: s.minCounter}
+		a = &account{name: name, updated: now, lastActive: now, counter: s.minCounter}
 		s.accounts[name] = a
+		s.list = append(s.list, a)
 	}
 	return a
 }
 
-// update brings the moving average up to the present.
+// update brings the moving averages up to the present.
 func (a *account) update(now time.Time) {
-	if passed := now.Sub(a.updated); passed > 0 {
+	passed := now.Sub(a.updated)
+	if passed <= 0 {
+		return
+	}
+	a.updated = now
+	if a.rate != float64(a.running) {
 		a.rate = float64(a.running) + (a.rate-float64(a.running))*math.Exp(-passed.Seconds()/serviceTime.Seconds())
+	}
+	if a.wanted != 0 {
 		a.wanted *= math.Exp(-passed.Seconds() / demandTime.Seconds())
-		a.updated = now
 	}
 }
 
+// service returns the slots in use by the team over all instances, and those that it would use if none of its programs
+// were refused.
+func (a *account) service(now time.Time) (attained, demand float64) {
+	a.update(now)
+	attained = a.rate + float64(a.peers.milli)/1000
+	return attained, attained + a.wanted + float64(a.peers.wanted)/1000
+}
+
 // smooth decays the means of programs and their service.
 func (s *Shares) smooth(now time.Time) {
 	if passed := now.Sub(s.smoothed); passed > 0 {
@@ -232,10 +264,10 @@
 // own returns the service that the teams attain at this instance.
 func (s *Shares) own(service string, now time.Time) []Attained {
 	var out []Attained
-	for name, a := range s.accounts {
+	for _, a := range s.list {
 		a.update(now)
 		if milli := int(a.rate*1000 + 0.5); milli >= minReportedMilli || a.wanted*1000 >= minReportedMilli {
-			out = append(out, Attained{Service: service, Team: name, Milli: milli, Wanted: int(a.wanted*1000 + 0.5)})
+			out = append(out, Attained{Service: service, Team: a.name, Milli: milli, Wanted: int(a.wanted*1000 + 0.5)})
 		}
 	}
 	return out
@@ -243,79 +275,58 @@
 
 // setPeer stores the report of a peer, which replaces the previous one.
 func (s *Shares) setPeer(name string, list []Attained, now time.Time) {
-	s.dropPeer(name)
+	s.dropPeer(name, now)
 	if len(list) == 0 {
 		return
 	}
 	s.peers[name] = peerServices{list: list, at: now}
 	for _, r := range list {
-		s.addPeer(r, 1)
+		s.addPeer(r, 1, now)
 	}
 }
 
 // addPeer adds a line of a report to the sums over all peers; with sign -1 it removes it.
-func (s *Shares) addPeer(r Attained, sign int) {
-	sum := s.peerSums[r.Team]
+func (s *Shares) addPeer(r Attained, sign int, now time.Time) {
+	sum := &s.account(r.Team, now).peers
 	sum.milli += sign * r.Milli
 	sum.wanted += sign * r.Wanted
 	sum.reporters += sign
-	if s.peerSums[r.Team] = sum; sum == (peerSum{}) {
-		delete(s.peerSums, r.Team)
-	}
 }
 
-func (s *Shares) dropPeer(name string) {
+func (s *Shares) dropPeer(name string, now time.Time) {
 	for _, r := range s.peers[name].list {
-		s.addPeer(r, -1)
+		s.addPeer(r, -1, now)
 	}
 	delete(s.peers, name)
 }
 
-// attained returns the slots in use by a team over all instances.
-func (s *Shares) attained(name string, now time.Time) float64 {
-	sum := float64(s.peerSums[name].milli) / 1000
-	if a := s.accounts[name]; a != nil {
-		a.update(now)
-		sum += a.rate
-	}
-	return sum
-}
-
-// demand returns the slots that a team would use over all instances if none of its programs were refused.
-func (s *Shares) demand(name string, now time.Time) float64 {
-	sum := s.attained(name, now) + float64(s.peerSums[name].wanted)/1000
-	if a := s.accounts[name]; a != nil {
-		sum += a.wanted
-	}
-	return sum
-}
-
 // refresh drops old reports, advances the counters and computes the level.
 func (s *Shares) refresh(c Capacity, now time.Time) {
 	passed := now.Sub(s.refreshed)
-	if passed < refreshInterval {
+	if passed < refreshInterval || passed < manyInterval && len(s.list) > manyTeams {
 		return
 	}
 	s.refreshed = now
 	for name, r := range s.peers {
 		if now.Sub(r.at) >= reportTTL {
-			s.dropPeer(name)
+			s.dropPeer(name, now)
 		}
 	}
-	for name := range s.peerSums {
-		s.account(name, now)
-	}
-	demands, total := make([]float64, 0, len(s.accounts)), 0.0
+	demands, total := make([]float64, 0, len(s.list)), 0.0
 	s.demands = 0
-	for name, a := range s.accounts {
-		a.attained = s.attained(name, now)
+	s.list = slices.DeleteFunc(s.list, func(a *account) bool {
+		a.attained, a.demand = a.service(now)
 		total += a.attained
-		if demand := s.demand(name, now); demand >= idleService {
-			demands, s.demands = append(demands, demand), s.demands+demand
-		} else if a.running == 0 && now.Sub(a.lastActive) >= idleAfter {
-			delete(s.accounts, name)
+		if a.demand >= idleService {
+			demands, s.demands = append(demands, a.demand), s.demands+a.demand
+			return false
 		}
-	}
+		if a.running > 0 || a.peers.reporters > 0 || now.Sub(a.lastActive) < idleAfter {
+			return false
+		}
+		delete(s.accounts, a.name)
+		return true
+	})
 	s.advanceCounters(min(passed, reportTTL), now)
 	slices.SortFunc(demands, func(a, b float64) int { return cmp.Compare(b, a) })
 	// The load that reports do not explain is that of teams too small for them, which are below the level.
@@ -324,9 +335,9 @@
 	s.demands += small
 	s.level = level(demands, usable(s.demands, c.Slots*c.Part)-small)
 	s.over = s.over[:0]
-	for name := range s.accounts {
-		if s.demand(name, now) > s.level {
-			s.over = append(s.over, name)
+	for _, a := range s.list {
+		if a.demand > s.level {
+			s.over = append(s.over, a.name)
 		}
 	}
 }
@@ -334,8 +345,8 @@
 // advanceCounters adds to each counter what the team has attained since the last time. The counter of a team that
 // returns from idle is raised to the minimum of those of the teams that have been active.
 func (s *Shares) advanceCounters(passed time.Duration, now time.Time) {
-	least := math.Inf(1)
-	for _, a := range s.accounts {
+	least, usual := math.Inf(1), 1-math.Exp(-passed.Seconds()/usualTime.Seconds())
+	for _, a := range s.list {
 		if a.active && a.attained >= idleService {
 			least = min(least, a.counter)
 		}
@@ -343,7 +354,7 @@
 	if !math.IsInf(least, 1) {
 		s.minCounter = least
 	}
-	for _, a := range s.accounts {
+	for _, a := range s.list {
 		wasActive := a.active
 		a.active = a.attained >= idleService
 		if !a.active {
@@ -354,6 +365,8 @@
 		}
 		a.lastActive = now
 		a.counter += a.attained * passed.Seconds()
+		a.age += passed
+		a.usual += (a.attained - a.usual) * max(usual, passed.Seconds()/a.age.Seconds())
 	}
 }
 
@@ -392,22 +405,25 @@
 // asked whether a program may begin.
 func (s *Shares) standing(name string, priority, routePriority int, c Capacity, begins bool, now time.Time) Standing {
 	s.refresh(c, now)
-	out := Standing{shared: true, Attained: s.attained(name, now), Share: s.level, Counter: s.account(name, now).counter}
+	a := s.account(name, now)
+	attained, demand := a.service(now)
+	out := Standing{shared: true, Attained: attained, Share: s.level, Counter: a.counter}
 	out.Crowded = len(s.over) > 1 || len(s.over) == 1 && s.over[0] != name
 	if math.IsInf(s.level, 1) {
 		return out
 	}
 	// Others are kept room for only as far as they have demand: the rest is lent.
 	reserved := maxReserve * c.Slots * c.Part
-	out.Share += reserved - min(reserved, max(s.demands-s.demand(name, now), 0))
+	out.Share += reserved - min(reserved, max(s.demands-demand, 0))
 	if priority > 0 {
 		out.Share *= lowWeight
 	}
+	out.Share = max(out.Share, usualPart*a.usual, leastPart*min(c.Slots*c.Part/s.demands, 1)*demand)
 	tolerance := shareTolerance
 	if routePriority == 0 {
 		tolerance = urgentTolerance
 	}
-	if s.demand(name, now) <= out.Share*demandTolerance && out.Attained <= out.Share*(1+urgentTolerance) {
+	if demand <= out.Share*demandTolerance && out.Attained <= out.Share*(1+urgentTolerance) {
 		return out
 	}
 	switch {
@@ -416,7 +432,7 @@
 		// Without new programs the moving average falls to the share in this time.
 		out.RetryAfter = boundRetryAfter(time.Duration(math.Log(out.Attained/out.Share) * float64(serviceTime)))
 	case out.Attained > out.Share*pacedPart:
-		if wait := s.pace(name, out, begins, now); wait > 0 {
+		if wait := s.pace(a, out, begins, now); wait > 0 {
 			out.Over, out.RetryAfter = true, boundRetryAfter(wait)
 		}
 	}
@@ -425,10 +441,9 @@
 
 // pace returns 0 if a program of the team may begin here now, or the time until one may. Over all instances that serve the
 // team, programs begin at the rate that takes up its share, and faster while the team is below it.
-func (s *Shares) pace(name string, standing Standing, begins bool, now time.Time) time.Duration {
-	a := s.account(name, now)
+func (s *Shares) pace(a *account, standing Standing, begins bool, now time.Time) time.Duration {
 	below := standing.Share / standing.Attained
-	perSecond := below * below * standing.Share / s.programService() / float64(s.peerSums[name].reporters+1)
+	perSecond := below * below * standing.Share / s.programService() / float64(a.peers.reporters+1)
 	if now.Sub(a.paced) >= paceMemory {
 		a.allowed = 1 - s.rand.ExpFloat64()
 	} else {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -378,14 +378,14 @@
 			limits := g.takeNewLimits(now)
 			cutOff := g.noteCutOff()
 			leaving := g.recentLeaving(now)
-			teams := g.reportTeams(now)
+			teams, heard := g.reportTeams(now)
 			due := len(teams) > 0 || len(own) > 0 || turns.Waiting > 0 || len(limits) > 0 || len(leaving) > 0 || cutOff || g.reportedLoad
 			g.reportedLoad = len(teams) > 0 || len(own) > 0 || turns.Waiting > 0 || cutOff
 			g.mu.Unlock()
 			if !due {
 				continue
 			}
-			report := wire.LoadReport{Endpoints: make([]wire.EndpointLoad, 0, len(own)), Waiting: turns.Waiting, Begun: turns.Begun, Limits: limits, CutOff: cutOff, Leaving: leaving, Teams: teams}
+			report := wire.LoadReport{Endpoints: make([]wire.EndpointLoad, 0, len(own)), Waiting: turns.Waiting, Begun: turns.Begun, Limits: limits, CutOff: cutOff, Leaving: leaving, Teams: teams, Heard: heard}
 			for id, load := range own {
 				report.Endpoints = append(report.Endpoints, wire.EndpointLoad{ID: id, Running: load.Running, Overdue: load.Overdue})
 			}
@@ -431,7 +431,7 @@
 			h.relays.Recovered(r.Session)
 		}
 		h.balancer.SetPeerReport(r.Session.Instance(), balance.Report{Loads: loads, Turns: balance.Turns{Waiting: m.Waiting, Begun: m.Begun}}, time.Now())
-		(*Gateway)(h).learnTeams(r.Session.Instance(), m.Teams, time.Now())
+		(*Gateway)(h).learnTeams(r.Session.Instance(), m, time.Now())
 		h.mu.Unlock()
 		for _, limit := range m.Limits {
 			(*Gateway)(h).learnLimit(limit)
--- a/internal/gateway/shares.go
+++ b/internal/gateway/shares.go
@@ -14,34 +14,48 @@
 // maxTeamSeries bounds the teams with metric series of their own; all others share one label.
 const maxTeamSeries = 64
 
+const (
+	// fleetTTL is how long the number of instances that a peer has stated is used while a lower one is stated.
+	fleetTTL = 5 * time.Second
+	// aloneAfter is the time without peers after which an instance counts as the only one. A shorter cut looks the same
+	// as the end of all others, and the load of the others goes on in it.
+	aloneAfter = 30 * time.Second
+)
+
 // teamShares divides the capacity of the services among teams. Its fields are protected by Gateway.mu.
 type teamShares struct {
 	sharing *admission.Sharing
-	peers   int  // connected peers when there last were any
-	alone   bool // no peer is connected
+	heard   int // instances that this one hears, with itself
+	fleet   int // the most instances that this one or a peer has lately heard
+	fleetAt time.Time
 }
 
 func newTeamShares(seed uint64) *teamShares {
-	return &teamShares{sharing: admission.NewSharing(seed), alone: true}
+	return &teamShares{sharing: admission.NewSharing(seed), heard: 1, fleet: 1}
 }
 
 // notePeers records how many peers are connected.
-func (t *teamShares) notePeers(connected int) {
-	t.alone = connected == 0
-	if connected > 0 {
-		t.peers = connected
+func (t *teamShares) notePeers(connected int, now time.Time) {
+	t.heard = connected + 1
+	switch {
+	case connected > 0:
+		t.noteFleet(t.heard, now)
+	case now.Sub(t.fleetAt) >= aloneAfter:
+		t.fleet = 1
 	}
 }
 
-// part returns the part of the capacity that this instance may count on. One that is cut off from its peers does not see
-// their load.
-func (t *teamShares) part() float64 {
-	if t.alone {
-		return 1 / float64(t.peers+1)
+// noteFleet records the number of instances that this one or a peer hears.
+func (t *teamShares) noteFleet(instances int, now time.Time) {
+	if instances >= t.fleet || now.Sub(t.fleetAt) >= fleetTTL {
+		t.fleet, t.fleetAt = instances, now
 	}
-	return 1
 }
 
+// part returns the part of the load that this instance sees, and so the part of the capacity to compare it with: instances
+// that hold no partition are connected only to those that do, and one that is cut off sees its own load alone.
+func (t *teamShares) part() float64 { return min(float64(t.heard)/float64(max(t.fleet, 1)), 1) }
+
 // hasTeams reports whether the configuration has teams. Without them the capacity is not divided.
 func (g *Gateway) hasTeams() bool {
 	table := g.view.table.Load()
@@ -102,25 +116,28 @@
 	}
 }
 
-// reportTeams returns the teams for a load report, and none without teams in the configuration. The caller holds the
-// lock.
-func (g *Gateway) reportTeams(now time.Time) []wire.TeamService {
+// reportTeams returns the teams for a load report and the number of instances that this one hears; nothing without teams in
+// the configuration. The caller holds the lock.
+func (g *Gateway) reportTeams(now time.Time) (out []wire.TeamService, heard int) {
 	if !g.hasTeams() {
-		return nil
+		return nil, 0
 	}
-	g.shares.notePeers(len(g.node.Connected()))
-	var out []wire.TeamService
+	g.shares.notePeers(len(g.node.Connected()), now)
 	for _, a := range g.shares.sharing.Report(now) {
 		out = append(out, wire.TeamService{Service: a.Service, Team: a.Team, Milli: a.Milli, Wanted: a.Wanted})
 	}
-	return out
+	return out, g.shares.heard
 }
 
 // learnTeams stores the teams of a peer's load report. The caller holds the lock.
-func (g *Gateway) learnTeams(peer string, teams []wire.TeamService, now time.Time) {
+func (g *Gateway) learnTeams(peer string, report wire.LoadReport, now time.Time) {
 	if !g.hasTeams() {
 		return
 	}
+	if report.Heard > 0 {
+		g.shares.noteFleet(report.Heard, now)
+	}
+	teams := report.Teams
 	list := make([]admission.Attained, 0, len(teams))
 	for _, t := range teams {
 		list = append(list, admission.Attained{Service: t.Service, Team: t.Team, Milli: t.Milli, Wanted: t.Wanted})
--- a/internal/wire/earlier_test.go
+++ b/internal/wire/earlier_test.go
@@ -20,7 +20,7 @@
 var addedFields = map[Kind][]string{
 	KindTurnEnd:        {".e.cf"},
 	KindGroupChanged:   {".s"},
-	KindLoadReport:     {".lv", ".lv.id", ".lv.s", ".t", ".t.v", ".t.n", ".t.m", ".t.w"},
+	KindLoadReport:     {".lv", ".lv.id", ".lv.s", ".t", ".t.v", ".t.n", ".t.m", ".t.w", ".h"},
 	KindRequestCrashes: {".po", ".c.b"},
 }
 
--- a/internal/wire/turn.go
+++ b/internal/wire/turn.go
@@ -72,6 +72,9 @@
 	// Teams are the teams with the most service at the sender, at most 8. Earlier versions do not know the field; a report
 	// without it says nothing of teams.
 	Teams []TeamService `msgpack:"t,omitempty"`
+	// Heard is the number of instances that the sender hears, with itself, if the configuration has teams. Earlier versions
+	// do not know the field; a report without it says nothing of them.
+	Heard int `msgpack:"h,omitempty"`
 }
 
 // TeamService is the service that a team attains at the sender of a load report, in thousandths of a slot.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -52,7 +52,7 @@
 		GroupChanged{Stopping: true}, PartitionClaims{Member: "a@1.2.3.4:5", Claims: []Claim{{Part: 3, Epoch: 7}}},
 		LoadReport{Endpoints: []EndpointLoad{{ID: "e1", Running: 2}}}, StoreViewGet{},
 		LoadReport{Limits: []EndpointLimit{{ID: "e1", Limited: true, PerSecond: 2.5, Age: time.Second}, {ID: "e2"}}, Leaving: []EndpointLeaving{{ID: "e1", StartUnixMs: 7}}},
-		LoadReport{Teams: []TeamService{{Service: "s1", Team: "t1", Milli: 1500, Wanted: 20}, {Milli: 20}}},
+		LoadReport{Teams: []TeamService{{Service: "s1", Team: "t1", Milli: 1500, Wanted: 20}, {Milli: 20}}, Heard: 3},
 		RequestCrashes{Crashes: []RequestCrash{{Request: RequestDigest{Path: 1, Body: 1 << 60}, Endpoint: "e1", Age: time.Second, Earlier: []string{"e2"}}}, Served: []RequestDigest{{Path: 2, Body: 3}}, PassOn: true},
 		EndpointRequest{Endpoint: "e1", Addr: "10.0.0.1:80", RequestID: "r1", Method: "POST", URI: "/a?b", Host: "h", Header: map[string][]string{"A": {"b", "c"}}, Body: []byte("x"), Timeout: time.Second},
 		EndpointResponse{Status: 200, Header: map[string][]string{"A": {"b"}}}, EndpointData{Data: []byte("x")}, EndpointEnd{},
