--- a/internal/gateway/authorize.go
+++ b/internal/gateway/authorize.go
@@ -104,7 +104,7 @@
 	return q.team.Name
 }
 
-// program, turn and previous return the IDs under which the data of the request is kept, scoped by the caller's team.
-func (q *request) program() string  { return q.team.Scope(q.meta.Program) }
-func (q *request) turn() string     { return q.team.Scope(q.meta.ID) }
-func (q *request) previous() string { return q.team.Scope(q.meta.Previous) }
+// programKey, turnKey and previousKey return the IDs under which the data of the request is kept, scoped by the caller's team.
+func (q *request) programKey() string  { return q.team.Scope(q.meta.Program) }
+func (q *request) turnKey() string     { return q.team.Scope(q.meta.ID) }
+func (q *request) previousKey() string { return q.team.Scope(q.meta.Previous) }
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -35,8 +35,6 @@
 	unmeteredTime = time.Second
 	// quotaKeyPrefix separates the keys of teams in the ledger from those of programs and endpoints.
 	quotaKeyPrefix = "quota/"
-	// maxTeamSeries bounds the teams with metric series of their own; all others share one label.
-	maxTeamSeries = 20
 )
 
 // Reasons of refusals.
@@ -79,7 +77,7 @@
 func newQuotas(g *Gateway) *quotas {
 	return &quotas{
 		g: g, bound: quota.Bound{Window: g.settings.QuotaWindow, Overage: g.settings.QuotaOverage, Slack: g.settings.QuotaSlack},
-		metrics:  newLabelSet(maxTeamSeries),
+		metrics:  g.metrics.teams,
 		accounts: make(map[string]*quotaAccount), issuer: quota.NewIssuer(uint64(rand.Uint32())), census: quota.NewCensus(g.settings.Instance, g.settings.hasSeeds(), bootTime()),
 	}
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -99,7 +99,7 @@
 			if e, ok := t.slot.use(); ok {
 				return e, true
 			}
-			return q.pick(service, q.g.affinity.savings(q.program(), t.prefix))
+			return q.pick(service, q.g.affinity.savings(q.programKey(), t.prefix))
 		},
 		func(e target) attemptResult { return t.attempt(ctx, e, confirmed) },
 	)
@@ -117,7 +117,7 @@
 // rejected or its caller leaves.
 func (t *turn) takeSlot(ctx context.Context, service string) *slot {
 	q := t.request
-	slot, rejected := q.admitTurn(ctx, service, t.begun, q.g.affinity.savings(q.program(), t.prefix))
+	slot, rejected := q.admitTurn(ctx, service, t.begun, q.g.affinity.savings(q.programKey(), t.prefix))
 	if slot != nil {
 		return slot
 	}
@@ -150,12 +150,12 @@
 	}
 	previous := ""
 	if q.route.History {
-		previous = q.previous()
+		previous = q.previousKey()
 	}
 	prefix, known := q.g.prefixes.get(previous)
 	t.prefix = prefix
 	t.begin = history.Begin{
-		Program: q.program(), Turn: q.turn(), Previous: previous, HasChain: known,
+		Program: q.programKey(), Turn: q.turnKey(), Previous: previous, HasChain: known,
 		MaxTokens: q.meta.MaxTokensOut, ExpectedTokens: q.meta.ExpectedTokensOut, Budget: q.meta.Budget, EnforceBudget: q.meta.HasBudget,
 		MaxDuration: time.Until(q.deadline) + reservationSlack,
 	}
@@ -261,7 +261,7 @@
 			return q.attemptFailed(ctx, e, err)
 		}
 	}
-	q.g.affinity.record(q.program(), e.ID)
+	q.g.affinity.record(q.programKey(), e.ID)
 	return t.forwardStream(ctx, e, resp, reader, first, begun, len(body))
 }
 
