team: places of findings are named by platform

Cause: names of the configuration stay in platform/, but the index built the places of its findings from them.

--- a/internal/gateway/proof_test.go
+++ b/internal/gateway/proof_test.go
@@ -212,14 +212,14 @@
 	log.SetOutput(&out)
 	v.log = log
 	v.topics.DecodeConfig = func(data []byte) (routing.Config, error) {
-		teams := []team.Team{{Name: "a", Keys: []string{"secret"}}, {Name: "b", Keys: []string{"secret"}}}
+		teams := []team.Team{{Name: "a", Keys: []string{"secret"}}, {Name: "b", Keys: []string{"secret"}, KeyPlace: "place-of-b"}}
 		return routing.Config{Version: int64(data[0]), Teams: teams}, nil
 	}
 	for range 3 {
 		v.applyConfigRecords(configRecords(1), v.clock(), true)
 	}
-	must.Eq(t, 1, strings.Count(out.String(), "tenants[1].api_keys[0]"))
+	must.Eq(t, 1, strings.Count(out.String(), "place-of-b[0]"))
 	v.applyConfigRecords(configRecords(2), v.clock(), false)
-	must.Eq(t, 2, strings.Count(out.String(), "tenants[1].api_keys[0]"))
+	must.Eq(t, 2, strings.Count(out.String(), "place-of-b[0]"))
 	must.StrNotContains(t, out.String(), "secret")
 }
--- a/internal/team/index.go
+++ b/internal/team/index.go
@@ -26,7 +26,7 @@
 
 // Finding is a fault in the teams of a configuration. It contains no key.
 type Finding struct {
-	Place string // in the configuration, such as tenants[3].api_keys[1]
+	Place string // in the configuration
 	Text  string
 }
 
@@ -51,7 +51,8 @@
 // place is the position of a key in the configuration.
 type place struct{ team, key int32 }
 
-func (p place) String() string { return fmt.Sprintf("tenants[%d].api_keys[%d]", p.team, p.key) }
+// in returns the place as text, in a configuration with the given teams.
+func (p place) in(teams []Team) string { return fmt.Sprintf("%s[%d]", teams[p.team].KeyPlace, p.key) }
 
 // NewIndex indexes the keys of teams. What it cannot use is reported as a finding and left out: a key of several teams
 // belongs to none, and a team without a usable name has no keys.
@@ -59,7 +60,7 @@
 	var findings []Finding
 	report := func(place, text string) { findings = append(findings, Finding{Place: place, Text: text}) }
 	if len(teams) > MaxTeams {
-		report(fmt.Sprintf("tenants[%d]", MaxTeams), fmt.Sprintf("%d teams, only the first %d are used", len(teams), MaxTeams))
+		report(teams[MaxTeams].Place, fmt.Sprintf("%d teams, only the first %d are used", len(teams), MaxTeams))
 		teams = teams[:MaxTeams]
 	}
 	keys := 0
@@ -71,11 +72,11 @@
 	for i, t := range teams {
 		x.teams[i] = t.withoutKeys()
 		if text := checkName(t.Name); text != "" {
-			report(fmt.Sprintf("tenants[%d].name", i), text)
+			report(t.Place+".name", text)
 			continue
 		}
 		if first, found := names[t.Name]; found {
-			report(fmt.Sprintf("tenants[%d].name", i), fmt.Sprintf("same name as tenants[%d]", first))
+			report(t.Place+".name", "same name as "+teams[first].Place)
 		} else {
 			names[t.Name] = i
 		}
@@ -83,9 +84,16 @@
 			at := place{team: int32(i), key: int32(k)}
 			hash := t.keyHash(k)
 			if hash == emptyKey {
-				report(at.String(), "empty key")
-			} else if text := x.add(hash, at); text != "" {
-				report(at.String(), text)
+				report(at.in(teams), "empty key")
+				continue
+			}
+			earlier, found := x.add(hash, at)
+			switch {
+			case !found:
+			case earlier.team == at.team:
+				report(at.in(teams), "duplicate of "+earlier.in(teams))
+			default:
+				report(at.in(teams), "key of several teams, see "+earlier.in(teams)+"; it belongs to none")
 			}
 		}
 	}
@@ -109,28 +117,28 @@
 	}
 }
 
-// add adds a key. It returns a text if an earlier team or an earlier place has the key too.
-func (x *Index) add(hash KeyHash, at place) string {
+// add adds a key. If it has the key already, it returns the first place of the key. A key that another team has belongs
+// to none from then on.
+func (x *Index) add(hash KeyHash, at place) (earlier place, found bool) {
 	prefix := hash.prefix()
-	head, found := x.owners[prefix]
-	if !found {
+	head, taken := x.owners[prefix]
+	if !taken {
 		x.owners[prefix] = owner{hash: hash, team: at.team, place: at}
-		return ""
+		return place{}, false
 	}
 	for o := &head; o != nil; o = o.next {
 		if o.hash != hash {
 			continue
 		}
-		if o.place.team == at.team {
-			return "duplicate of " + o.place.String()
+		if o.place.team != at.team {
+			o.team = ambiguous
+			x.owners[prefix] = head
 		}
-		o.team = ambiguous
-		x.owners[prefix] = head
-		return "key of several teams, see " + o.place.String() + "; it belongs to none"
+		return o.place, true
 	}
 	first := head
 	x.owners[prefix] = owner{hash: hash, team: at.team, place: at, next: &first}
-	return ""
+	return place{}, false
 }
 
 func (h KeyHash) prefix() uint64 { return binary.BigEndian.Uint64(h[:]) }
--- a/internal/team/index_test.go
+++ b/internal/team/index_test.go
@@ -16,16 +16,25 @@
 	return out
 }
 
+// placed sets the places of teams in a configuration.
+func placed(teams []Team) []Team {
+	for i := range teams {
+		teams[i].Place = fmt.Sprintf("teams[%d]", i)
+		teams[i].KeyPlace = teams[i].Place + ".keys"
+	}
+	return teams
+}
+
 // Guards against a fault in one team that takes effect on another one, or that is reported without its place.
 func TestFindings(t *testing.T) {
-	x, findings := NewIndex([]Team{
+	x, findings := NewIndex(placed([]Team{
 		{Name: "a", Keys: []string{"k1", "shared", "k1"}}, {Name: "", Keys: []string{"nameless"}},
 		{Name: "b", Keys: []string{"", "k2", "shared"}}, {Name: "c\r\nX: y", Keys: []string{"k3"}}, {Name: "d ", Keys: []string{"k4"}},
 		{Name: strings.Repeat("n", MaxNameBytes+1), Keys: []string{"k5"}}, {Name: "a", Keys: []string{"k6", "shared"}},
-	})
+	}))
 	must.Eq(t, []string{
-		"tenants[0].api_keys[2]", "tenants[1].name", "tenants[2].api_keys[0]", "tenants[2].api_keys[2]", "tenants[3].name", "tenants[4].name",
-		"tenants[5].name", "tenants[6].name", "tenants[6].api_keys[1]",
+		"teams[0].keys[2]", "teams[1].name", "teams[2].keys[0]", "teams[2].keys[2]", "teams[3].name", "teams[4].name",
+		"teams[5].name", "teams[6].name", "teams[6].keys[1]",
 	}, places(findings))
 	for key, want := range map[string]string{"k1": "a", "k2": "b", "k6": "a"} {
 		must.Eq(t, want, x.Owner(key).Name)
@@ -44,7 +53,7 @@
 func TestTeamsBeyondTheBound(t *testing.T) {
 	teams := manyTeams(MaxTeams+2, 1)
 	x, findings := NewIndex(teams)
-	must.Eq(t, []string{"tenants[10000]"}, places(findings))
+	must.Eq(t, []string{"teams[10000]"}, places(findings))
 	must.NotNil(t, x.Owner(teams[MaxTeams-1].Keys[0]))
 	must.Nil(t, x.Owner(teams[MaxTeams].Keys[0]))
 }
@@ -54,9 +63,12 @@
 	x, _ := NewIndex(nil)
 	hashes := [...]KeyHash{{1, 9: 1}, {1, 9: 2}, {1, 9: 3}}
 	for i, h := range hashes {
-		must.Eq(t, "", x.add(h, place{team: int32(i)}))
+		_, found := x.add(h, place{team: int32(i)})
+		must.False(t, found)
 	}
-	must.NotEq(t, "", x.add(hashes[1], place{team: 7}))
+	earlier, found := x.add(hashes[1], place{team: 7})
+	must.True(t, found)
+	must.Eq(t, place{team: 1}, earlier)
 	owners := map[KeyHash]int32{}
 	head := x.owners[hashes[0].prefix()]
 	for o := &head; o != nil; o = o.next {
@@ -67,8 +79,8 @@
 
 // Guards against an index that differs where the keys came from a peer, as hashes.
 func TestKeysKnownByTheirHashes(t *testing.T) {
-	x, findings := NewIndex([]Team{{Name: "a", Hashes: []KeyHash{HashKey("k"), HashKey("")}}, {Name: "b", Keys: []string{"j"}}})
-	must.Eq(t, []string{"tenants[0].api_keys[1]"}, places(findings))
+	x, findings := NewIndex(placed([]Team{{Name: "a", Hashes: []KeyHash{HashKey("k"), HashKey("")}}, {Name: "b", Keys: []string{"j"}}}))
+	must.Eq(t, []string{"teams[0].keys[1]"}, places(findings))
 	must.Eq(t, "a", x.Owner("k").Name)
 	must.Eq(t, "b", x.Owner("j").Name)
 	must.SliceEmpty(t, x.Teams()[1].Keys)
@@ -92,7 +104,7 @@
 			out[i].Keys = append(out[i].Keys, fmt.Sprintf("key-%08d-%d-0123456789abcdef", i, k))
 		}
 	}
-	return out
+	return placed(out)
 }
 
 // Target: 20 ms for 2,500 teams with several keys.
--- a/internal/team/team.go
+++ b/internal/team/team.go
@@ -10,6 +10,9 @@
 	Priority  int       // 0 is the highest; goes before the priority of the route
 	PerSecond float64   // requests that all instances together admit; 0: no limit
 	Burst     float64   // requests beyond the rate that may come at once
+
+	Place    string // of the team in the configuration, for findings
+	KeyPlace string // of the list of its keys
 }
 
 // keyHash returns the hash of the team's key number n, counted over Keys and then Hashes.
@@ -21,7 +24,7 @@
 }
 
 func (t Team) withoutKeys() Team {
-	t.Keys, t.Hashes = nil, nil
+	t.Keys, t.Hashes, t.Place, t.KeyPlace = nil, nil, "", ""
 	return t
 }
 
