--- a/internal/gateway/quota_test.go
+++ b/internal/gateway/quota_test.go
@@ -33,6 +33,8 @@
 	maxInWindow    = int(quotaPerSecond*2*(1+quotaOverage)) + quotaSlack
 )
 
+var limitedTeam = &team.Team{Name: "t", Keys: []string{"k"}, PerSecond: quotaPerSecond}
+
 // quotaSystem is a few instances with an endpoint, and callers of a team.
 type quotaSystem struct {
 	t        *testing.T
@@ -48,6 +50,7 @@
 
 type quotaInstance struct {
 	url  string
+	key  string // of its callers
 	stop func()
 }
 
@@ -64,7 +67,7 @@
 	s.store.PutConfig(map[string]any{
 		"version": version,
 		"routes": []map[string]any{{
-			"name": "calls", "hostname": "h.example", "path_prefix": "/calls/", "kind": "non_idempotent", "timeout_ms": 3000, "service": "svc",
+			"name": "calls", "hostname": "h.example", "path_prefix": "/calls/", "kind": "idempotent", "timeout_ms": 3000, "service": "svc",
 			"max_attempts": 3, "public": true,
 		}},
 		"services": []map[string]any{{"name": "svc", "health_path": "/healthz", "max_connections": 100}},
@@ -110,7 +113,7 @@
 		if resp, err := http.Get("http://" + settings.ReadyAddr + "/readyz"); err == nil {
 			_ = resp.Body.Close()
 			if resp.StatusCode == http.StatusOK {
-				return quotaInstance{url: front.URL, stop: cancel}
+				return quotaInstance{url: front.URL, key: of.Keys[0], stop: cancel}
 			}
 		}
 		must.True(s.t, time.Now().Before(end), must.Sprintf("instance %s is not ready", name))
@@ -126,7 +129,7 @@
 	req, err := http.NewRequest("POST", i.url+"/calls/1", strings.NewReader("x"))
 	must.NoError(s.t, err)
 	req.Host = "h.example"
-	req.Header.Set("X-Api-Key", "k")
+	req.Header.Set("X-Api-Key", i.key)
 	platform.Protocol{}.EncodeRefusal(req.Header, id, 0) // sets the ID of the request
 	began := time.Now()
 	resp, err := http.DefaultClient.Do(req)
@@ -179,8 +182,7 @@
 // Guards against needless refusals, requests over the quota, late refusals and refusals without a Retry-After.
 func TestQuotaOfATeam(t *testing.T) {
 	s := newQuotaSystem(t, serveQuota)
-	limited := &team.Team{Name: "t", PerSecond: quotaPerSecond}
-	instances := []quotaInstance{s.instance("a", limited), s.instance("b", limited), s.instance("c", limited)}
+	instances := []quotaInstance{s.instance("a", limitedTeam), s.instance("b", limitedTeam), s.instance("c", limitedTeam)}
 	s.load(instances, 0.6*quotaPerSecond, 3*time.Second)
 	must.LessEq(t, s.sent/50, s.statuses[http.StatusTooManyRequests]+s.statuses[http.StatusServiceUnavailable], must.Sprint(s.statuses))
 	before := len(s.endpoint.Runs())
@@ -193,26 +195,28 @@
 		must.Positive(t, retry)
 	}
 	must.Less(t, 500*time.Millisecond, s.refused)
-	free := s.instance("d", &team.Team{Name: "free"})
+	free := s.instance("d", &team.Team{Name: "free", Keys: []string{"f"}})
 	ok := s.statuses[http.StatusOK]
 	s.load([]quotaInstance{free}, 4*quotaPerSecond, time.Second)
 	must.Greater(t, 3*quotaPerSecond, s.statuses[http.StatusOK]-ok)
 }
 
-// Load pattern: endpoints refuse every other send. Guards against sends that no endpoint runs and that count.
+// Load pattern: endpoints refuse the first two sends of each request. Guards against sends that no endpoint runs and that
+// count.
 func TestRefusedSendsDoNotCount(t *testing.T) {
 	var mu sync.Mutex
-	seen := make(map[string]bool)
-	s := newQuotaSystem(t, func(r platformtest.Run) platformtest.Behaviour {
+	sends := make(map[string]int)
+	refuse := func(r platformtest.Run) platformtest.Behaviour {
 		mu.Lock()
 		defer mu.Unlock()
-		again := seen[r.ID]
-		seen[r.ID] = true
-		return platformtest.Behaviour{Refuse: !again}
-	})
-	twin := platformtest.NewEndpoint(t, "i-2", serveQuota)
-	s.store.PutEndpoint("i-2", twin.Entry("svc", "z", "ready"))
-	a := s.instance("a", &team.Team{Name: "t", PerSecond: quotaPerSecond})
+		sends[r.ID]++
+		return platformtest.Behaviour{Refuse: sends[r.ID] < 3}
+	}
+	s := newQuotaSystem(t, refuse)
+	for _, id := range []string{"i-2", "i-3"} {
+		s.store.PutEndpoint(id, platformtest.NewEndpoint(t, id, refuse).Entry("svc", "z", "ready"))
+	}
+	a := s.instance("a", limitedTeam)
 	s.load([]quotaInstance{a}, 0.8*quotaPerSecond, 4*time.Second)
 	must.Eq(t, map[int]int{http.StatusOK: s.sent}, s.statuses)
 }
@@ -221,8 +225,7 @@
 // nobody takes over what it issued, and all others start again. Guards against requests over the bound.
 func TestQuotaWhileInstancesEnd(t *testing.T) {
 	s := newQuotaSystem(t, serveQuota)
-	limited := &team.Team{Name: "t", PerSecond: quotaPerSecond}
-	instances := []quotaInstance{s.instance("a", limited), s.instance("b", limited), s.instance("c", limited)}
+	instances := []quotaInstance{s.instance("a", limitedTeam), s.instance("b", limitedTeam), s.instance("c", limitedTeam)}
 	s.load(instances, 2*quotaPerSecond, time.Second)
 	s.store.SetFault(func(string, store.Partition) storestand.Fault { return storestand.Refuse })
 	instances[0].stop()
@@ -230,10 +233,30 @@
 	s.store.SetFault(nil)
 	instances[1].stop()
 	instances[2].stop()
-	instances = []quotaInstance{s.instance("d", limited), s.instance("e", limited)}
+	instances = []quotaInstance{s.instance("d", limitedTeam), s.instance("e", limitedTeam)}
 	before := len(s.endpoint.Runs())
 	s.load(instances, 2*quotaPerSecond, 3*time.Second)
 	must.LessEq(t, maxInWindow, s.most())
 	must.GreaterEq(t, int(0.5*quotaPerSecond*3), len(s.endpoint.Runs())-before, must.Sprint(s.statuses))
 	must.Eq(t, s.sent, s.statuses[http.StatusOK]+s.statuses[http.StatusTooManyRequests]+s.statuses[http.StatusServiceUnavailable], must.Sprint(s.statuses))
 }
+
+// Load pattern: the endpoints run each request and break the connection off, so that it is sent again. Guards against
+// sends beyond the first that don't count.
+func TestFurtherSendsCount(t *testing.T) {
+	abort := func(platformtest.Run) platformtest.Behaviour { return platformtest.Behaviour{Abort: true} }
+	s := newQuotaSystem(t, abort)
+	others := []*platformtest.Endpoint{platformtest.NewEndpoint(t, "i-2", abort), platformtest.NewEndpoint(t, "i-3", abort)}
+	for _, e := range others {
+		s.store.PutEndpoint(e.ID, e.Entry("svc", "z", "ready"))
+	}
+	a := s.instance("a", limitedTeam)
+	s.load([]quotaInstance{a}, 2*quotaPerSecond, 2*quotaWindow)
+	runs := len(s.endpoint.Runs())
+	for _, e := range others {
+		runs += len(e.Runs())
+	}
+	// The time of the load holds two windows, and requests that began in it may be sent a little later.
+	must.LessEq(t, 2*maxInWindow, runs)
+	must.Positive(t, s.statuses[http.StatusTooManyRequests])
+}
