quota: programs whose first turns were just granted count for the reserve

Cause: in a trial with six times the usual programs, 12 of 36 programs that had begun were refused a later turn: a program counted only when its first request had been reported, and the reserve assumed a whole program's time. Change: a granted first turn counts at once, half of a program's time is left on the mean, and the first ended programs have an equal weight in the usual number of requests.

--- a/internal/quota/issuer.go
+++ b/internal/quota/issuer.go
@@ -155,6 +155,7 @@
 			a.RetryAfter[class] = b.retryAfter(class, missing, b.reserve(class, terms), terms.Rate, now)
 		}
 	}
+	b.programs.Begin(a.Granted[First])
 	if granted == total(w.Need) {
 		extra := min(max(w.Extra, 0), maxExtra, b.above(extraAbove*terms.Bucket))
 		b.tokens -= float64(extra)
--- a/internal/quota/programs.go
+++ b/internal/quota/programs.go
@@ -11,8 +11,8 @@
 	programPruneInterval = 250 * time.Millisecond
 	// defaultUsual is the number of requests that a program is expected to make before any has ended.
 	defaultUsual = 4
-	// usualWeight is the weight of the newest ended program in the usual number of requests, and gapWeight that of the
-	// newest time between two requests.
+	// usualWeight is the least weight of the newest ended program in the usual number of requests (the first ones have an
+	// equal weight), and gapWeight that of the newest time between two requests.
 	usualWeight = 0.05
 	gapWeight   = 0.05
 	// defaultGap is the expected time between two requests of a program before any was seen.
@@ -28,6 +28,7 @@
 type Programs struct {
 	seen     map[uint64]*seenProgram // by the hash of the program's ID
 	usual    float64
+	ended    int     // programs that usual was learned from
 	gap      float64 // seconds
 	expected float64 // requests that the begun programs are still expected to make
 	pruned   time.Time
@@ -61,6 +62,10 @@
 	s.last = now
 }
 
+// Begin records programs whose first turns were granted and whose requests will be noted a little later. They count
+// until the next Prune.
+func (p *Programs) Begin(n int) { p.expected += float64(n) * p.rest(1) }
+
 // rest returns how many requests a program that has made some is expected to make.
 func (p *Programs) rest(made int) float64 { return max(p.usual-float64(made), 0) }
 
@@ -93,7 +98,8 @@
 		if now.Sub(s.last) > programIdle {
 			delete(p.seen, program)
 			// A program that loops would make the next ones look short.
-			p.usual += usualWeight * (min(float64(s.requests), loopFactor*p.usual) - p.usual)
+			p.ended++
+			p.usual += max(1/float64(p.ended+1), usualWeight) * (min(float64(s.requests), loopFactor*p.usual) - p.usual)
 		}
 	}
 	p.expected = 0
@@ -102,8 +108,8 @@
 	}
 }
 
-// Expected returns the requests that the begun programs are still expected to make, and the time in which a program
-// usually makes all of its requests.
+// Expected returns the requests that the begun programs are still expected to make, and the time in which they make them:
+// on the mean, half of the time of a program is left.
 func (p *Programs) Expected() (requests float64, within time.Duration) {
-	return p.expected, time.Duration(p.usual * p.gap * float64(time.Second))
+	return p.expected, time.Duration(p.usual * p.gap / 2 * float64(time.Second))
 }
