--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -399,7 +399,7 @@
 			return nil
 		}
 		verdict, after := a.Decide(class, waited, now)
-		if verdict != quota.Wait || q.callerGone() {
+		if verdict != quota.Wait || q.callerGone() || time.Until(q.deadline) <= 0 {
 			return q.refusedByQuota(a, verdict, class, waited, after, now)
 		}
 		s.await(q, a, class, after, now)
