--- a/internal/breaks/list.go
+++ b/internal/breaks/list.go
@@ -270,6 +270,27 @@
 		new:  "for len(q.waiting) > 0 {",
 		test: test{pkg: "internal/admission", run: "^TestWaitingTurnsArePaced$"},
 	},
+	{
+		guarantee: "platform: overload", name: "a team over its share is refused nothing",
+		file: "internal/admission/share.go",
+		old:  "\tcase out.Attained > out.Share*(1+tolerance):\n\t\tout.Over = true\n",
+		new:  "\tcase out.Attained > out.Share*(1+tolerance):\n",
+		test: test{pkg: "internal/admission", run: "^TestTeamOverItsShareIsRefused$"},
+	},
+	{
+		guarantee: "platform: overload", name: "reports of teams from peers that have ended are used on",
+		file: "internal/admission/share.go",
+		old:  "if now.Sub(r.at) >= reportTTL {",
+		new:  "if now.Sub(r.at) < 0 {",
+		test: test{pkg: "internal/admission", run: "^TestPeerReportsExpire$"},
+	},
+	{
+		guarantee: "platform: overload", name: "a team that returns from idle has credit for that time",
+		file: "internal/admission/share.go",
+		old:  "a.counter = max(a.counter, s.minCounter)",
+		new:  "a.counter = min(a.counter, 0)",
+		test: test{pkg: "internal/admission", run: "^TestReturnFromIdleGivesNoCredit$"},
+	},
 	{
 		guarantee: "platform: history", name: "records count as safe without copies during a store outage",
 		file: "internal/ledger/copies.go",
