--- a/internal/admission/share.go
+++ b/internal/admission/share.go
@@ -115,6 +115,7 @@
 // instance, adds what peers report, and finds the level up to which all teams can be served (max-min fairness): teams
 // below the level get what they ask for, and what they leave is lent to the others. It is not safe for concurrent use.
 type Shares struct {
+	service    string
 	accounts   map[string]*account
 	list       []*account // the same, in the order of their beginning
 	peers      map[string]peerServices
@@ -164,8 +165,9 @@
 }
 
 // NewShares returns the shares of a service without active teams. The seed spreads the paces of instances.
-func NewShares(seed uint64) *Shares {
+func NewShares(service string, seed uint64) *Shares {
 	return &Shares{
+		service:  service,
 		rand:     rand.New(rand.NewPCG(seed, 0)),
 		accounts: make(map[string]*account), peers: make(map[string]peerServices), level: math.Inf(1),
 	}
@@ -262,12 +264,12 @@
 }
 
 // own returns the service that the teams attain at this instance.
-func (s *Shares) own(service string, now time.Time) []Attained {
+func (s *Shares) own(now time.Time) []Attained {
 	var out []Attained
 	for _, a := range s.list {
 		a.update(now)
 		if milli := int(a.rate*1000 + 0.5); milli >= minReportedMilli || a.wanted*1000 >= minReportedMilli {
-			out = append(out, Attained{Service: service, Team: a.name, Milli: milli, Wanted: int(a.wanted*1000 + 0.5)})
+			out = append(out, Attained{Service: s.service, Team: a.name, Milli: milli, Wanted: int(a.wanted*1000 + 0.5)})
 		}
 	}
 	return out
@@ -276,28 +278,31 @@
 // setPeer stores the report of a peer, which replaces the previous one.
 func (s *Shares) setPeer(name string, list []Attained, now time.Time) {
 	s.dropPeer(name, now)
-	if len(list) == 0 {
-		return
-	}
-	s.peers[name] = peerServices{list: list, at: now}
-	for _, r := range list {
-		s.addPeer(r, 1, now)
+	if len(list) > 0 {
+		s.peers[name] = peerServices{list: list, at: now}
+		s.addPeer(list, 1, now)
 	}
 }
 
-// addPeer adds a line of a report to the sums over all peers; with sign -1 it removes it.
-func (s *Shares) addPeer(r Attained, sign int, now time.Time) {
-	sum := &s.account(r.Team, now).peers
-	sum.milli += sign * r.Milli
-	sum.wanted += sign * r.Wanted
-	sum.reporters += sign
+func (s *Shares) dropPeer(name string, now time.Time) {
+	if r, ok := s.peers[name]; ok {
+		s.addPeer(r.list, -1, now)
+		delete(s.peers, name)
+	}
 }
 
-func (s *Shares) dropPeer(name string, now time.Time) {
-	for _, r := range s.peers[name].list {
-		s.addPeer(r, -1, now)
+// addPeer adds a report to the sums over all peers; with sign -1 it removes it. It leaves out other services and values
+// that no instance sends.
+func (s *Shares) addPeer(list []Attained, sign int, now time.Time) {
+	for _, r := range list {
+		if r.Service != s.service || r.Milli < 0 || r.Wanted < 0 {
+			continue
+		}
+		sum := &s.account(r.Team, now).peers
+		sum.milli += sign * r.Milli
+		sum.wanted += sign * r.Wanted
+		sum.reporters += sign
 	}
-	delete(s.peers, name)
 }
 
 // refresh drops old reports, advances the counters and computes the level.
@@ -477,7 +482,7 @@
 func (s *Sharing) Of(service string) *Shares {
 	shares := s.services[service]
 	if shares == nil {
-		shares = NewShares(s.seed + uint64(len(s.services)))
+		shares = NewShares(service, s.seed+uint64(len(s.services)))
 		s.services[service] = shares
 	}
 	return shares
@@ -502,8 +507,8 @@
 // Report returns the teams with the most service at this instance, at most MaxReported, in descending order.
 func (s *Sharing) Report(now time.Time) []Attained {
 	var all []Attained
-	for name, shares := range s.services {
-		all = append(all, shares.own(name, now)...)
+	for _, shares := range s.services {
+		all = append(all, shares.own(now)...)
 	}
 	slices.SortFunc(all, func(a, b Attained) int {
 		return cmp.Or(cmp.Compare(b.Milli+b.Wanted, a.Milli+a.Wanted), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Team, b.Team))
@@ -513,13 +518,8 @@
 
 // SetPeer stores the report of a peer, which replaces the previous one.
 func (s *Sharing) SetPeer(peer string, list []Attained, now time.Time) {
-	byService := make(map[string][]Attained)
-	for _, r := range list[:min(len(list), MaxReported)] {
-		if r.Milli >= 0 && r.Wanted >= 0 && s.services[r.Service] != nil {
-			byService[r.Service] = append(byService[r.Service], r)
-		}
-	}
-	for name, shares := range s.services {
-		shares.setPeer(peer, byService[name], now)
+	list = list[:min(len(list), MaxReported)]
+	for _, shares := range s.services {
+		shares.setPeer(peer, list, now)
 	}
 }
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -83,6 +83,9 @@
 
 func TestRunsRepeat(t *testing.T) {
 	must.Eq(t, Run(load(t, "burst-slow"), Queues), Run(load(t, "burst-slow"), Queues))
+	teams := load(t, "teams-surge")
+	teams.Seconds, teams.Instances = 8, 20
+	must.Eq(t, Run(teams, Queues), Run(teams, Queues))
 }
 
 // All that is wrong with a pattern is reported at once.
