--- a/internal/gateway/quota_clock.go
+++ b/internal/gateway/quota_clock.go
@@ -3,15 +3,9 @@
 import (
 	"time"
 
-	"golang.org/x/sys/unix"
+	"ragwortstile/internal/team"
 )
 
 // bootTime returns the time since the machine started, counted from the zero of Unix time. Unlike the monotonic clock it
 // goes on while the machine is suspended, so that leases expire meanwhile.
-func bootTime() time.Time {
-	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
-		return time.Now() // not on Linux 2.6.39 and later
-	}
-	return time.Unix(t.Unix())
-}
+func bootTime() time.Time { return time.Unix(0, int64(team.SystemClock().Boot)) }
--- a/internal/quota/terms.go
+++ b/internal/quota/terms.go
@@ -36,10 +36,10 @@
 	// roundingRequests covers a fraction of a request at each end of a window.
 	roundingRequests = 2
 	// Parts of the surplus over the burst. They add up to 1.
-	bucketPart   = 0.5 // the bucket
-	ownPart      = 0.2 // own shares
-	headroomPart = 0.1 // what an issuer grants beyond the share of the instances that it reaches
-	startPart    = 0.2 // what new issuers start with
+	bucketPart   = 0.75 // the bucket: programs of small teams make most of their requests at once
+	ownPart      = 0.1  // own shares
+	headroomPart = 0.05 // what an issuer grants beyond the share of the instances that it reaches
+	startPart    = 0.1  // what new issuers start with
 	// ownRate is the largest share of the rate that all instances together issue to themselves.
 	ownRate = 0.1
 	// maxStarts bounds the changes of the issuer within a window that the start allowance is made for. A change that is
