admission: the shares of an instance that is cut off are measured by its own view

Change: the usual service is divided by the part of the load that is seen, and a share is at least one slot.

--- a/internal/admission/share.go
+++ b/internal/admission/share.go
@@ -71,6 +71,9 @@
 	// leastPart is the part of what it would get by its demand alone that each team may use, however large: all teams are
 	// to be served at least a quarter as often as all of them on average.
 	leastPart = 0.25
+	// leastSlots is the least that a share falls to, in slots that this instance sees: an instance that is cut off sees so
+	// little that a single turn of a large team exceeds its part of the level.
+	leastSlots = 1.0
 	// usualTime is the time constant of the usual service of a team, and usualPart times it is the least that its share
 	// falls to: in a surge of another team the level comes close to what large teams use without any surge of theirs, and
 	// their service varies by a third. What was lent for longer than usualTime is given back in about the same time.
@@ -147,7 +150,7 @@
 	// As of the last refresh:
 	attained   float64 // slots in use over all instances
 	demand     float64 // slots that the team would use if none of its programs were refused
-	usual      float64 // moving average of attained over usualTime, or over age if that is less
+	usual      float64 // moving average, over usualTime or over age if that is less, of attained divided by the part of the load that is seen
 	age        time.Duration
 	active     bool
 	lastActive time.Time
@@ -332,7 +335,7 @@
 		delete(s.accounts, a.name)
 		return true
 	})
-	s.advanceCounters(min(passed, reportTTL), now)
+	s.advanceCounters(min(passed, reportTTL), c.Part, now)
 	slices.SortFunc(demands, func(a, b float64) int { return cmp.Compare(b, a) })
 	// The load that reports do not explain is that of teams too small for them, which are below the level.
 	s.load += (c.Occupancy*c.Slots - s.load) * (1 - math.Exp(-passed.Seconds()/serviceTime.Seconds()))
@@ -349,7 +352,7 @@
 
 // advanceCounters adds to each counter what the team has attained since the last time. The counter of a team that
 // returns from idle is raised to the minimum of those of the teams that have been active.
-func (s *Shares) advanceCounters(passed time.Duration, now time.Time) {
+func (s *Shares) advanceCounters(passed time.Duration, part float64, now time.Time) {
 	least, usual := math.Inf(1), 1-math.Exp(-passed.Seconds()/usualTime.Seconds())
 	for _, a := range s.list {
 		if a.active && a.attained >= idleService {
@@ -371,7 +374,7 @@
 		a.lastActive = now
 		a.counter += a.attained * passed.Seconds()
 		a.age += passed
-		a.usual += (a.attained - a.usual) * max(usual, passed.Seconds()/a.age.Seconds())
+		a.usual += (a.attained/part - a.usual) * max(usual, passed.Seconds()/a.age.Seconds())
 	}
 }
 
@@ -423,7 +426,7 @@
 	if priority > 0 {
 		out.Share *= lowWeight
 	}
-	out.Share = max(out.Share, usualPart*a.usual, leastPart*min(c.Slots*c.Part/s.demands, 1)*demand)
+	out.Share = max(out.Share, usualPart*a.usual*c.Part, leastPart*min(c.Slots*c.Part/s.demands, 1)*demand, leastSlots)
 	tolerance := shareTolerance
 	if routePriority == 0 {
 		tolerance = urgentTolerance
--- a/internal/replay/teams_test.go
+++ b/internal/replay/teams_test.go
@@ -71,6 +71,14 @@
 			checkOthers(t, load(t, name))
 		})
 	}
+	for _, name := range []string{"teams-cut-off", "teams-restart"} {
+		t.Run(strings.ReplaceAll(name, "-", "_")+"_load_30", func(t *testing.T) {
+			t.Parallel()
+			p := load(t, name)
+			p.Changes[0].Load = 30
+			checkOthers(t, p)
+		})
+	}
 }
 
 // Load: all teams but one are idle, and that one sends more than the endpoints serve. Guards against capacity that is
