gateway, quota, admission: faults found by the review of keys, quotas and shares

- A turn was called unknown (404) or over budget (402) under a key that may have moved to another team meanwhile; such a request gets 503 now.
An unknown route of a configuration with teams follows the same age.
- A question for a proof replaced the list of holders and peers while the store could be read.
- A store that lost records left the offset of the endpoint list behind the entries that came again.
- Relays did not check the lease of the quota; a dial that outlasted a lease was no failure of its endpoint.
- Small limits, and small shares of a limit, had buckets below one request and granted nothing.
A changed rank of an own share gave a request each time.

--- a/internal/gateway/authorize.go
+++ b/internal/gateway/authorize.go
@@ -46,6 +46,20 @@
 	return false
 }
 
+// ownerProven reports whether the team of the request is certain enough to say that its turn does not exist or that its
+// budget is spent, which the caller does not try again: the key may have moved to another team as long ago as a key may be
+// unknown. If it is not, unauthorized is set.
+func (q *request) ownerProven() bool {
+	if !q.authorized() {
+		return false
+	}
+	if q.hasTeams && q.g.view.proofAge() > q.g.settings.maxUnknownAge() {
+		q.unauthorized = unavailable(reasonUnconfirmed, proofRetryAfter)
+		return false
+	}
+	return true
+}
+
 func sameTeam(a, b *team.Team) bool {
 	return a == nil && b == nil || a != nil && b != nil && a.Name == b.Name
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -280,7 +280,8 @@
 		}
 		g.view.noteProof(g.settings.maxKnownAge())
 		have := g.view.have()
-		if known && !g.storeDep.lost() || !g.storeDep.failing() {
+		proofOnly := known && !g.storeDep.lost() || !g.storeDep.failing()
+		if proofOnly {
 			if !g.needsProof() {
 				continue
 			}
@@ -292,7 +293,9 @@
 			if g.view.applyPeerView(v.StoreView, string(v.from)) {
 				g.view.confirmByPeer(v.StoreView, string(v.from), asked)
 			}
-			g.ledger.LearnHolders(v.Claims)
+			if !proofOnly { // the ledger reads the holders from the store
+				g.ledger.LearnHolders(v.Claims)
+			}
 		}
 	}
 }
--- a/internal/gateway/identify.go
+++ b/internal/gateway/identify.go
@@ -15,7 +15,7 @@
 	q.route = table.Match(q.r.Host, q.r.URL.EscapedPath())
 	if q.route == nil {
 		// A newer configuration that this instance has not read yet may contain the route, so 404 would be wrong.
-		if age > 2*q.g.settings.ConfigApplyTimeout {
+		if age > q.g.maxRoutesAge() {
 			return unavailable(reasonStaleConfig, minRetryAfter)
 		}
 		return &rejection{status: http.StatusNotFound, reason: reasonNoRoute}
--- a/internal/gateway/proof.go
+++ b/internal/gateway/proof.go
@@ -56,6 +56,14 @@
 	return v.configAge()
 }
 
+// maxRoutesAge returns the age of the routes up to which an unknown one is said not to exist.
+func (g *Gateway) maxRoutesAge() time.Duration {
+	if g.view.hasTeams() {
+		return g.settings.maxUnknownAge()
+	}
+	return 2 * g.settings.ConfigApplyTimeout
+}
+
 // confirm records a proof for the configuration that has been applied, and logs when peers begin or cease to be its
 // source.
 func (v *storeView) confirm(p team.Proof) {
--- a/internal/gateway/proof_test.go
+++ b/internal/gateway/proof_test.go
@@ -92,6 +92,16 @@
 	return v
 }
 
+// Guards against API keys that leave the instance with the configuration that peers get.
+func TestPeersGetNoKeys(t *testing.T) {
+	v := newTeamView(nil)
+	v.topics.ShareConfig = func([]byte) ([]byte, error) { return []byte("without keys"), nil }
+	v.mu.Lock()
+	v.applyConfigRecords([]store.KeyedRecord{{Key: v.topics.ConfigKey, Value: []byte{5}}}, v.clock(), true)
+	v.mu.Unlock()
+	must.Eq(t, "without keys", string(v.snapshot(wire.StoreViewGet{}).Config))
+}
+
 // oldestProof follows a topic for some time and returns the greatest age that the proof reached after it began.
 func oldestProof(v *storeView, lasts time.Duration) time.Duration {
 	ctx, cancel := context.WithTimeout(context.Background(), lasts)
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -43,6 +43,9 @@
 	reasonQuotaUnsure = "quota_unknown"
 )
 
+// errLeaseExpired means that a request was not sent because its unit of the team's quota had expired.
+var errLeaseExpired = errors.New("the lease of the quota has expired")
+
 // quotas keeps the requests of teams within their quotas. It is safe for concurrent use.
 type quotas struct {
 	g       *Gateway
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -168,6 +168,9 @@
 		if !q.authorized() {
 			return nil, fmt.Errorf("%w: %w", upstream.ErrNotSent, errNotAuthorized)
 		}
+		if q.leaseExpired = !q.unitValid(); q.leaseExpired {
+			return nil, fmt.Errorf("%w: %w", upstream.ErrNotSent, errLeaseExpired)
+		}
 		tried[p] = true
 		log := q.log.WithFields(logrus.Fields{"endpoint": e.ID, "peer": string(p)})
 		resp, err := q.relayThrough(ctx, p, m, r)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -78,6 +78,8 @@
 
 	unit      unit       // permission of the team's quota for the next send
 	overQuota *rejection // set if a further send was refused by the quota
+	// leaseExpired says that the last attempt was not sent because the unit had expired.
+	leaseExpired bool
 
 	tried      map[string]bool // IDs of the endpoints already tried
 	sends      int             // attempts of which anything may have been sent to an endpoint
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -36,10 +36,14 @@
 		Endpoint: e.ID, Remaining: time.Until(q.deadline), LastEvent: lastEvent, HasTeams: q.hasTeams, Team: q.teamName(),
 	}
 	sent := time.Now()
+	q.leaseExpired = false
 	resp, err := q.exchange(ctx, e, upstream.Request{
 		Method: q.r.Method, URI: q.r.RequestURI, Host: q.r.Host,
 		Header: q.g.protocol.Encode(q.r.Header, attempt), Body: body,
-		Wanted: func() bool { return !q.callerGone() && q.authorized() && q.unitValid() },
+		Wanted: func() bool {
+			q.leaseExpired = !q.unitValid()
+			return !q.callerGone() && q.authorized() && !q.leaseExpired
+		},
 		Matches: func(status int, h http.Header, first bool) bool {
 			reply = q.g.protocol.DecodeReply(status, h)
 			if reply.answers(q.meta.ID, first) {
@@ -217,7 +221,8 @@
 		q.log.WithFields(fields).Info("attempt abandoned: deadline passed, caller left or API key no longer accepted")
 		return abandoned
 	}
-	if errors.Is(err, upstream.ErrNotSent) && !q.unitValid() {
+	if errors.Is(err, upstream.ErrNotSent) && q.leaseExpired {
+		delete(q.tried, e.ID) // it was not tried
 		q.attemptEnded(e, balance.Abandoned, 0)
 		q.log.WithFields(fields).Info("attempt abandoned: the lease of the team's quota has expired")
 		return notExecuted
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -169,6 +169,9 @@
 		}
 		t.begun = t.begun || permit.Begun
 		return true
+	case (errors.Is(err, ledger.ErrUnknownTurn) || errors.Is(err, ledger.ErrOverBudget)) && !q.ownerProven():
+		t.reportEnd()
+		q.reject(q.unauthorized)
 	case errors.Is(err, ledger.ErrUnknownTurn):
 		q.refuse(http.StatusNotFound, reasonNoTurn)
 	case errors.Is(err, ledger.ErrOverBudget):
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -179,6 +179,7 @@
 		case errors.As(err, &trimmed):
 			v.log.WithFields(logrus.Fields{"name": topic, "offset": trimmed.First}).Info("store trimmed unread changes; reading the whole list again")
 			loaded = false
+			retry = v.sleep(ctx, retry)
 			continue
 		case err != nil:
 			if ctx.Err() != nil {
@@ -202,6 +203,9 @@
 		}
 		wait = v.nextWait(topic, pollWait, loaded && len(records) > 0)
 		if topic == v.topics.EndpointTopic {
+			if !loaded {
+				v.endpointOffset = offset // also if the store has lost records: entries come again at lower offsets
+			}
 			v.endpointOffset = max(v.endpointOffset, offset)
 		}
 		v.mu.Unlock()
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -259,7 +259,10 @@
 		return Unit{}, false
 	}
 	if !a.ownUse {
-		a.ownUse, a.own, a.ownAt = true, 0, a.cutAt.Add(ownShareAfter)
+		a.ownUse, a.own = true, 0
+		if from := a.cutAt.Add(ownShareAfter); a.ownAt.Before(from) {
+			a.ownAt = from // each change of the rank would give a request otherwise
+		}
 	}
 	a.own = min(a.own+terms.Rate*terms.ownShare(instances)*now.Sub(a.ownAt).Seconds(), 1)
 	a.ownAt = now
--- a/internal/quota/issuer.go
+++ b/internal/quota/issuer.go
@@ -141,7 +141,9 @@
 		b = i.start(team, l, now)
 	}
 	terms.Rate *= share
-	terms.Bucket *= share // two issuers, each with a part of the instances, must not fill a bucket each
+	// Two issuers, each with a part of the instances, must not fill a bucket each; one that never holds a whole request
+	// would grant nothing.
+	terms.Bucket = max(terms.Bucket*share, min(terms.Bucket, 1))
 	b.refill(l, terms, now)
 	b.credit(w.Credits, terms, now)
 	var a Answer
--- a/internal/quota/terms.go
+++ b/internal/quota/terms.go
@@ -70,10 +70,11 @@
 	total := (l.PerSecond*b.Window.Seconds()+l.Burst)*(1+b.Overage) + b.Slack - roundingRequests
 	t.Rate = max(min(l.PerSecond, (total-1)/span), 0)
 	surplus := max(total-t.Rate*span, 0)
-	burst := min(surplus, l.Burst)
+	burst := min(surplus, max(l.Burst, 1))
 	rest := surplus - burst
 	t.Bucket = burst + rest*bucketPart
 	if t.Rate > 0 {
+		t.Bucket = max(t.Bucket, 1) // rounding must not leave less than a request
 		t.Headroom = rest * headroomPart / (t.Rate * b.Window.Seconds())
 	}
 	t.OwnShares = int(rest * ownPart)
