--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,6 +71,7 @@
 	affinity  *affinity
 	metrics   *instanceMetrics
 	storeDep  *dependency
+	quotas    *quotas
 
 	active    atomic.Int64
 	relaying  atomic.Int64 // requests in progress that were sent for peers
@@ -92,6 +93,7 @@
 	newLimits    map[string]bool // endpoints whose limit was observed here since the last load report
 	newLeaving   []toldLeaving   // endpoints that have said here a short time ago that they leave
 	admission    *admissionQueues
+	shares       *teamShares
 	links        *reach.Tracker // of the connections to endpoints
 	relays       *reach.Peers   // that send requests to endpoints on behalf of this instance
 	wasCutOff    bool           // what noteCutOff has last seen
@@ -105,9 +107,11 @@
 		pool: upstream.NewPool(s.DialEndpoint), responses: newResponseBuffers(s.MemoryBytes), prefixes: newPrefixCache(), affinity: newAffinity(), metrics: newInstanceMetrics(),
 		balancer: balance.New(s.Zone, uint64(time.Now().UnixNano())), limits: ratelimit.NewLimits(), permits: ratelimit.NewPermits(), issuer: ratelimit.NewIssuer(), ownIssuer: ratelimit.NewIssuer(),
 		newLimits: make(map[string]bool), crashChecks: make(map[string]*crashCheck), quarantine: quarantine.NewList(), admission: newAdmissionQueues(),
-		links: reach.NewTracker(), relays: reach.NewPeers(s.Zone),
+		shares: newTeamShares(uint64(time.Now().UnixNano())),
+		links:  reach.NewTracker(), relays: reach.NewPeers(s.Zone),
 		storeDep: &dependency{name: "store", log: log},
 	}
+	g.quotas = newQuotas(g)
 	g.graceOver, g.endGrace = context.WithCancel(context.Background())
 	g.pool.Observe((*linkObserver)(g))
 	keys, err := peer.NewKeyring(s.PeerKey)
@@ -126,6 +130,9 @@
 		RecordRetention: s.StoreRetention, MinTTL: s.StoreMinTTL, Store: store, Node: g.node, Log: log, OnStoreResult: g.storeDep.record,
 	})
 	g.view = newStoreView(topics, store, log, g.storeDep)
+	if s.Clock != nil {
+		g.view.clock = s.Clock
+	}
 	g.view.onConfig = func(t *routing.Table) { g.ledger.SetRetention(t.MaxRetention()) }
 	g.view.onEndpoints = func(listed, addrs map[string]bool) {
 		g.pool.CloseUnlisted(addrs)
@@ -152,7 +159,7 @@
 	defer stopWork()
 	supervisor := suture.New("instance", suture.Spec{EventHook: g.logSupervisorEvent, Timeout: time.Second})
 	g.add(supervisor, "configuration", func(ctx context.Context) error {
-		return g.view.followConfig(ctx, g.settings.ConfigApplyTimeout)
+		return g.view.followConfig(ctx, g.settings.maxUnknownAge())
 	})
 	g.add(supervisor, "endpoints", func(ctx context.Context) error {
 		return g.view.followEndpoints(ctx, g.settings.EndpointDrainTimeout)
@@ -162,6 +169,9 @@
 	g.add(supervisor, "housekeeping", g.housekeeping)
 	g.add(supervisor, "load reports", g.reportLoad)
 	g.add(supervisor, "endpoint probes", g.probeEndpoints)
+	if g.quotas.enforced() {
+		g.add(supervisor, "quotas", g.quotas.run)
+	}
 	stopped := supervisor.ServeBackground(work)
 	go func() {
 		if err := g.node.Serve(work, listeners[2]); err != nil && work.Err() == nil {
@@ -254,7 +264,8 @@
 }
 
 // fetchFromPeers gets the configuration, the endpoint list and the holders of the history partitions from peers
-// while this instance cannot read them from the store.
+// while this instance cannot read them from the store. It gets only the proof that the configuration is the newest one
+// when its own gets old, whether or not the store answers otherwise.
 func (g *Gateway) fetchFromPeers(ctx context.Context) error {
 	for {
 		known := g.view.complete()
@@ -267,13 +278,24 @@
 			return ctx.Err()
 		case <-time.After(pause):
 		}
-		if known && !g.storeDep.lost() || !g.storeDep.failing() {
-			continue
+		g.view.noteProof(g.settings.maxKnownAge())
+		have := g.view.have()
+		proofOnly := known && !g.storeDep.lost() || !g.storeDep.failing()
+		if proofOnly {
+			if !g.needsProof() {
+				continue
+			}
+			have = g.view.proofQuestion()
 		}
 		g.dialSeeds(ctx)
-		for _, v := range g.peerViews(ctx) {
-			g.view.applyPeerView(v.StoreView, string(v.from))
-			g.ledger.LearnHolders(v.Claims)
+		asked := g.view.clock()
+		for _, v := range g.peerViews(ctx, have) {
+			if g.view.applyPeerView(v.StoreView, string(v.from)) {
+				g.view.confirmByPeer(v.StoreView, string(v.from), asked)
+			}
+			if !proofOnly { // the ledger reads the holders from the store
+				g.ledger.LearnHolders(v.Claims)
+			}
 		}
 	}
 }
@@ -286,14 +308,13 @@
 
 // peerViews asks some peers for what this instance lacks and returns their answers, the newest first. Peers may be
 // cut off from the store too, so that the first answer to arrive can be out of date.
-func (g *Gateway) peerViews(ctx context.Context) []peerView {
+func (g *Gateway) peerViews(ctx context.Context, have wire.StoreViewGet) []peerView {
 	remotes := g.node.Connected()
 	rand.Shuffle(len(remotes), func(i, j int) { remotes[i], remotes[j] = remotes[j], remotes[i] })
 	remotes = remotes[:min(len(remotes), peerFetchTries)]
 	ctx, cancel := context.WithTimeout(ctx, peerFetchInterval)
 	defer cancel()
 	answers := make(chan *peerView, len(remotes))
-	have := g.view.have()
 	for _, r := range remotes {
 		go func() { answers <- g.askPeerView(ctx, r.Session, have) }()
 	}
@@ -376,13 +397,14 @@
 			limits := g.takeNewLimits(now)
 			cutOff := g.noteCutOff()
 			leaving := g.recentLeaving(now)
-			due := len(own) > 0 || turns.Waiting > 0 || len(limits) > 0 || len(leaving) > 0 || cutOff || g.reportedLoad
-			g.reportedLoad = len(own) > 0 || turns.Waiting > 0 || cutOff
+			teams, heard := g.reportTeams(now)
+			due := len(teams) > 0 || len(own) > 0 || turns.Waiting > 0 || len(limits) > 0 || len(leaving) > 0 || cutOff || g.reportedLoad
+			g.reportedLoad = len(teams) > 0 || len(own) > 0 || turns.Waiting > 0 || cutOff
 			g.mu.Unlock()
 			if !due {
 				continue
 			}
-			report := wire.LoadReport{Endpoints: make([]wire.EndpointLoad, 0, len(own)), Waiting: turns.Waiting, Begun: turns.Begun, Limits: limits, CutOff: cutOff, Leaving: leaving}
+			report := wire.LoadReport{Endpoints: make([]wire.EndpointLoad, 0, len(own)), Waiting: turns.Waiting, Begun: turns.Begun, Limits: limits, CutOff: cutOff, Leaving: leaving, Teams: teams, Heard: heard}
 			for id, load := range own {
 				report.Endpoints = append(report.Endpoints, wire.EndpointLoad{ID: id, Running: load.Running, Overdue: load.Overdue})
 			}
@@ -398,6 +420,7 @@
 
 // Connected implements peer.Handler.
 func (h *peerHandler) Connected(r peer.Remote) {
+	h.quotas.peerConnected(r.Session.Instance())
 	h.ledger.Connected(r)
 	(*Gateway)(h).sendCrashes(r.Session)
 }
@@ -409,6 +432,9 @@
 func (h *peerHandler) Receive(r peer.Remote, m wire.Message) {
 	switch m := m.(type) {
 	case wire.GroupChanged:
+		if m.Stopping {
+			h.quotas.peerLeaves(r.Session.Instance())
+		}
 		h.ledger.HandleGroupChanged(r, m)
 	case wire.PartitionClaims:
 		h.ledger.HandlePartitionClaims(m)
@@ -428,6 +454,7 @@
 			h.relays.Recovered(r.Session)
 		}
 		h.balancer.SetPeerReport(r.Session.Instance(), balance.Report{Loads: loads, Turns: balance.Turns{Waiting: m.Waiting, Begun: m.Begun}}, time.Now())
+		(*Gateway)(h).learnTeams(r.Session.Instance(), m, time.Now())
 		h.mu.Unlock()
 		for _, limit := range m.Limits {
 			(*Gateway)(h).learnLimit(limit)
@@ -443,7 +470,7 @@
 }
 
 // Serve implements peer.Handler.
-func (h *peerHandler) Serve(ctx context.Context, _ peer.Remote, m wire.Message, r *peer.Replier) error {
+func (h *peerHandler) Serve(ctx context.Context, remote peer.Remote, m wire.Message, r *peer.Replier) error {
 	if get, ok := m.(wire.StoreViewGet); ok {
 		b := h.view.snapshot(get)
 		b.Claims = h.ledger.Holders()
@@ -462,6 +489,13 @@
 		}
 		return r.SendLast(ctx, permit)
 	}
+	if get, ok := m.(wire.QuotaGet); ok {
+		lease, err := h.quotas.grant(get, remote.Session.Instance())
+		if err != nil {
+			return err
+		}
+		return r.SendLast(ctx, lease)
+	}
 	known, err := h.ledger.HandleRequest(ctx, m, r)
 	if !known {
 		return wire.Error{Code: wire.CodeUnsupported, Detail: m.Kind().String()}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -36,6 +36,7 @@
 	reasonBadBody        = "body_unreadable"
 	reasonNoEndpoint     = "no_endpoint"
 	reasonOverload       = "endpoints_full"
+	reasonOverShare      = "team_over_share"
 	reasonNotExecuted    = "refused_by_endpoints"
 	reasonUnknownOutcome = "outcome_unknown"
 	reasonTimeout        = "time_over"
@@ -45,10 +46,14 @@
 	reasonCallerLeft     = "caller_left"
 	reasonQuarantined    = "crashes_endpoints"
 	reasonStopping       = "instance_stops"
+	reasonNoKey          = "no_api_key"
+	reasonUnknownKey     = "unknown_api_key"
+	reasonUnconfirmed    = "api_key_not_confirmed"
+	reasonTeamChanged    = "team_changed"
 )
 
 // request is a caller's request in progress. Its stages are: identify (route and limits), hold (the body in memory), the
-// checks of checkStop and checkQuarantine, placing at an endpoint (place.go, admission.go) and sending (send.go, stream.go,
+// checks of checkStop and checkQuarantine, the quota of the team (quota.go), placing at an endpoint (place.go, admission.go) and sending (send.go, stream.go,
 // relay.go).
 type request struct {
 	g             *Gateway
@@ -57,6 +62,8 @@
 	meta          Meta
 	route         *routing.Route
 	team          *team.Team // nil if the caller belongs to none
+	hasTeams      bool       // the configuration that identified the caller has teams
+	unauthorized  *rejection // set once the API key is found to be no longer accepted
 	configVersion int64
 	limits        routing.Limits
 	body          []byte
@@ -69,6 +76,11 @@
 	quarantinedUntil time.Time // set if the request is not sent because it is quarantined
 	brokenOffBy      []string  // endpoints that broke the connection off in earlier attempts
 
+	unit      unit       // permission of the team's quota for the next send
+	overQuota *rejection // set if a further send was refused by the quota
+	// leaseExpired says that the last attempt was not sent because the unit had expired.
+	leaseExpired bool
+
 	tried      map[string]bool // IDs of the endpoints already tried
 	sends      int             // attempts of which anything may have been sent to an endpoint
 	mayHaveRun bool            // an endpoint may have executed the request
@@ -76,18 +88,26 @@
 }
 
 // ServeHTTP implements http.Handler for requests of callers.
-func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) { g.newRequest(w, r).serve() }
+
+func (g *Gateway) newRequest(w http.ResponseWriter, r *http.Request) *request {
+	return &request{g: g, w: w, r: r, meta: g.protocol.Decode(r.Header), start: time.Now()}
+}
+
+// serve runs the stages of the request.
+func (q *request) serve() {
+	g, w := q.g, q.w
 	g.active.Add(1)
 	defer g.active.Add(-1)
 	if g.stopping.Load() || g.ledger.Isolated() {
 		w.Header().Set("Connection", "close")
 	}
-	q := &request{g: g, w: w, r: r, meta: g.protocol.Decode(r.Header), start: time.Now()}
 	q.log = g.log.WithField("call", q.meta.ID)
 	if q.meta.Program != "" {
 		q.log = q.log.WithField("program", q.meta.Program)
 	}
-	for _, stage := range []func() *rejection{q.identify, q.hold, q.checkStop, q.checkQuarantine} {
+	defer q.releaseUnit()
+	for _, stage := range []func() *rejection{q.identify, q.hold, q.checkStop, q.checkQuarantine, q.admitQuota} {
 		if rejected := stage(); rejected != nil {
 			q.reject(rejected)
 			return
@@ -104,7 +124,7 @@
 type rejection struct {
 	status     int
 	reason     string
-	retryAfter time.Duration // of 503
+	retryAfter time.Duration // of 429 and 503
 }
 
 // unavailable returns a rejection with status 503, which promises that the request never runs.
@@ -132,7 +152,7 @@
 // refuseFor is refuse with the time after which the caller of a request that may be repeated should come back. A
 // random part is added, so that callers do not all come back at once.
 func (q *request) refuseFor(status int, reason string, retryAfter time.Duration) {
-	if status == http.StatusServiceUnavailable {
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		retryAfter += rand.N(max(retryAfter, retryAfterSpread))
 	} else {
 		retryAfter = 0
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -32,12 +32,18 @@
 // send sends the request to an endpoint and returns the head of the response.
 func (q *request) send(ctx context.Context, e target, body []byte, lastEvent string) (*upstream.Response, Reply, error) {
 	var reply Reply
-	attempt := Attempt{Endpoint: e.ID, Remaining: time.Until(q.deadline), LastEvent: lastEvent}
+	attempt := Attempt{
+		Endpoint: e.ID, Remaining: time.Until(q.deadline), LastEvent: lastEvent, HasTeams: q.hasTeams, Team: q.teamName(),
+	}
 	sent := time.Now()
+	q.leaseExpired = false
 	resp, err := q.exchange(ctx, e, upstream.Request{
 		Method: q.r.Method, URI: q.r.RequestURI, Host: q.r.Host,
 		Header: q.g.protocol.Encode(q.r.Header, attempt), Body: body,
-		Wanted: func() bool { return !q.callerGone() },
+		Wanted: func() bool {
+			q.leaseExpired = !q.unitValid()
+			return !q.callerGone() && q.authorized() && !q.leaseExpired
+		},
 		Matches: func(status int, h http.Header, first bool) bool {
 			reply = q.g.protocol.DecodeReply(status, h)
 			if reply.answers(q.meta.ID, first) {
@@ -49,6 +55,9 @@
 	})
 	if !errors.Is(err, upstream.ErrNotSent) {
 		q.sends++
+		if err != nil || !reply.NotExecuted {
+			q.useUnit()
+		}
 	}
 	if err == nil && reply.Leaving {
 		q.g.observeLeaving(e.ID, e.StartUnixMs)
@@ -107,10 +116,17 @@
 		if q.mayHaveRun && !q.route.Repeatable() || q.quarantined() || q.callerGone() {
 			break
 		}
+		if !q.authorized() {
+			break
+		}
 		e, ok := pick()
 		if !ok {
 			break
 		}
+		if q.overQuota = q.renewUnit(); q.overQuota != nil {
+			q.attemptEnded(e, balance.Abandoned, 0)
+			break
+		}
 		q.tried[e.ID] = true
 		before := q.sends
 		switch attempt(e) {
@@ -139,8 +155,12 @@
 		q.refuse(http.StatusGatewayTimeout, reasonTimeout)
 	case q.mayHaveRun:
 		q.refuse(http.StatusBadGateway, reasonUnknownOutcome)
+	case q.unauthorized != nil:
+		q.reject(q.unauthorized)
 	case !q.quarantinedUntil.IsZero():
 		q.refuseQuarantined()
+	case q.overQuota != nil:
+		q.reject(q.overQuota)
 	case q.sends > 0:
 		q.refuse(http.StatusServiceUnavailable, reasonNotExecuted)
 	default:
@@ -196,11 +216,17 @@
 // attemptFailed records an attempt without a usable response.
 func (q *request) attemptFailed(ctx context.Context, e target, err error) attemptResult {
 	fields := logrus.Fields{"endpoint": e.ID, "reason": err.Error(), "age": time.Since(q.start).Milliseconds()}
-	if ctx.Err() != nil || errors.Is(err, upstream.ErrNotSent) && q.callerGone() {
+	if ctx.Err() != nil || errors.Is(err, upstream.ErrNotSent) && (q.callerGone() || q.unauthorized != nil) {
 		q.attemptEnded(e, balance.Abandoned, 0)
-		q.log.WithFields(fields).Info("attempt abandoned: deadline passed or caller left")
+		q.log.WithFields(fields).Info("attempt abandoned: deadline passed, caller left or API key no longer accepted")
 		return abandoned
 	}
+	if errors.Is(err, upstream.ErrNotSent) && q.leaseExpired {
+		delete(q.tried, e.ID) // it was not tried
+		q.attemptEnded(e, balance.Abandoned, 0)
+		q.log.WithFields(fields).Info("attempt abandoned: the lease of the team's quota has expired")
+		return notExecuted
+	}
 	q.attemptEnded(e, balance.Failed, 0)
 	if errors.Is(err, upstream.ErrNotSent) {
 		q.log.WithFields(fields).Info("attempt failed")
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
+	"ragwortstile/internal/team"
 	"ragwortstile/internal/upstream"
 )
 
@@ -25,6 +27,13 @@
 	StopGrace            time.Duration // from the stop signal to the end of the process
 	EndpointDrainTimeout time.Duration // from the listing of an endpoint as draining to the last new request to it
 	ConfigApplyTimeout   time.Duration // from a configuration change until it must be applied
+	RevokeTimeout        time.Duration // from the revocation of an API key until no request with it may run; 0: no bound
+
+	Clock team.Clock // by which the age of the configuration's proof is measured; nil: team.SystemClock
+
+	QuotaWindow  time.Duration // window in which the quotas of teams hold; 0: they are not enforced
+	QuotaOverage float64       // part by which a quota may be exceeded
+	QuotaSlack   float64       // requests beyond that
 
 	StoreAddr        string
 	StoreParts       int           // partitions of a topic
@@ -41,3 +50,8 @@
 	}
 	return s.PeerAddr
 }
+
+// hasSeeds reports whether the settings name other instances.
+func (s Settings) hasSeeds() bool {
+	return slices.ContainsFunc(s.Seeds, func(addr string) bool { return addr != s.advertisedAddr() })
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -85,6 +85,7 @@
 		return
 	}
 	t.slot = slot
+	slot.tokens = func() int64 { return t.events * t.tokensPerEvent }
 	defer slot.release()
 	t.run(ctx, service)
 }
@@ -98,7 +99,7 @@
 			if e, ok := t.slot.use(); ok {
 				return e, true
 			}
-			return q.pick(service, q.g.affinity.savings(q.meta, t.prefix))
+			return q.pick(service, q.g.affinity.savings(q.programKey(), t.prefix))
 		},
 		func(e target) attemptResult { return t.attempt(ctx, e, confirmed) },
 	)
@@ -116,7 +117,7 @@
 // rejected or its caller leaves.
 func (t *turn) takeSlot(ctx context.Context, service string) *slot {
 	q := t.request
-	slot, rejected := q.admitTurn(ctx, service, t.begun, q.g.affinity.savings(q.meta, t.prefix))
+	slot, rejected := q.admitTurn(ctx, service, t.begun, q.g.affinity.savings(q.programKey(), t.prefix))
 	if slot != nil {
 		return slot
 	}
@@ -149,12 +150,12 @@
 	}
 	previous := ""
 	if q.route.History {
-		previous = q.meta.Previous
+		previous = q.previousKey()
 	}
 	prefix, known := q.g.prefixes.get(previous)
 	t.prefix = prefix
 	t.begin = history.Begin{
-		Program: q.meta.Program, Turn: q.meta.ID, Previous: previous, HasChain: known,
+		Program: q.programKey(), Turn: q.turnKey(), Previous: previous, HasChain: known,
 		MaxTokens: q.meta.MaxTokensOut, ExpectedTokens: q.meta.ExpectedTokensOut, Budget: q.meta.Budget, EnforceBudget: q.meta.HasBudget,
 		MaxDuration: time.Until(q.deadline) + reservationSlack,
 	}
@@ -168,6 +169,9 @@
 		}
 		t.begun = t.begun || permit.Begun
 		return true
+	case (errors.Is(err, ledger.ErrUnknownTurn) || errors.Is(err, ledger.ErrOverBudget)) && !q.ownerProven():
+		t.reportEnd()
+		q.reject(q.unauthorized)
 	case errors.Is(err, ledger.ErrUnknownTurn):
 		q.refuse(http.StatusNotFound, reasonNoTurn)
 	case errors.Is(err, ledger.ErrOverBudget):
@@ -205,7 +209,7 @@
 	if !t.inLedger() {
 		return
 	}
-	end := history.End{Program: t.meta.Program, Turn: t.meta.ID, Tokens: t.events * t.tokensPerEvent}
+	end := history.End{Program: t.begin.Program, Turn: t.begin.Turn, Tokens: t.events * t.tokensPerEvent}
 	if t.reserved.Load() {
 		end.Reserved, end.Confirmed = t.meta.MaxTokensOut, true
 	}
@@ -260,7 +264,7 @@
 			return q.attemptFailed(ctx, e, err)
 		}
 	}
-	q.g.affinity.record(q.meta, e.ID)
+	q.g.affinity.record(q.programKey(), e.ID)
 	return t.forwardStream(ctx, e, resp, reader, first, begun, len(body))
 }
 
@@ -458,12 +462,12 @@
 func (t *turn) recordTurn(ctx context.Context) error {
 	q := t.request
 	err := q.g.ledger.End(ctx, history.End{
-		Program: q.meta.Program, Turn: q.meta.ID, Previous: q.meta.Previous, Complete: true,
+		Program: t.begin.Program, Turn: t.begin.Turn, Previous: t.begin.Previous, Complete: true,
 		Input: q.body, Output: t.output, Tokens: t.events * t.tokensPerEvent, Reserved: q.meta.MaxTokensOut, Confirmed: true, Retention: q.route.Retention,
 	})
 	if err != nil {
 		return err
 	}
-	q.g.prefixes.put(q.meta.ID, bytes.Join([][]byte{t.prefix, q.body, t.output}, nil))
+	q.g.prefixes.put(t.begin.Turn, bytes.Join([][]byte{t.prefix, q.body, t.output}, nil))
 	return nil
 }
--- a/internal/wire/earlier_test.go
+++ b/internal/wire/earlier_test.go
@@ -20,8 +20,16 @@
 var addedFields = map[Kind][]string{
 	KindTurnEnd:        {".e.cf"},
 	KindGroupChanged:   {".s"},
-	KindLoadReport:     {".lv", ".lv.id", ".lv.s"},
+	KindLoadReport:     {".lv", ".lv.id", ".lv.s", ".t", ".t.v", ".t.n", ".t.m", ".t.w", ".h"},
 	KindRequestCrashes: {".po", ".c.b"},
+	KindStoreView:      {".pv"},
+}
+
+// addedKinds are the fields of messages whose kinds were added since. They are sent only to peers whose Hello states these
+// kinds, of which the oldest is the first version with teams.
+var addedKinds = map[Kind][]string{
+	KindQuotaGet:   {".t", ".n", ".x", ".c", ".c.l", ".c.n", ".s", ".u", ".i"},
+	KindQuotaLease: {".l", ".g", ".r", ".f", ".b", ".o", ".i", ".m", ".k"},
 }
 
 // content is the message of a frame without its Go type.
@@ -114,6 +122,10 @@
 		collect(now, f)
 	}
 	for kind, fields := range now {
+		if names, ok := addedKinds[kind]; ok {
+			must.Eq(t, slices.Sorted(slices.Values(names)), slices.Sorted(maps.Keys(fields)), must.Sprint(kind))
+			continue
+		}
 		want := maps.Clone(earlier[kind])
 		must.NotNil(t, want, must.Sprintf("%s is new: state it, and the oldest version that knows it", kind))
 		for _, name := range addedFields[kind] {
