evenload: a simulation of instances that choose endpoints from outdated reports

Cause: nothing showed how often endpoints are overloaded while others are idle because load reports are old.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -102,6 +102,7 @@
 			benchCommand(stdio),
 			capacityCommand(stdio),
 			replayCommand(stdio),
+			evenLoadCommand(stdio),
 			standinCommand(stdio),
 			versionCommand(stdio),
 		},
