balance: decisions are spread when many peers choose at the same time

Cause: instances that know about the same choose the same endpoints. Change: with 8 peers or more, an instance first uses the slots that it owns: each has an equal part of all slots, by its rank among the instances that report. When its own slots are in use, it chooses at random by the free slots that it estimates from its own counts and the reports with their age. Endpoints whose cost without load is more than 1.4 times that of the best one, or that lack a warm prefix, are left out. A decision examines at most 56 candidates, and those with savings. Log fields rule, estimated and report_age, and metrics of decisions, show it at work. SetLeastCostOnly switches it off.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -7,7 +7,8 @@
 // long each endpoint takes. Pick returns the endpoint that is expected to finish first.
 //
 // Files: load.go holds the counts of this instance and of peers, speed.go the time that an endpoint takes,
-// failures.go what keeps requests off an endpoint, and choice.go the cost of an endpoint and the decision.
+// failures.go what keeps requests off an endpoint, choice.go the cost of an endpoint and the decision, spread.go the
+// decision with many peers, peers.go what is known about the peers, and decision.go the counts of decisions.
 package balance
 
 import (
@@ -34,6 +35,8 @@
 	failRate     float64             // failure rate as of failed
 	failed       time.Time           // when failRate was last updated
 	backoffUntil time.Time           // end of the backoff after a refusal
+	slots        int                 // at the last decision for the endpoint
+	overloaded   bool                // see Stats.Overloaded
 	sentAt       map[int64]time.Time // send times of requests whose response has not begun, by request number
 }
 
@@ -48,6 +51,14 @@
 	peerLoads  map[string]peerLoad       // sums over all peers, by endpoint ID
 	peerTurns  Turns                     // sums over all peers
 	rand       *rand.Rand
+
+	membership membership
+	groups     map[groupKey]*group // lists of candidates
+	found      []candidate         // of the present decision
+	decision   Decision            // the last one
+	stats      Stats
+
+	leastCostOnly bool
 }
 
 // New returns a Balancer for an instance in an availability zone.
@@ -58,6 +69,9 @@
 	}
 }
 
+// SetLeastCostOnly sets whether the endpoint of least cost is chosen regardless of the number of peers.
+func (b *Balancer) SetLeastCostOnly(only bool) { b.leastCostOnly = only }
+
 func (b *Balancer) endpointState(id string) *endpointState {
 	s := b.states[id]
 	if s == nil {
@@ -69,6 +83,7 @@
 
 // Sent records that a request was sent to an endpoint. It returns a number that identifies the request.
 func (b *Balancer) Sent(id string, now time.Time) int64 {
+	b.count(id)
 	s := b.endpointState(id)
 	s.running++
 	b.lastNumber++
@@ -130,4 +145,5 @@
 			delete(b.states, id)
 		}
 	}
+	clear(b.groups)
 }
--- a/internal/balance/choice.go
+++ b/internal/balance/choice.go
@@ -66,6 +66,9 @@
 // loaded or far slower than the best one.
 func (b *Balancer) Pick(q Query, now time.Time) (Endpoint, int, bool) {
 	b.expirePeers(now)
+	if b.spreading() {
+		return b.pickSpread(q, now)
+	}
 	usual := b.usual(q.Candidates)
 	best, bestCost, bestLoad := -1, math.Inf(1), 0
 	askable, askableCost := "", math.Inf(1)
@@ -105,32 +108,37 @@
 	if best < 0 || q.MaxLoad > 0 && !q.AnySpeed && bestCost > maxCostRatio*leastCost {
 		return Endpoint{}, 0, false
 	}
-	return q.Candidates[best], bestLoad, true
+	e := q.Candidates[best]
+	b.decision = Decision{Rule: LeastCost, Reported: bestLoad, Estimated: float64(bestLoad), Slots: e.Slots, Age: b.reportAge(now), endpoint: e.ID}
+	return e, bestLoad, true
 }
 
 // cost returns the expected time of a request at an endpoint, in seconds, with the penalties for failures,
 // overdue responses, queueing, other zones and backoff. load is the number of requests at the endpoint, usual
 // the mean latency of the candidates, and saved the share of its time that the request saves there.
 func (b *Balancer) cost(e Endpoint, load int, usual, saved float64, now time.Time) float64 {
-	s := b.endpointState(e.ID)
-	latency := s.latency
-	if latency == 0 {
-		latency = usual
+	latency := b.latency(e.ID, usual)
+	cost := b.quality(e, latency, usual, saved, now)
+	cost += latency * concurrencySlowdown * float64(min(load, e.Slots)) / float64(e.Slots)
+	if queued := load + 1 - e.Slots; queued > 0 {
+		cost += latency * queueFactor * float64(queued) / float64(e.Slots)
 	}
+	return cost * (1 + costJitter*b.rand.Float64())
+}
+
+// quality returns the part of the cost that does not depend on the load.
+func (b *Balancer) quality(e Endpoint, latency, usual, saved float64, now time.Time) float64 {
+	s := b.endpointState(e.ID)
 	cost := latency*(1-saved) + failureCost*s.failureRate(now) + s.overdue(usual, now) +
 		peerOverduePenalty*float64(b.peerLoads[e.ID].overdue)
 	if e.ColdRemaining > 0 {
 		cost *= coldFactor
 	}
-	cost += latency * concurrencySlowdown * float64(min(load, e.Slots)) / float64(e.Slots)
-	if queued := load + 1 - e.Slots; queued > 0 {
-		cost += latency * queueFactor * float64(queued) / float64(e.Slots)
-	}
 	if e.Zone != b.zone {
 		cost += usual * crossZonePenalty
 	}
 	if s.backoffUntil.After(now) {
 		cost += s.backoffUntil.Sub(now).Seconds() + usual
 	}
-	return cost * (1 + costJitter*b.rand.Float64())
+	return cost
 }
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -21,6 +21,7 @@
 
 // Report is what an instance reports to its peers.
 type Report struct {
+	Zone  string          // of the peer
 	Loads map[string]Load // by endpoint ID
 	Turns
 }
@@ -71,6 +72,7 @@
 	}
 	b.peers[name] = peerReport{Report: r, at: now}
 	b.addPeer(r, 1)
+	b.membership.saw(name, r.Zone, now)
 }
 
 func (b *Balancer) dropPeer(name string) {
@@ -93,6 +95,9 @@
 		if b.peerLoads[id] = sum; sum == (peerLoad{}) {
 			delete(b.peerLoads, id)
 		}
+		if sign > 0 {
+			b.checkOverload(id)
+		}
 	}
 }
 
--- a/internal/balance/speed.go
+++ b/internal/balance/speed.go
@@ -27,6 +27,14 @@
 	return sum / float64(n)
 }
 
+// latency returns the expected seconds of a request at an endpoint without queueing.
+func (b *Balancer) latency(id string, usual float64) float64 {
+	if s := b.states[id]; s != nil && s.latency > 0 {
+		return s.latency
+	}
+	return usual
+}
+
 // leastLatency returns the latency of the fastest candidate in seconds, or infinity if none is known. Endpoints that
 // limit their requests count only if limited is set: requests can rarely use them in place of a slower one.
 func (b *Balancer) leastLatency(candidates []Endpoint, limited bool) float64 {
--- a/internal/evenload/alternatives.go
+++ b/internal/evenload/alternatives.go
@@ -17,9 +17,11 @@
 	assumedTransit = 50 * time.Millisecond
 )
 
-// Policies are all policies by name. "gateway" is the one in use. The others know the speeds of the endpoints exactly, except for times in which one is slow.
+// Policies are all policies by name. "gateway" is the one in use, "least_cost" the one that it uses with few
+// peers. The others know the speeds of the endpoints exactly, except for times in which one is slow.
 var Policies = map[string]NewPolicy{
 	"gateway":      Gateway,
+	"least_cost":   LeastCost,
 	"least_loaded": counting(false, (*counts).leastOfAll),
 	"extrapolated": counting(true, (*counts).leastOfAll),
 	"two_choices":  counting(false, func(c *counts, loads []float64) int { return c.leastOfRandom(loads, 2) }),
--- a/internal/evenload/policy.go
+++ b/internal/evenload/policy.go
@@ -20,6 +20,7 @@
 // Gateway returns the policy that the gateway uses.
 func Gateway(s Scenario, instance int) Policy {
 	g := &gateway{b: balance.New("", s.Seed+uint64(instance)), index: make(map[string]int)}
+	g.b.SetInstance(instanceName(instance))
 	for i := range s.Endpoints {
 		id := fmt.Sprint("e", i)
 		g.query.Candidates = append(g.query.Candidates, balance.Endpoint{ID: id, Addr: id, Slots: s.Slots})
@@ -28,6 +29,13 @@
 	return g
 }
 
+// LeastCost returns the policy that the gateway uses with few peers.
+func LeastCost(s Scenario, instance int) Policy {
+	g := Gateway(s, instance).(*gateway)
+	g.b.SetLeastCostOnly(true)
+	return g
+}
+
 func (g *gateway) Pick(now time.Duration) int {
 	e, _, _ := g.b.Pick(g.query, epoch.Add(now))
 	return g.index[e.ID]
--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"ragwortstile/internal/balance"
 )
 
 // maxRouteSeries bounds the routes with metric series of their own; all others share one label.
@@ -41,6 +43,7 @@
 		g.mu.Lock()
 		limited := g.limits.Count()
 		quarantined := g.quarantine.Quarantined(time.Now())
+		decisions := g.balancer.Stats()
 		g.mu.Unlock()
 		var memory runtime.MemStats
 		runtime.ReadMemStats(&memory)
@@ -64,6 +67,11 @@
 			{"limited_endpoints", float64(limited)},
 			{"quarantined_requests", float64(quarantined)},
 			{"cut_off_from_endpoints", cutOff},
+			{"endpoint_decisions_full_total", float64(decisions.Full)},
+			{"endpoint_decisions_reported_load_total", float64(decisions.Reported)},
+			{"endpoint_decisions_estimated_load_total", decisions.Estimated},
+			{"endpoints_overloaded_total", float64(decisions.Overloaded)},
+			{"load_report_age_seconds", decisions.Age.Seconds()},
 			{"endpoint_connections_total", float64(g.pool.Dials())},
 			{"heap_bytes", float64(memory.HeapInuse)},
 			{"memory_bytes", float64(memory.Sys)},
@@ -71,6 +79,9 @@
 		} {
 			fmt.Fprintf(w, "ragwortstile_%s %g\n", gauge.name, gauge.value)
 		}
+		for rule, n := range decisions.ByRule {
+			fmt.Fprintf(w, "ragwortstile_endpoint_decisions_total{rule=%q} %d\n", balance.Rule(rule), n)
+		}
 	})
 	return mux
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -108,6 +108,7 @@
 		links: reach.NewTracker(), relays: reach.NewPeers(s.Zone),
 		storeDep: &dependency{name: "store", log: log},
 	}
+	g.balancer.SetInstance(s.Instance)
 	g.graceOver, g.endGrace = context.WithCancel(context.Background())
 	g.pool.Observe((*linkObserver)(g))
 	keys, err := peer.NewKeyring(s.PeerKey)
@@ -427,7 +428,7 @@
 		} else {
 			h.relays.Recovered(r.Session)
 		}
-		h.balancer.SetPeerReport(r.Session.Instance(), balance.Report{Loads: loads, Turns: balance.Turns{Waiting: m.Waiting, Begun: m.Begun}}, time.Now())
+		h.balancer.SetPeerReport(r.Session.Instance(), balance.Report{Zone: r.Zone, Loads: loads, Turns: balance.Turns{Waiting: m.Waiting, Begun: m.Begun}}, time.Now())
 		h.mu.Unlock()
 		for _, limit := range m.Limits {
 			(*Gateway)(h).learnLimit(limit)
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,7 +14,8 @@
 // target is the endpoint of an attempt.
 type target struct {
 	balance.Endpoint
-	number int64 // ID of the attempt in the balancer
+	number   int64 // ID of the attempt in the balancer
+	decision balance.Decision
 }
 
 // query returns the query to the balancer for an endpoint of a service. savings is by endpoint the fraction of its
@@ -48,7 +50,8 @@
 	if g.limits.Get(e.ID).Limited {
 		g.permits.Use(e.ID, now)
 	}
-	return target{Endpoint: e, number: g.balancer.Sent(e.ID, now)}
+	decision := g.balancer.LastDecision()
+	return target{Endpoint: e, number: g.balancer.Sent(e.ID, now), decision: decision}
 }
 
 // placeCall chooses an endpoint for an attempt of a call. While endpoints of the service limit their requests, the call
@@ -76,6 +79,9 @@
 	if limit := q.g.limitOf(e.ID); limit.Limited {
 		log = log.WithField("limit", limit.PerSecond)
 	}
+	if d := e.decision; d.Rule != balance.LeastCost {
+		log = log.WithFields(logrus.Fields{"rule": d.Rule.String(), "estimated": math.Round(10*d.Estimated) / 10, "report_age": d.Age.Milliseconds()})
+	}
 	log.WithFields(logrus.Fields{"endpoint": e.ID, "zone": e.Zone, "load": load, "config": q.configVersion, "attempt": q.sends + 1, "age": time.Since(q.start).Milliseconds()}).
 		WithFields(more).Info("endpoint chosen")
 }
--- a/internal/replay/run.go
+++ b/internal/replay/run.go
@@ -204,6 +204,7 @@
 		s: s, name: fmt.Sprint("i", number), balancer: balance.New("", s.pattern.Seed+uint64(number)), queue: &admission.Queue{},
 		calls: make(map[*admission.Ticket]*attempt),
 	}
+	i.balancer.SetInstance(i.name)
 	interval := time.Duration(s.pattern.ReportMs * float64(time.Millisecond))
 	s.after(time.Duration(s.rand.Float64()*float64(interval)), func() { i.report(interval) })
 	return i
