balance: the speed of an endpoint returns to the long-term one when nothing is sent there

Cause: endpoints are slow for about 600 ms. One that counts as slow gets no requests, so nothing shows that it has recovered. Change: with many peers, the estimate of an endpoint that seems 1.3 times slower than in the long term returns to that with a time constant of 1.2 s, which doubles each time that it turns out to be still slow. A sample counts as at most 2.5 times the estimate. An owner of slots tries an endpoint without requests for 30 s. With few peers the estimate is as before.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -28,22 +28,24 @@
 
 // endpointState is what an instance has observed of an endpoint.
 type endpointState struct {
-	running      int                 // requests of this instance at the endpoint
-	limited      bool                // the endpoint takes at most perSecond requests a second
-	perSecond    float64             // from all instances together, if limited
-	latency      float64             // moving average of the seconds that a request takes without queueing; 0: unknown
-	failRate     float64             // failure rate as of failed
-	failed       time.Time           // when failRate was last updated
-	backoffUntil time.Time           // end of the backoff after a refusal
-	slots        int                 // at the last decision for the endpoint
-	overloaded   bool                // see Stats.Overloaded
+	running   int     // requests of this instance at the endpoint
+	limited   bool    // the endpoint takes at most perSecond requests a second
+	perSecond float64 // from all instances together, if limited
+	speed
+	failRate     float64   // failure rate as of failed
+	failed       time.Time // when failRate was last updated
+	backoffUntil time.Time // end of the backoff after a refusal
+	slots        int       // at the last decision for the endpoint
+	overloaded   bool      // see Stats.Overloaded
+	lastSent     time.Time
 	sentAt       map[int64]time.Time // send times of requests whose response has not begun, by request number
 }
 
 // Balancer tracks the load and the speed of endpoints for one instance. It is not safe for concurrent use.
 type Balancer struct {
-	events     float64 // moving average of the number of events of a stream
-	lastNumber int64   // number of the newest request
+	events     float64   // moving average of the number of events of a stream
+	lastNumber int64     // number of the newest request
+	lastEvent  time.Time // of the last Pick, Sent or Ended
 	zone       string
 	states     map[string]*endpointState // by endpoint ID
 	peers      map[string]peerReport     // by instance
@@ -86,6 +88,8 @@
 	b.count(id)
 	s := b.endpointState(id)
 	s.running++
+	s.lastSent = now
+	b.lastEvent = now
 	b.lastNumber++
 	if s.sentAt == nil {
 		s.sentAt = make(map[int64]time.Time)
@@ -114,6 +118,7 @@
 // speed of the endpoint.
 func (b *Balancer) Ended(id string, number int64, result Result, latency time.Duration, now time.Time) {
 	s := b.endpointState(id)
+	b.lastEvent = now
 	s.running = max(s.running-1, 0)
 	since, unanswered := s.sentAt[number]
 	delete(s.sentAt, number)
@@ -121,10 +126,7 @@
 	case Served:
 		s.recordOutcome(false, now)
 		if latency > 0 {
-			if s.latency == 0 {
-				s.latency = latency.Seconds()
-			}
-			s.latency += smoothing * (latency.Seconds() - s.latency)
+			s.learn(latency.Seconds(), b.spreading(), now)
 		}
 	case Refused:
 		s.backoffUntil = now.Add(refusalBackoff)
--- a/internal/balance/choice.go
+++ b/internal/balance/choice.go
@@ -66,6 +66,7 @@
 // loaded or far slower than the best one.
 func (b *Balancer) Pick(q Query, now time.Time) (Endpoint, int, bool) {
 	b.expirePeers(now)
+	b.lastEvent = now
 	if b.spreading() {
 		return b.pickSpread(q, now)
 	}
--- a/internal/balance/spread.go
+++ b/internal/balance/spread.go
@@ -159,7 +159,7 @@
 			}
 		}
 	}
-	b.estimate(q, now)
+	b.estimate(q, part, now)
 	return b.found
 }
 
@@ -184,7 +184,7 @@
 }
 
 // estimate sets the estimated loads and the costs of the examined candidates.
-func (b *Balancer) estimate(q Query, now time.Time) {
+func (b *Balancer) estimate(q Query, part share, now time.Time) {
 	peers, slots, known, seconds := 0, 0, 0, 0.0
 	for _, c := range b.found {
 		e := &q.Candidates[c.index]
@@ -203,7 +203,7 @@
 		c := &b.found[i]
 		e := q.Candidates[c.index]
 		c.load = float64(c.own) + kept*float64(c.peers) + (1-kept)*mean*float64(e.Slots)
-		latency := b.latency(e.ID, usual)
+		latency := b.presentLatency(e.ID, usual, part.slots(c.index) > 0, now)
 		c.quality = b.quality(e, latency, usual, q.Savings[e.ID], now)
 		if q.Connected != nil && !q.Connected(e.Addr) {
 			c.quality += usual * dialPenalty
