balance: the least cost while the load is low and the reports are fresh; tests of the targets

Change: below 0.55 of the slots, and while 0.7 of the reported requests are expected to be still there, the least cost decides with many peers too. Overloads are counted once per report interval, not for each report of a peer. The simulation converts a report once for all receivers.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -57,6 +57,7 @@
 	membership membership
 	groups     map[groupKey]*group // lists of candidates
 	found      []candidate         // of the present decision
+	kept       float64             // keptShare of the present decision
 	decision   Decision            // the last one
 	stats      Stats
 
--- a/internal/balance/decision.go
+++ b/internal/balance/decision.go
@@ -7,7 +7,7 @@
 
 // Rules.
 const (
-	LeastCost Rule = iota // few peers
+	LeastCost Rule = iota // few peers, or a low load and fresh reports
 	OwnSlot               // a slot that this instance owns is free
 	FreeSlots             // at random, weighted by the free slots
 )
@@ -58,13 +58,9 @@
 // Stats returns the counts of decisions since the start.
 func (b *Balancer) Stats() Stats { return b.stats }
 
-// checkOverload counts an endpoint that a report shows to be overloaded for the first time since it was not.
-func (b *Balancer) checkOverload(id string) {
-	s := b.states[id]
-	if s == nil || s.running == 0 || s.slots == 0 {
-		return
-	}
-	overloaded := b.load(id) > s.slots
+// checkOverload counts an endpoint that is overloaded by the counts of now and was not the last time.
+func (b *Balancer) checkOverload(id string, s *endpointState) {
+	overloaded := s.slots > 0 && b.load(id) > s.slots
 	if overloaded && !s.overloaded {
 		b.stats.Overloaded++
 	}
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -58,6 +58,7 @@
 	loads := make(map[string]Load)
 	for id, s := range b.states {
 		if s.running > 0 {
+			b.checkOverload(id, s)
 			loads[id] = Load{Running: s.running, Overdue: s.overdue(defaultSeconds, now) > 0}
 		}
 	}
@@ -95,9 +96,6 @@
 		if b.peerLoads[id] = sum; sum == (peerLoad{}) {
 			delete(b.peerLoads, id)
 		}
-		if sign > 0 {
-			b.checkOverload(id)
-		}
 	}
 }
 
--- a/internal/balance/peers.go
+++ b/internal/balance/peers.go
@@ -67,7 +67,10 @@
 // reportAge returns the mean age of the reports in use.
 func (b *Balancer) reportAge(now time.Time) time.Duration {
 	m := &b.membership
-	if len(b.peers) > 0 && (m.aged.IsZero() || now.Sub(m.aged) >= ageInterval) {
+	if len(b.peers) == 0 {
+		return 0
+	}
+	if m.aged.IsZero() || now.Sub(m.aged) >= ageInterval {
 		sum := time.Duration(0)
 		for _, r := range b.peers {
 			sum += now.Sub(r.at)
--- a/internal/balance/spread.go
+++ b/internal/balance/spread.go
@@ -14,6 +14,8 @@
 //     other instance uses them first.
 //  2. An instance whose own slots are in use chooses at random, weighted by the free slots that it estimates.
 //
+// While the load is low and the reports are fresh, the endpoint of least cost is chosen as with few peers.
+//
 // docs/design/even-load.md compares this with other policies.
 const (
 	// spreadPeers is the number of peers from which on decisions are spread. With fewer peers the counts of this
@@ -32,6 +34,11 @@
 	// loadSpread is the standard deviation of the error of an estimated load, in requests: about that of the arrivals
 	// and ends at 6 slots within 200 ms.
 	loadSpread = 1
+	// Below calmLoad, as a share of the slots of the endpoints that are about as good as the best one, and while at least
+	// freshShare of the reported requests are expected to be still there, the endpoint of least cost is chosen: there
+	// is room for the error, and the cost compares speeds better.
+	calmLoad   = 0.55
+	freshShare = 0.7
 	// maxExamined is the number of candidates that a decision examines, besides those with slots of its own and with
 	// savings. It bounds the time of a decision.
 	maxExamined = 40
@@ -104,16 +111,24 @@
 	if savings[endpoints[found[best].index].ID] > 0 {
 		worst = found[best].quality // a warm prefix is worth more than an even load
 	}
-	owned, least := -1, worst
+	owned, least, load, slots := -1, worst, 0.0, 0
+	calmest, calmCost := best, math.Inf(1)
 	for i, c := range found {
 		if !c.full && c.permission == Allowed && c.cost <= limit && c.quality <= worst {
 			least = min(least, c.quality)
 			e := endpoints[c.index]
+			load, slots = load+c.load, slots+e.Slots
+			if cost := c.cost * (1 + costJitter*b.rand.Float64()); cost < calmCost {
+				calmest, calmCost = i, cost
+			}
 			if float64(c.own) < part.slots(c.index)-0.5 && c.load <= float64(e.Slots)+ownSlotSlack && (owned < 0 || c.cost < found[owned].cost) {
 				owned = i
 			}
 		}
 	}
+	if b.kept >= freshShare && load < calmLoad*float64(slots) {
+		return found[calmest], LeastCost
+	}
 	if owned >= 0 {
 		return found[owned], OwnSlot
 	}
@@ -197,12 +212,12 @@
 	if known > 0 {
 		usual = seconds / float64(known)
 	}
-	kept := b.keptShare(usual, now)
+	b.kept = b.keptShare(usual, now)
 	mean := float64(peers) / float64(max(slots, 1))
 	for i := range b.found {
 		c := &b.found[i]
 		e := q.Candidates[c.index]
-		c.load = float64(c.own) + kept*float64(c.peers) + (1-kept)*mean*float64(e.Slots)
+		c.load = float64(c.own) + b.kept*float64(c.peers) + (1-b.kept)*mean*float64(e.Slots)
 		latency := b.presentLatency(e.ID, usual, part.slots(c.index) > 0, now)
 		c.quality = b.quality(e, latency, usual, q.Savings[e.ID], now)
 		if q.Connected != nil && !q.Connected(e.Addr) {
--- a/internal/balance/spread_test.go
+++ b/internal/balance/spread_test.go
@@ -77,6 +77,25 @@
 	}
 }
 
+// Load: calm, with fresh reports. The faster of two endpoints is chosen as with few peers, and an instance whose own
+// slots are at a slow endpoint learns that there is a faster one.
+func TestCalmLoadUsesTheLeastCost(t *testing.T) {
+	b := crowd(12, nil)[0]
+	q := Query{Candidates: numbered(3)}
+	learn(b, "e0", 1200*time.Millisecond)
+	learn(b, "e1", time.Second)
+	learn(b, "e2", time.Second)
+	e, _, ok := b.Pick(q, now)
+	must.True(t, ok)
+	must.NotEq(t, "e0", e.ID) // of which it owns a slot
+	must.Eq(t, LeastCost, b.LastDecision().Rule)
+	b = crowd(12, map[string]Load{"e1": {Running: 1}})[0] // 11 of 12 slots
+	learn(b, "e0", time.Second)
+	_, _, ok = b.Pick(q, now)
+	must.True(t, ok)
+	must.NotEq(t, LeastCost, b.LastDecision().Rule)
+}
+
 // What takes precedence over an even load: a warm prefix, a faster endpoint, one that neither fails nor refuses, one
 // that was not tried and needs no permit.
 func TestPrecedenceOverEvenLoad(t *testing.T) {
@@ -227,8 +246,11 @@
 	b.Pick(q, now)
 	b.Sent("e0", now)
 	must.Eq(t, [3]int64{OwnSlot: 0, FreeSlots: 1}, b.Stats().ByRule)
+	b.LocalLoads(now)
+	must.Eq(t, 0, b.Stats().Overloaded)
+	b.SetPeerReport("i1", Report{Loads: map[string]Load{"e0": {Running: 4}}}, now)
 	for range 2 {
-		b.SetPeerReport("i1", Report{Loads: map[string]Load{"e0": {Running: 4}}}, now)
+		b.LocalLoads(now)
 	}
 	must.Eq(t, 1, b.Stats().Overloaded)
 }
--- a/internal/breaks/list.go
+++ b/internal/breaks/list.go
@@ -270,6 +270,27 @@
 		new:  "for len(q.waiting) > 0 {",
 		test: test{pkg: "internal/admission", run: "^TestWaitingTurnsArePaced$"},
 	},
+	{
+		guarantee: "platform: even load", name: "all instances use the same slots first",
+		file: "internal/balance/spread.go",
+		old:  "from: float64(rank) * width, to: float64(rank+1) * width}",
+		new:  "from: float64(0*rank) * width, to: width}",
+		test: test{pkg: "internal/balance", run: "^TestInstancesUseTheirOwnSlotsFirst$"},
+	},
+	{
+		guarantee: "platform: even load", name: "an endpoint that was slow gets no requests that would show its recovery",
+		file: "internal/balance/speed.go",
+		old:  "if s.latency < stillSlow*s.longTerm {",
+		new:  "if s.latency > 0 {",
+		test: test{pkg: "internal/balance", run: "^TestSpeedFollowsAChange$"},
+	},
+	{
+		guarantee: "platform: even load", name: "a warm prefix gives way to an even load",
+		file: "internal/balance/spread.go",
+		old:  "if savings[endpoints[found[best].index].ID] > 0 {",
+		new:  "if savings[endpoints[found[best].index].ID] > 1 {",
+		test: test{pkg: "internal/balance", run: "^TestPrecedenceOverEvenLoad$"},
+	},
 	{
 		guarantee: "platform: history", name: "records count as safe without copies during a store outage",
 		file: "internal/ledger/copies.go",
--- a/internal/evenload/policy.go
+++ b/internal/evenload/policy.go
@@ -56,12 +56,21 @@
 	g.b.Ended(g.id(endpoint), number, balance.Served, took, epoch.Add(now))
 }
 
+// sharedReport is a report as the balancers of all receivers get it.
+type sharedReport struct {
+	from   string
+	report balance.Report
+}
+
 func (g *gateway) Receive(r Report, now time.Duration) {
-	loads := make(map[string]balance.Load, len(r.Loads))
-	for _, l := range r.Loads {
-		loads[g.id(l.Endpoint)] = balance.Load{Running: l.Running}
+	if r.shared.from == "" {
+		loads := make(map[string]balance.Load, len(r.Loads))
+		for _, l := range r.Loads {
+			loads[g.id(l.Endpoint)] = balance.Load{Running: l.Running}
+		}
+		*r.shared = sharedReport{from: instanceName(r.From), report: balance.Report{Loads: loads}}
 	}
-	g.b.SetPeerReport(instanceName(r.From), balance.Report{Loads: loads}, epoch.Add(now))
+	g.b.SetPeerReport(r.shared.from, r.shared.report, epoch.Add(now))
 }
 
 func instanceName(instance int) string { return fmt.Sprint("i", instance) }
--- a/internal/evenload/sim.go
+++ b/internal/evenload/sim.go
@@ -63,6 +63,8 @@
 	From  int
 	Sent  time.Duration
 	Loads []EndpointLoad
+
+	shared *sharedReport // what receivers derive from it once for all
 }
 
 // EndpointLoad is the number of requests of the sender at an endpoint.
@@ -319,7 +321,7 @@
 }
 
 func (s *simulation) report(from int) {
-	r := Report{From: from, Sent: s.now}
+	r := Report{From: from, Sent: s.now, shared: &sharedReport{}}
 	for e, running := range s.own[from] {
 		if running > 0 {
 			r.Loads = append(r.Loads, EndpointLoad{e, running})
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -79,7 +79,7 @@
 	if limit := q.g.limitOf(e.ID); limit.Limited {
 		log = log.WithField("limit", limit.PerSecond)
 	}
-	if d := e.decision; d.Rule != balance.LeastCost {
+	if d := e.decision; d.Age > 0 {
 		log = log.WithFields(logrus.Fields{"rule": d.Rule.String(), "estimated": math.Round(10*d.Estimated) / 10, "report_age": d.Age.Milliseconds()})
 	}
 	log.WithFields(logrus.Fields{"endpoint": e.ID, "zone": e.Zone, "load": load, "config": q.configVersion, "attempt": q.sends + 1, "age": time.Since(q.start).Milliseconds()}).
