balance: a spread decision examines up to 72 candidates

Cause: with 59 candidates a decision examined a part of them. Change: 56 random candidates instead of 40, and the state of a candidate is looked up once.

--- a/internal/balance/choice.go
+++ b/internal/balance/choice.go
@@ -118,8 +118,12 @@
 // overdue responses, queueing, other zones and backoff. load is the number of requests at the endpoint, usual
 // the mean latency of the candidates, and saved the share of its time that the request saves there.
 func (b *Balancer) cost(e Endpoint, load int, usual, saved float64, now time.Time) float64 {
-	latency := b.latency(e.ID, usual)
-	cost := b.quality(e, latency, usual, saved, now)
+	s := b.endpointState(e.ID)
+	latency := s.latency
+	if latency == 0 {
+		latency = usual
+	}
+	cost := b.quality(&e, s, b.peerLoads[e.ID].overdue, latency, usual, saved, now)
 	cost += latency * concurrencySlowdown * float64(min(load, e.Slots)) / float64(e.Slots)
 	if queued := load + 1 - e.Slots; queued > 0 {
 		cost += latency * queueFactor * float64(queued) / float64(e.Slots)
@@ -127,11 +131,11 @@
 	return cost * (1 + costJitter*b.rand.Float64())
 }
 
-// quality returns the part of the cost that does not depend on the load.
-func (b *Balancer) quality(e Endpoint, latency, usual, saved float64, now time.Time) float64 {
-	s := b.endpointState(e.ID)
+// quality returns the part of the cost that does not depend on the load. overdue is the number of peers with an overdue
+// request.
+func (b *Balancer) quality(e *Endpoint, s *endpointState, overdue int, latency, usual, saved float64, now time.Time) float64 {
 	cost := latency*(1-saved) + failureCost*s.failureRate(now) + s.overdue(usual, now) +
-		peerOverduePenalty*float64(b.peerLoads[e.ID].overdue)
+		peerOverduePenalty*float64(overdue)
 	if e.ColdRemaining > 0 {
 		cost *= coldFactor
 	}
--- a/internal/balance/speed.go
+++ b/internal/balance/speed.go
@@ -80,19 +80,10 @@
 	return sum / float64(n)
 }
 
-// latency returns the expected seconds of a request at an endpoint without queueing.
-func (b *Balancer) latency(id string, usual float64) float64 {
-	if s := b.states[id]; s != nil && s.latency > 0 {
-		return s.latency
-	}
-	return usual
-}
-
-// presentLatency is latency while decisions are spread. With explore, an endpoint that has had no request of this
-// instance for exploreInterval counts as no slower than usual.
-func (b *Balancer) presentLatency(id string, usual float64, explore bool, now time.Time) float64 {
-	s := b.states[id]
-	if s == nil || s.latency == 0 {
+// presentLatency returns the expected seconds of a request without queueing, while decisions are spread. With explore,
+// an endpoint that has had no request of this instance for exploreInterval counts as no slower than usual.
+func (s *endpointState) presentLatency(usual float64, explore bool, now time.Time) float64 {
+	if s.latency == 0 {
 		return usual
 	}
 	seconds := s.seconds(now)
--- a/internal/balance/speed_test.go
+++ b/internal/balance/speed_test.go
@@ -27,8 +27,8 @@
 	for ; at.Before(slowAt.Add(300 * time.Millisecond)); at = at.Add(50 * time.Millisecond) {
 		turn(b, "e0", 250*time.Millisecond, at)
 	}
-	must.Greater(t, similarQuality*0.1, b.presentLatency("e0", 1, false, at))
-	must.Less(t, similarQuality*0.1, b.presentLatency("e0", 1, false, slowAt.Add(2*time.Second)))
+	must.Greater(t, similarQuality*0.1, b.states["e0"].presentLatency(1, false, at))
+	must.Less(t, similarQuality*0.1, b.states["e0"].presentLatency(1, false, slowAt.Add(2*time.Second)))
 }
 
 // One stream that is unusually slow does not keep requests off its endpoint.
@@ -41,7 +41,7 @@
 	}
 	number := b.Sent("e0", at)
 	b.Ended("e0", number, Served, 3*time.Second, at)
-	must.Less(t, similarQuality*0.1, b.presentLatency("e0", 1, false, at))
+	must.Less(t, similarQuality*0.1, b.states["e0"].presentLatency(1, false, at))
 }
 
 // An endpoint that stays slow is tried less and less often, and one that has had no request for exploreInterval gets
@@ -54,7 +54,7 @@
 	}
 	tries := 0
 	for ; at.Before(now.Add(30 * time.Second)); at = at.Add(100 * time.Millisecond) {
-		if b.presentLatency("e0", 0.1, false, at) < similarQuality*0.1 {
+		if b.states["e0"].presentLatency(0.1, false, at) < similarQuality*0.1 {
 			tries++
 			for range 6 { // until it counts as slow again
 				turn(b, "e0", 300*time.Millisecond, at)
@@ -66,10 +66,10 @@
 		turn(b, "e0", 300*time.Millisecond, at)
 		at = at.Add(100 * time.Millisecond)
 	}
-	must.Greater(t, 0.2, b.presentLatency("e0", 0.1, true, at.Add(exploreInterval/2)))
+	must.Greater(t, 0.2, b.states["e0"].presentLatency(0.1, true, at.Add(exploreInterval/2)))
 	at = at.Add(exploreInterval)
-	must.Eq(t, 0.1, b.presentLatency("e0", 0.1, true, at))
-	must.Greater(t, 0.2, b.presentLatency("e0", 0.1, false, at)) // not an owner
+	must.Eq(t, 0.1, b.states["e0"].presentLatency(0.1, true, at))
+	must.Greater(t, 0.2, b.states["e0"].presentLatency(0.1, false, at)) // not an owner
 	b.Sent("e0", at)
-	must.Greater(t, 0.2, b.presentLatency("e0", 0.1, true, at))
+	must.Greater(t, 0.2, b.states["e0"].presentLatency(0.1, true, at))
 }
--- a/internal/balance/spread.go
+++ b/internal/balance/spread.go
@@ -41,7 +41,7 @@
 	freshShare = 0.7
 	// maxExamined is the number of candidates that a decision examines, besides those with slots of its own and with
 	// savings. It bounds the time of a decision.
-	maxExamined = 40
+	maxExamined = 56
 	// maxOwnExamined bounds the candidates with slots of its own that a decision examines.
 	maxOwnExamined = 16
 )
@@ -49,6 +49,8 @@
 // candidate is an endpoint that a spread decision examines.
 type candidate struct {
 	index      int // in Query.Candidates
+	state      *endpointState
+	reports    peerLoad
 	permission Permission
 	full       bool // has reached Query.MaxLoad
 	own, peers int  // reported requests
@@ -190,10 +192,8 @@
 			return
 		}
 	}
-	if s := b.states[e.ID]; s != nil {
-		c.own = s.running
-	}
-	c.peers = b.peerLoads[e.ID].running
+	c.state, c.reports = b.endpointState(e.ID), b.peerLoads[e.ID]
+	c.own, c.peers = c.state.running, c.reports.running
 	c.full = q.MaxLoad > 0 && float64(c.own+c.peers) >= q.MaxLoad*float64(e.Slots)
 	b.found = append(b.found, c)
 }
@@ -204,8 +204,8 @@
 	for _, c := range b.found {
 		e := &q.Candidates[c.index]
 		peers, slots = peers+c.peers, slots+e.Slots
-		if s := b.states[e.ID]; s != nil && s.latency > 0 {
-			known, seconds = known+1, seconds+s.latency
+		if c.state.latency > 0 {
+			known, seconds = known+1, seconds+c.state.latency
 		}
 	}
 	usual := defaultSeconds
@@ -216,10 +216,14 @@
 	mean := float64(peers) / float64(max(slots, 1))
 	for i := range b.found {
 		c := &b.found[i]
-		e := q.Candidates[c.index]
+		e := &q.Candidates[c.index]
 		c.load = float64(c.own) + b.kept*float64(c.peers) + (1-b.kept)*mean*float64(e.Slots)
-		latency := b.presentLatency(e.ID, usual, part.slots(c.index) > 0, now)
-		c.quality = b.quality(e, latency, usual, q.Savings[e.ID], now)
+		latency := c.state.presentLatency(usual, part.slots(c.index) > 0, now)
+		saved := 0.0
+		if len(q.Savings) > 0 {
+			saved = q.Savings[e.ID]
+		}
+		c.quality = b.quality(e, c.state, c.reports.overdue, latency, usual, saved, now)
 		if q.Connected != nil && !q.Connected(e.Addr) {
 			c.quality += usual * dialPenalty
 		}
