balance: a spread decision looks at all candidates if the examined ones are full

Cause: found by reading. With more than 72 candidates and MaxLoad, Pick returned false when the examined ones were full, although another one had room; a caller would have been refused without need. An endpoint without slots could be chosen. Change: the decision then looks at all candidates; endpoints without slots get nothing, as with the least cost.

--- a/internal/balance/choice.go
+++ b/internal/balance/choice.go
@@ -61,8 +61,8 @@
 	Denied             // not now, and no permit can be asked for
 )
 
-// Pick returns the endpoint that is expected to finish the request first, and the number of requests at
-// that endpoint. It returns false when all candidates have been tried, may not get a request now or, with MaxLoad, are
+// Pick returns the endpoint that is expected to finish the request first, or with many peers one of those that are about
+// as good (see spread.go), and the number of requests at that endpoint by the reports. It returns false when all candidates have been tried, may not get a request now or, with MaxLoad, are
 // loaded or far slower than the best one.
 func (b *Balancer) Pick(q Query, now time.Time) (Endpoint, int, bool) {
 	b.expirePeers(now)
--- a/internal/balance/spread.go
+++ b/internal/balance/spread.go
@@ -44,6 +44,8 @@
 	maxExamined = 56
 	// maxOwnExamined bounds the candidates with slots of its own that a decision examines.
 	maxOwnExamined = 16
+	// maxAllExamined is the number of candidates up to which a decision examines all.
+	maxAllExamined = maxExamined + maxOwnExamined
 )
 
 // candidate is an endpoint that a spread decision examines.
@@ -53,7 +55,7 @@
 	reports    peerLoad
 	permission Permission
 	full       bool // has reached Query.MaxLoad
-	own, peers int  // reported requests
+	own, peers int  // requests of this instance, and reported ones
 	load       float64
 	quality    float64 // cost without load, in seconds
 	cost       float64
@@ -68,25 +70,12 @@
 // pickSpread is Pick for many peers.
 func (b *Balancer) pickSpread(q Query, now time.Time) (Endpoint, int, bool) {
 	part := b.ownership(q.Candidates, now)
-	found := b.examine(q, part, now)
-	if len(found) == 0 {
-		return Endpoint{}, 0, false
-	}
-	best, ask, leastCost := -1, -1, math.Inf(1)
-	for i := range found {
-		c := &found[i]
-		if c.permission == Allowed {
-			leastCost = min(leastCost, c.cost)
-		}
-		switch {
-		case c.full:
-		case c.permission == Askable:
-			if ask < 0 || c.cost < found[ask].cost {
-				ask = i
-			}
-		case best < 0 || c.cost < found[best].cost:
-			best = i
-		}
+	found := b.examine(q, part, false, now)
+	best, ask, leastCost := leastCosts(found)
+	if best < 0 && len(q.Candidates) > maxAllExamined {
+		// The examined candidates are full or closed to the request; others may not be.
+		found = b.examine(q, part, true, now)
+		best, ask, leastCost = leastCosts(found)
 	}
 	if ask >= 0 && (best < 0 || found[ask].cost < found[best].cost) && q.Ask != nil {
 		q.Ask(q.Candidates[found[ask].index].ID)
@@ -107,6 +96,28 @@
 	return e, c.own + c.peers, true
 }
 
+// leastCosts returns the candidate of least cost that may get the request and the one that a permit can be asked for,
+// or -1, and the least cost of all that need no permit.
+func leastCosts(found []candidate) (best, ask int, leastCost float64) {
+	best, ask, leastCost = -1, -1, math.Inf(1)
+	for i := range found {
+		c := &found[i]
+		if c.permission == Allowed {
+			leastCost = min(leastCost, c.cost)
+		}
+		switch {
+		case c.full:
+		case c.permission == Askable:
+			if ask < 0 || c.cost < found[ask].cost {
+				ask = i
+			}
+		case best < 0 || c.cost < found[best].cost:
+			best = i
+		}
+	}
+	return best, ask, leastCost
+}
+
 // chooseAmong chooses among the candidates that are about as good as the one with the least cost.
 func (b *Balancer) chooseAmong(endpoints []Endpoint, savings map[string]float64, found []candidate, best int, limit float64, part share) (candidate, Rule) {
 	worst := similarQuality * found[best].quality
@@ -152,9 +163,10 @@
 }
 
 // examine returns the candidates that the decision considers. The result is valid until the next call.
-func (b *Balancer) examine(q Query, part share, now time.Time) []candidate {
+func (b *Balancer) examine(q Query, part share, all bool, now time.Time) []candidate {
 	b.found = b.found[:0]
-	if n := len(q.Candidates); n <= maxExamined+maxOwnExamined {
+	n := len(q.Candidates)
+	if all || n <= maxAllExamined {
 		for i := range n {
 			b.addCandidate(q, i, now)
 		}
@@ -170,11 +182,6 @@
 		for range maxExamined {
 			b.addCandidate(q, b.rand.IntN(n), now)
 		}
-		if len(b.found) == 0 { // few of them are open to the request
-			for i := range n {
-				b.addCandidate(q, i, now)
-			}
-		}
 	}
 	b.estimate(q, part, now)
 	return b.found
@@ -183,7 +190,7 @@
 // addCandidate adds a candidate that may get the request.
 func (b *Balancer) addCandidate(q Query, i int, now time.Time) {
 	e := &q.Candidates[i]
-	if len(q.Tried) > 0 && q.Tried[e.ID] {
+	if e.Slots <= 0 || len(q.Tried) > 0 && q.Tried[e.ID] {
 		return
 	}
 	c := candidate{index: i}
--- a/internal/balance/spread_test.go
+++ b/internal/balance/spread_test.go
@@ -176,7 +176,17 @@
 	q.Permission = allowOnly("")
 	_, _, ok = b.Pick(q, now)
 	must.False(t, ok)
-	q.Permission, q.Savings = nil, map[string]float64{"endpoint-700": 0.5}
+	q.Permission, q.MaxLoad = nil, 1
+	for _, e := range q.Candidates { // one of them has room
+		for range 6 {
+			if e.ID != "endpoint-650" {
+				b.Sent(e.ID, now)
+			}
+		}
+	}
+	must.Eq(t, map[string]int{"endpoint-650": 20}, counts(b, q, 20))
+	b, q = fleet(740, 410)
+	q.Savings = map[string]float64{"endpoint-700": 0.5}
 	must.Eq(t, map[string]int{"endpoint-700": 20}, counts(b, q, 20))
 }
 
@@ -225,7 +235,7 @@
 	b.Sent("e1", now)
 	loads := func(at time.Time) (float64, float64) {
 		q := Query{Candidates: numbered(2)}
-		found := b.examine(q, b.ownership(q.Candidates, at), at)
+		found := b.examine(q, b.ownership(q.Candidates, at), false, at)
 		return found[0].load, found[1].load
 	}
 	fresh0, fresh1 := loads(now)
