--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -43,6 +43,7 @@
 	metrics       int
 	peerKey       string
 	peerAdvertise string
+	spreadLoad    bool
 }
 
 func gatewayCommand(stdio standardStreams) *ffcli.Command {
@@ -53,6 +54,7 @@
 	fs.IntVar(&o.metrics, "metrics-port", metricsPort, "port of the metrics")
 	fs.StringVar(&o.peerKey, "peer-key", "", "pre-shared key of the instances; by default derived from the store's address")
 	fs.StringVar(&o.peerAdvertise, "peer-advertise", "", "address and port at which peers reach this instance, if another one than it listens at")
+	fs.BoolVar(&o.spreadLoad, "spread-load", false, "with 8 peers or more, spread the choice of endpoints instead of always taking the least cost")
 	return &ffcli.Command{
 		Name:       "gateway",
 		ShortUsage: "ragwortstile gateway [flags]",
@@ -110,6 +112,7 @@
 	if err != nil {
 		return usagef("metrics address: %w", err)
 	}
+	s.SpreadLoad = o.spreadLoad
 	s.MetricsAddr = net.JoinHostPort(host, strconv.Itoa(o.metrics))
 	if o.peerAdvertise != "" {
 		if _, _, err := net.SplitHostPort(o.peerAdvertise); err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -112,6 +112,9 @@
 		storeDep: &dependency{name: "store", log: log},
 	}
 	g.quotas = newQuotas(g)
+	if s.SpreadLoad {
+		g.balancer.SetInstance(s.Instance)
+	}
 	g.graceOver, g.endGrace = context.WithCancel(context.Background())
 	g.pool.Observe((*linkObserver)(g))
 	keys, err := peer.NewKeyring(s.PeerKey)
@@ -453,7 +456,7 @@
 		} else {
 			h.relays.Recovered(r.Session)
 		}
-		h.balancer.SetPeerReport(r.Session.Instance(), balance.Report{Loads: loads, Turns: balance.Turns{Waiting: m.Waiting, Begun: m.Begun}}, time.Now())
+		h.balancer.SetPeerReport(r.Session.Instance(), balance.Report{Zone: r.Zone, Loads: loads, Turns: balance.Turns{Waiting: m.Waiting, Begun: m.Begun}}, time.Now())
 		(*Gateway)(h).learnTeams(r.Session.Instance(), m, time.Now())
 		h.mu.Unlock()
 		for _, limit := range m.Limits {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -22,6 +22,9 @@
 
 	MemoryBytes int64 // memory that the process may use
 
+	// SpreadLoad spreads the choice of endpoints where many instances choose at the same time; see balance.Balancer.
+	SpreadLoad bool
+
 	DialEndpoint upstream.DialFunc // opens connections to endpoints; nil: over TCP
 
 	StopGrace            time.Duration // from the stop signal to the end of the process
