gateway: bodies, responses and connections of callers are bounded by the account and by max_fds

Callers that never complete a request held as much memory and as many connections as they liked: 40 unfinished bodies of 4 MB took 183 MB on a machine with 88 MB.

- A body takes memory for what has arrived: one slice up to 64 KB, then chunks, which are joined at the end.
It waits 500 ms for memory, then its request is refused with 503.
An announced body over the limit gets 413 without being read.
- A body ends with the time of its request, or when it is below 4 KB/s on average after 10 s (503).
A refused caller gets its status at once; its body is read on for at most 1 s and 1 MB, so that a reset doesn't destroy the response.
- Responses, events and texts of turns are in the account.
A caller that reads less than 4 KB of its response in 20 s is given up; one that reads slowly gets all of it.
- Connections are bounded by limits.max_fds and by the memory (one per 64 KB).
At the bound, a silent connection is closed for a new one, then an idle one; otherwise the new one is refused.
Heads are charged as they arrive.

--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"ragwortstile/internal/memory"
 )
 
 // maxRouteSeries bounds the routes with metric series of their own; all others share one label.
@@ -32,6 +34,16 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("ragwortstile_requests_total{route=%q,status=\"%d\",reason=%q}", route, status, reason)).Inc()
 }
 
+// slowCaller counts a caller that was given up. part is what it was too slow with.
+func (c *instanceMetrics) slowCaller(part string) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("ragwortstile_slow_callers_total{part=%q}", part)).Inc()
+}
+
+// connectionRefused counts a connection of a caller that was closed to keep a bound.
+func (c *instanceMetrics) connectionRefused(reason string) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("ragwortstile_connections_closed_total{reason=%q}", reason)).Inc()
+}
+
 // handler serves the metrics in the Prometheus text format.
 func (c *instanceMetrics) handler(g *Gateway) http.Handler {
 	mux := http.NewServeMux()
@@ -42,8 +54,8 @@
 		limited := g.limits.Count()
 		quarantined := g.quarantine.Quarantined(time.Now())
 		g.mu.Unlock()
-		var memory runtime.MemStats
-		runtime.ReadMemStats(&memory)
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
 		cutOff := 0.0
 		if off, _ := g.cutOff(); off {
 			cutOff = 1
@@ -65,12 +77,17 @@
 			{"quarantined_requests", float64(quarantined)},
 			{"cut_off_from_endpoints", cutOff},
 			{"endpoint_connections_total", float64(g.pool.Dials())},
-			{"heap_bytes", float64(memory.HeapInuse)},
-			{"memory_bytes", float64(memory.Sys)},
+			{"heap_bytes", float64(stats.HeapInuse)},
+			{"memory_bytes", float64(stats.Sys)},
 			{"goroutines", float64(runtime.NumGoroutine())},
+			{"caller_connections", float64(g.callers.count())},
+			{"grants_waiting", float64(g.account.WaitCount())},
 		} {
 			fmt.Fprintf(w, "ragwortstile_%s %g\n", gauge.name, gauge.value)
 		}
+		for _, k := range memory.AllKinds() {
+			fmt.Fprintf(w, "ragwortstile_held_bytes{holder=%q} %d\n", k, g.account.Held(k))
+		}
 	})
 	return mux
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"ragwortstile/internal/balance"
 	"ragwortstile/internal/id"
 	"ragwortstile/internal/ledger"
+	"ragwortstile/internal/memory"
 	"ragwortstile/internal/peer"
 	"ragwortstile/internal/quarantine"
 	"ragwortstile/internal/ratelimit"
@@ -66,6 +67,8 @@
 	ledger    *ledger.Ledger
 	node      *peer.Node
 	pool      *upstream.Pool
+	account   *memory.Account // of the bytes that requests hold
+	callers   *callers
 	responses *responseBuffers
 	prefixes  *prefixCache
 	affinity  *affinity
@@ -102,12 +105,15 @@
 func New(s Settings, protocol Protocol, topics Topics, store Store, log logrus.FieldLogger, nonce string) (*Gateway, error) {
 	g := &Gateway{
 		settings: s, protocol: protocol, log: log, startedAt: time.Now(),
-		pool: upstream.NewPool(s.DialEndpoint), responses: newResponseBuffers(s.MemoryBytes), prefixes: newPrefixCache(), affinity: newAffinity(), metrics: newInstanceMetrics(),
+		pool: upstream.NewPool(s.DialEndpoint), prefixes: newPrefixCache(), affinity: newAffinity(), metrics: newInstanceMetrics(),
 		balancer: balance.New(s.Zone, uint64(time.Now().UnixNano())), limits: ratelimit.NewLimits(), permits: ratelimit.NewPermits(), issuer: ratelimit.NewIssuer(), ownIssuer: ratelimit.NewIssuer(),
 		newLimits: make(map[string]bool), crashChecks: make(map[string]*crashCheck), quarantine: quarantine.NewList(), admission: newAdmissionQueues(),
 		links: reach.NewTracker(), relays: reach.NewPeers(s.Zone),
 		storeDep: &dependency{name: "store", log: log},
 	}
+	g.account = memory.NewAccount(accountBytes(s.MemoryBytes, maxCallerConns(s.MemoryBytes, s.MaxFDs)))
+	g.callers = newCallers(s, g.account, g.metrics, log)
+	g.responses = newResponseBuffers(s.MemoryBytes, g.account)
 	g.graceOver, g.endGrace = context.WithCancel(context.Background())
 	g.pool.Observe((*linkObserver)(g))
 	keys, err := peer.NewKeyring(s.PeerKey)
@@ -170,10 +176,10 @@
 	}()
 	front := &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: nil,
+		ConnState: g.callers.connState, ConnContext: g.callers.connContext, ErrorLog: nil,
 	}
 	failed := make(chan error, 3)
-	serve(front, listeners[0], failed)
+	serve(front, callerListener{Listener: listeners[0], callers: g.callers}, failed)
 	serve(&http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout}, listeners[1], failed)
 	serve(&http.Server{Handler: g.metrics.handler(g), ReadHeaderTimeout: headerTimeout}, listeners[3], failed)
 	select {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"ragwortstile/internal/memory"
 	"ragwortstile/internal/quarantine"
 	"ragwortstile/internal/routing"
 	"ragwortstile/internal/team"
@@ -60,6 +61,7 @@
 	configVersion int64
 	limits        routing.Limits
 	body          []byte
+	grant         *memory.Grant // of the memory of the body; nil if there is none
 	start         time.Time
 	deadline      time.Time // the earlier of the caller's timeout and the route's
 	log           logrus.FieldLogger
@@ -79,6 +81,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
+	headRead(r.Context())
 	if g.stopping.Load() || g.ledger.Isolated() {
 		w.Header().Set("Connection", "close")
 	}
@@ -87,6 +90,7 @@
 	if q.meta.Program != "" {
 		q.log = q.log.WithField("program", q.meta.Program)
 	}
+	defer q.release()
 	for _, stage := range []func() *rejection{q.identify, q.hold, q.checkStop, q.checkQuarantine} {
 		if rejected := stage(); rejected != nil {
 			q.reject(rejected)
@@ -105,6 +109,7 @@
 	status     int
 	reason     string
 	retryAfter time.Duration // of 503
+	unread     bool          // the body has not been read to its end
 }
 
 // unavailable returns a rejection with status 503, which promises that the request never runs.
@@ -121,7 +126,19 @@
 }
 
 // reject responds with a rejection.
-func (q *request) reject(r *rejection) { q.refuseFor(r.status, r.reason, r.retryAfter) }
+func (q *request) reject(r *rejection) {
+	if !r.unread {
+		if q.grant == nil && q.r.ContentLength != 0 {
+			q.boundUnreadBody()
+		}
+		q.refuseFor(r.status, r.reason, r.retryAfter)
+		return
+	}
+	q.release()
+	q.w.Header().Set("Connection", "close")
+	q.refuseFor(r.status, r.reason, r.retryAfter)
+	q.linger()
+}
 
 // refuse responds with a status that this instance generates itself. 503 promises the caller that the request
 // has not been executed and never will be.
--- a/internal/gateway/responses.go
+++ b/internal/gateway/responses.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
 	"sync/atomic"
+	"time"
+
+	"ragwortstile/internal/memory"
 )
 
 const (
@@ -23,37 +25,56 @@
 )
 
 // responseBuffers reads response bodies into memory. The bodies over freeResponseBytes share a limit, so that
-// endpoints that send without end cannot exhaust the memory of the instance together. It is safe for concurrent
-// use.
+// endpoints that send without end cannot exhaust the memory of the instance together. All bodies are in the account of
+// the instance, but only the larger ones are refused: the request has been executed, and its response is small. It is
+// safe for concurrent use.
 type responseBuffers struct {
-	limit int64
-	used  atomic.Int64
+	limit   int64
+	account *memory.Account
+	used    atomic.Int64
 }
 
-func newResponseBuffers(memoryBytes int64) *responseBuffers {
-	return &responseBuffers{limit: memoryBytes / responseMemoryFraction}
+func newResponseBuffers(memoryBytes int64, account *memory.Account) *responseBuffers {
+	return &responseBuffers{limit: memoryBytes / responseMemoryFraction, account: account}
 }
 
 // read reads a body to its end. release must be called when the body is no longer used.
 func (b *responseBuffers) read(body io.Reader) (data []byte, release func(), err error) {
-	var buf bytes.Buffer
-	reserved := int64(0)
-	release = func() { b.used.Add(-reserved) }
-	for chunk := int64(freeResponseBytes); ; chunk = int64(buf.Len()) {
-		n, err := buf.ReadFrom(io.LimitReader(body, chunk))
+	grant := b.account.Open(memory.Responses, time.Now(), nil)
+	shared := int64(0)
+	release = func() {
+		grant.Release()
+		b.used.Add(-shared)
+		shared = 0
+	}
+	buf := &heldBuffer{grant: grant}
+	buf.grow = func(n int64) error {
+		if buf.len() < freeResponseBytes {
+			grant.Force(n)
+			return nil
+		}
+		shared += n
+		if b.used.Add(n) > b.limit || !grant.Try(n) {
+			return errResponseMemory
+		}
+		return nil
+	}
+	defer buf.free()
+	for {
+		space, err := buf.space()
+		if err != nil {
+			return nil, release, err
+		}
+		n, err := body.Read(space)
+		buf.wrote(n)
 		switch {
+		case buf.len() > maxResponseBytes:
+			return nil, release, errResponseTooLarge
+		case err == io.EOF:
+			data, err = buf.bytes()
+			return data, release, err
 		case err != nil:
 			return nil, release, err
-		case n < chunk:
-			return buf.Bytes(), release, nil
-		case buf.Len() > maxResponseBytes:
-			return nil, release, errResponseTooLarge
-		}
-		// Growing to twice the size takes the old and the new buffer for a moment.
-		more := 3*int64(buf.Len()) - reserved
-		reserved += more
-		if b.used.Add(more) > b.limit {
-			return nil, release, errResponseMemory
 		}
 	}
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -19,6 +19,7 @@
 	PeerKey       []byte   // pre-shared key that instances authenticate each other with
 
 	MemoryBytes int64 // memory that the process may use
+	MaxFDs      int   // file descriptors that the process may have open; 0 if there is no limit
 
 	DialEndpoint upstream.DialFunc // opens connections to endpoints; nil: over TCP
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -17,6 +16,7 @@
 	"ragwortstile/internal/balance"
 	"ragwortstile/internal/history"
 	"ragwortstile/internal/ledger"
+	"ragwortstile/internal/memory"
 	"ragwortstile/internal/resume"
 	"ragwortstile/internal/upstream"
 )
@@ -49,6 +49,8 @@
 	outlastGrace   func() bool // lets the turn go on to the very end of a stop; see untilGraceOver
 	begun          bool        // an earlier turn of the program was served
 	slot           *slot
+	texts          *memory.Grant // of the texts before this turn and of its output
+	unread         *memory.Grant // of the event that the caller is being sent
 }
 
 // serveStream serves a request whose response is forwarded event by event. The request is sent to a second
@@ -57,6 +59,10 @@
 	t := &turn{request: q, tokensPerEvent: 1, progress: resume.New(resume.Policy{
 		Resumable: q.route.Resumable, MaxAttempts: q.route.MaxAttempts, TargetGap: q.route.TargetGap,
 	}, q.meta.LastEvent)}
+	t.texts = q.g.account.Open(memory.Histories, q.start, nil)
+	defer t.texts.Release()
+	t.unread = q.g.account.Open(memory.Responses, q.start, nil)
+	defer t.unread.Release()
 	service := q.pickService()
 	if table := q.g.view.table.Load(); table != nil {
 		if s := table.Services[service]; s.Engine != nil {
@@ -166,6 +172,7 @@
 		if !known {
 			t.prefix = permit.Body
 		}
+		t.texts.Force(int64(len(t.prefix)))
 		t.begun = t.begun || permit.Begun
 		return true
 	case errors.Is(err, ledger.ErrUnknownTurn):
@@ -227,6 +234,8 @@
 	body := q.body
 	if len(t.prefix) > 0 {
 		body = append(t.prefix[:len(t.prefix):len(t.prefix)], q.body...)
+		t.texts.Force(int64(cap(body)))
+		defer t.texts.Shrink(int64(cap(body)))
 	}
 	resp, reply, err := q.send(ctx, e, body, t.progress.LastID())
 	if err != nil {
@@ -357,7 +366,7 @@
 		return
 	}
 	defer c.Close()
-	tcp, ok := c.(*net.TCPConn)
+	tcp, ok := c.(interface{ SetLinger(int) error })
 	if !ok {
 		return
 	}
@@ -440,13 +449,18 @@
 		if len(t.body)+len(t.output)+len(e.data) >= t.g.ledger.MaxTurnBytes() {
 			return errTooLong
 		}
+		before := cap(t.output)
 		t.output = append(append(t.output, e.data...), '\n')
+		t.texts.Force(int64(cap(t.output) - before))
 	}
 	return t.write(e.raw)
 }
 
 // write writes to the caller at once.
 func (t *turn) write(data []byte) error {
+	n := int64(cap(data))
+	t.unread.Force(n)
+	defer t.unread.Shrink(n)
 	if _, err := t.w.Write(data); err != nil {
 		return err
 	}
