gateway: slow heads make room for others

Heads that arrive slowly could use up the quarter of the account that heads share, or all connections, for the 5 s of ReadHeaderTimeout; meanwhile no other request was read. When that memory is short, the connections whose heads have been arriving for the longest time, and for at least a second, are closed. At the bound of the connections, one whose head takes more than 3 s (header_timeout_ms of callers inside the limits) is closed after silent and idle ones. A test and a break for it.

--- a/internal/breaks/list.go
+++ b/internal/breaks/list.go
@@ -466,6 +466,13 @@
 		new:  "",
 		test: test{pkg: "internal/gateway", run: "^FuzzRequests$"},
 	},
+	{
+		guarantee: "platform: memory", name: "slow heads keep the memory of heads",
+		file: "internal/gateway/callers.go",
+		old:  " && !c.callers.evictHeads(c, need)",
+		new:  "",
+		test: test{pkg: "internal/gateway", run: "^TestSlowHeadsMakeRoom$"},
+	},
 	{
 		guarantee: "platform: memory", name: "connections of callers have no bound",
 		file: "internal/gateway/callers.go",
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -29,6 +29,10 @@
 	// headCopies is the number of times that a head is in memory while it is parsed.
 	headCopies = 2
 
+	// slowHeadTime is the time after which the head of a request may be given up for a new connection. Callers inside
+	// the limits send it within header_timeout_ms.
+	slowHeadTime = 3 * time.Second
+
 	// writeStallTime is how long a caller may take to read minWriteBytes, or the rest, of what is written to it. It is
 	// longer than the pause of a caller whose link is cut for several seconds and whose packets are then sent again.
 	writeStallTime = 20 * time.Second
@@ -148,11 +152,12 @@
 }
 
 // mostIdle returns the connection to close first: one that has never sent anything, otherwise one that is kept alive,
-// the one that has been silent for the longest time. The caller holds the lock.
+// otherwise one whose head takes longer than slowHeadTime. Among several it is the one that has been so for the longest
+// time. The caller holds the lock.
 func (c *callers) mostIdle() *callerConn {
 	var best *callerConn
 	for conn := range c.conns {
-		if conn.phase > phaseIdle {
+		if conn.phase == phaseRequest || conn.phase == phaseHead && time.Since(conn.since) < slowHeadTime {
 			continue
 		}
 		if best == nil || conn.phase < best.phase || conn.phase == best.phase && conn.since.Before(best.since) {
@@ -162,6 +167,32 @@
 	return best
 }
 
+// evictHeads closes the connections whose heads have been arriving for the longest time, and for at least
+// memory.StallTime, until need bytes are free for the head on another connection. It reports whether they are granted.
+func (c *callers) evictHeads(arriving *callerConn, need int64) bool {
+	for {
+		var oldest *callerConn
+		c.mu.Lock()
+		for conn := range c.conns {
+			if conn != arriving && conn.phase == phaseHead && time.Since(conn.since) >= memory.StallTime && (oldest == nil || conn.since.Before(oldest.since)) {
+				oldest = conn
+			}
+		}
+		c.mu.Unlock()
+		if oldest == nil {
+			return false
+		}
+		c.metrics.connectionRefused("slow_head")
+		c.log.WithField("remote", oldest.RemoteAddr().String()).Info("connection closed: its head arrives slowly and memory is short")
+		if err := oldest.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+			c.log.WithField("reason", err.Error()).Info("caller's connection not closed")
+		}
+		if arriving.head.Try(need) {
+			return true
+		}
+	}
+}
+
 // connState follows the states of the server.
 func (c *callers) connState(conn net.Conn, state http.ConnState) {
 	caller, ok := conn.(*callerConn)
@@ -240,7 +271,7 @@
 	if first {
 		need += headBytes
 	}
-	if !c.head.Try(need) {
+	if !c.head.Try(need) && !c.callers.evictHeads(c, need) {
 		c.callers.metrics.connectionRefused("head_memory")
 		c.callers.log.WithField("bytes", need).Info("connection closed: no memory for the head of a request")
 		return 0, errHeadMemory
--- a/internal/gateway/callers_test.go
+++ b/internal/gateway/callers_test.go
@@ -344,6 +344,29 @@
 	})
 }
 
+// Guards against heads that arrive slowly and use up the memory of heads, so that nobody else's request is read.
+func TestSlowHeadsMakeRoom(t *testing.T) {
+	h := newHolder(t, Settings{MemoryBytes: 8 << 20}) // heads get 256 KB
+	addr := h.listen(t)
+	for range 7 {
+		c := dial(t, addr)
+		_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nA: "+strings.Repeat("x", 14<<10))
+		must.NoError(t, err)
+	}
+	for h.held() < 7*headCopies*14<<10 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(memory.StallTime)
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	req, err := http.NewRequest(http.MethodPost, "http://"+addr, strings.NewReader("x"))
+	must.NoError(t, err)
+	req.Header.Set("A", strings.Repeat("x", 14<<10))
+	resp, err := client.Do(req)
+	must.NoError(t, err)
+	must.NoError(t, resp.Body.Close())
+	must.Eq(t, http.StatusOK, resp.StatusCode)
+}
+
 // slowConn is a connection on which each write ends at its deadline, after some bytes.
 type slowConn struct {
 	net.Conn
