--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -29,6 +29,9 @@
 	reserveFraction = 8
 	// headsFraction is the fraction of the total that request heads may use.
 	headsFraction = 4
+	// historiesFraction is the fraction of the total beyond which histories leave no less for others. They are counted
+	// only when their requests have been admitted, and many of them must not refuse all bodies.
+	historiesFraction = 2
 )
 
 // Kind is what a grant is for.
@@ -130,7 +133,8 @@
 	if g.kind != Responses && g.held+n > SmallBytes {
 		limit -= a.reserve
 	}
-	return a.sum+n <= limit && (g.kind != Heads || a.used[Heads]+n <= a.heads)
+	taken := a.sum - max(a.used[Histories]-a.total/historiesFraction, 0)
+	return taken+n <= limit && (g.kind != Heads || a.used[Heads]+n <= a.heads)
 }
 
 func (a *Account) add(g *Grant, n int64) {
