gateway, memory: bodies that fall silent are given up; one bound for all waits of a request

With 40 bodies that stopped a byte short, seven full ones were still held 20 s later: a minimum rate on average lets a body that has arrived quickly be silent for minutes. A body is now given up after 20 s without a byte as well. The others got a chunk every 500 ms in turn and held each other up, so that it took 12 s until the last was refused; the waits of a request now have 500 ms together.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -18,8 +18,9 @@
 	// grows. A body takes memory for what has arrived, whatever its caller announced.
 	firstBufferBytes = 4 << 10
 	chunkBytes       = 64 << 10
-	// memoryWait is how long a request waits for memory before it is refused. Bodies in progress end, or are given up,
-	// in that time.
+	// memoryWait is how long a request waits for memory, in all its steps together, before it is refused. Bodies in
+	// progress end, or are given up, in that time. Without a bound on the sum, bodies that get a chunk at a time hold
+	// each other up.
 	memoryWait = 500 * time.Millisecond
 	// lingerTime and lingerBytes bound what is read of a body after its request was refused. Closing a connection with
 	// unread bytes resets it, and the caller could lose the response.
@@ -151,12 +152,13 @@
 // readBody reads the body as long as its caller makes progress.
 func (q *request) readBody(body *heldBuffer, limit int64, control *http.ResponseController) *rejection {
 	begun := time.Now()
+	last := begun
 	for {
 		space, err := body.space()
 		if err != nil {
 			return q.noMemory()
 		}
-		slowAt := memory.SlowAt(begun, body.len())
+		slowAt := memory.SlowAt(begun, last, body.len())
 		if q.deadline.Before(slowAt) {
 			slowAt = q.deadline
 		}
@@ -169,7 +171,8 @@
 		n, err := q.r.Body.Read(space)
 		body.wrote(n)
 		if n > 0 {
-			q.grant.Progress(int64(n), time.Now())
+			last = time.Now()
+			q.grant.Progress(int64(n), last)
 		}
 		switch {
 		case body.len() > limit:
@@ -203,7 +206,9 @@
 	if wait == nil {
 		return nil
 	}
-	timer := time.NewTimer(min(memoryWait, time.Until(q.deadline)))
+	begun := time.Now()
+	defer func() { q.memoryWaited += time.Since(begun) }()
+	timer := time.NewTimer(min(memoryWait-q.memoryWaited, time.Until(q.deadline)))
 	defer timer.Stop()
 	select {
 	case <-wait.Granted():
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -62,6 +62,7 @@
 	limits        routing.Limits
 	body          []byte
 	grant         *memory.Grant // of the memory of the body; nil if there is none
+	memoryWaited  time.Duration // for the memory of the body
 	start         time.Time
 	deadline      time.Time // the earlier of the caller's timeout and the route's
 	log           logrus.FieldLogger
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -20,6 +20,9 @@
 	// MinBytesPerSecond is the rate of a body, on average since its begin and after Grace, below which its caller is
 	// given up. A link of 1 Mbit/s carries 30 times as much.
 	MinBytesPerSecond = 4 << 10
+	// SilenceTime is how long a body may bring nothing at all. It is longer than Grace, since a caller whose link was cut for
+	// several seconds sends again only some time after that.
+	SilenceTime = 20 * time.Second
 	// StallTime is the time without progress after which a grant may be revoked when memory is short.
 	StallTime = time.Second
 	// SmallBytes is the size up to which a grant may use the reserved share.
@@ -55,9 +58,14 @@
 // AllKinds returns all kinds.
 func AllKinds() []Kind { return []Kind{Heads, Reading, Waiting, Responses, Histories} }
 
-// SlowAt returns the time at which a body counts as too slow unless more of it arrives.
-func SlowAt(begun time.Time, received int64) time.Time {
-	return begun.Add(Grace + time.Duration(received)*time.Second/MinBytesPerSecond)
+// SlowAt returns the time at which a body counts as too slow unless more of it arrives. last is the time of the last
+// progress.
+func SlowAt(begun, last time.Time, received int64) time.Time {
+	slow, silent := begun.Add(Grace+time.Duration(received)*time.Second/MinBytesPerSecond), last.Add(SilenceTime)
+	if silent.Before(slow) {
+		return silent
+	}
+	return slow
 }
 
 // Account grants bytes up to a total. It is safe for concurrent use.
--- a/internal/memory/account_test.go
+++ b/internal/memory/account_test.go
@@ -88,11 +88,14 @@
 
 // Guards against a minimum rate that callers inside the limits can miss.
 func TestSlowestCallerInsideTheLimits(t *testing.T) {
-	must.Eq(t, start.Add(Grace), SlowAt(start, 0))
+	must.Eq(t, start.Add(Grace), SlowAt(start, start, 0))
+	must.Eq(t, start.Add(SilenceTime), SlowAt(start, start, 4<<20)) // whatever has arrived before
 	const oneMbit = 1_000_000 / 8
 	for _, size := range []int64{1, 4 << 10, 1 << 20, 4 << 20} { // a pause of 8 s at any time of the transfer
-		took := 8*time.Second + time.Duration(size)*time.Second/oneMbit
-		must.True(t, start.Add(took).Before(SlowAt(start, size-1)))
+		const pause = 8 * time.Second
+		sent := start.Add(time.Duration(size) * time.Second / oneMbit)
+		must.True(t, sent.Add(pause).Before(SlowAt(start, sent, size-1)))
+		must.True(t, start.Add(pause).Before(SlowAt(start, start, 0)))
 	}
 }
 
