--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"ragwortstile/internal/balance"
+	"ragwortstile/internal/memory"
 )
 
 // maxRouteSeries bounds the routes with metric series of their own; all others share one label.
@@ -35,6 +36,16 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("ragwortstile_requests_total{route=%q,status=\"%d\",reason=%q}", route, status, reason)).Inc()
 }
 
+// slowCaller counts a caller that was given up. part is what it was too slow with.
+func (c *instanceMetrics) slowCaller(part string) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("ragwortstile_slow_callers_total{part=%q}", part)).Inc()
+}
+
+// connectionRefused counts a connection of a caller that was closed to keep a bound.
+func (c *instanceMetrics) connectionRefused(reason string) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("ragwortstile_connections_closed_total{reason=%q}", reason)).Inc()
+}
+
 // handler serves the metrics in the Prometheus text format.
 func (c *instanceMetrics) handler(g *Gateway) http.Handler {
 	mux := http.NewServeMux()
@@ -47,8 +58,8 @@
 		quarantined := g.quarantine.Quarantined(time.Now())
 		decisions := g.balancer.Stats()
 		g.mu.Unlock()
-		var memory runtime.MemStats
-		runtime.ReadMemStats(&memory)
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
 		cutOff := 0.0
 		if off, _ := g.cutOff(); off {
 			cutOff = 1
@@ -75,9 +86,11 @@
 			{"endpoints_overloaded_total", float64(decisions.Overloaded)},
 			{"load_report_age_seconds", decisions.Age.Seconds()},
 			{"endpoint_connections_total", float64(g.pool.Dials())},
-			{"heap_bytes", float64(memory.HeapInuse)},
-			{"memory_bytes", float64(memory.Sys)},
+			{"heap_bytes", float64(stats.HeapInuse)},
+			{"memory_bytes", float64(stats.Sys)},
 			{"goroutines", float64(runtime.NumGoroutine())},
+			{"caller_connections", float64(g.callers.count())},
+			{"grants_waiting", float64(g.account.WaitCount())},
 		} {
 			fmt.Fprintf(w, "ragwortstile_%s %g\n", gauge.name, gauge.value)
 		}
@@ -87,6 +100,9 @@
 		for rule, n := range decisions.ByRule {
 			fmt.Fprintf(w, "ragwortstile_endpoint_decisions_total{rule=%q} %d\n", balance.Rule(rule), n)
 		}
+		for _, k := range memory.AllKinds() {
+			fmt.Fprintf(w, "ragwortstile_held_bytes{holder=%q} %d\n", k, g.account.Held(k))
+		}
 	})
 	return mux
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"ragwortstile/internal/memory"
 	"ragwortstile/internal/quarantine"
 	"ragwortstile/internal/routing"
 	"ragwortstile/internal/team"
@@ -67,6 +68,8 @@
 	configVersion int64
 	limits        routing.Limits
 	body          []byte
+	grant         *memory.Grant // of the memory of the body; nil if there is none
+	memoryWaited  time.Duration // for the memory of the body
 	start         time.Time
 	deadline      time.Time // the earlier of the caller's timeout and the route's
 	log           logrus.FieldLogger
@@ -99,6 +102,7 @@
 	g, w := q.g, q.w
 	g.active.Add(1)
 	defer g.active.Add(-1)
+	headRead(q.r.Context())
 	if g.stopping.Load() || g.ledger.Isolated() {
 		w.Header().Set("Connection", "close")
 	}
@@ -106,6 +110,7 @@
 	if q.meta.Program != "" {
 		q.log = q.log.WithField("program", q.meta.Program)
 	}
+	defer q.release()
 	defer q.releaseUnit()
 	for _, stage := range []func() *rejection{q.identify, q.hold, q.checkStop, q.checkQuarantine, q.admitQuota} {
 		if rejected := stage(); rejected != nil {
@@ -125,6 +130,7 @@
 	status     int
 	reason     string
 	retryAfter time.Duration // of 429 and 503
+	unread     bool          // the body has not been read to its end
 }
 
 // unavailable returns a rejection with status 503, which promises that the request never runs.
@@ -141,7 +147,19 @@
 }
 
 // reject responds with a rejection.
-func (q *request) reject(r *rejection) { q.refuseFor(r.status, r.reason, r.retryAfter) }
+func (q *request) reject(r *rejection) {
+	if !r.unread {
+		if q.grant == nil && q.r.ContentLength != 0 {
+			q.boundUnreadBody()
+		}
+		q.refuseFor(r.status, r.reason, r.retryAfter)
+		return
+	}
+	q.release()
+	q.w.Header().Set("Connection", "close")
+	q.refuseFor(r.status, r.reason, r.retryAfter)
+	q.linger()
+}
 
 // refuse responds with a status that this instance generates itself. 503 promises the caller that the request
 // has not been executed and never will be.
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -21,6 +21,7 @@
 	PeerKey       []byte   // pre-shared key that instances authenticate each other with
 
 	MemoryBytes int64 // memory that the process may use
+	MaxFDs      int   // file descriptors that the process may have open; 0 if there is no limit
 
 	// SpreadLoad spreads the choice of endpoints where many instances choose at the same time; see balance.Balancer.
 	SpreadLoad bool
