--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -60,8 +60,6 @@
 	kept       float64             // keptShare of the present decision
 	decision   Decision            // the last one
 	stats      Stats
-
-	leastCostOnly bool
 }
 
 // New returns a Balancer for an instance in an availability zone.
@@ -72,9 +70,6 @@
 	}
 }
 
-// SetLeastCostOnly sets whether the endpoint of least cost is chosen regardless of the number of peers.
-func (b *Balancer) SetLeastCostOnly(only bool) { b.leastCostOnly = only }
-
 func (b *Balancer) endpointState(id string) *endpointState {
 	s := b.states[id]
 	if s == nil {
--- a/internal/balance/choice.go
+++ b/internal/balance/choice.go
@@ -123,22 +123,32 @@
 	if latency == 0 {
 		latency = usual
 	}
-	cost := b.quality(&e, s, b.peerLoads[e.ID].overdue, latency, usual, saved, now)
+	cost := s.expected(&e, b.peerLoads[e.ID].overdue, latency, usual, saved, now)
 	cost += latency * concurrencySlowdown * float64(min(load, e.Slots)) / float64(e.Slots)
 	if queued := load + 1 - e.Slots; queued > 0 {
 		cost += latency * queueFactor * float64(queued) / float64(e.Slots)
 	}
-	return cost * (1 + costJitter*b.rand.Float64())
+	return b.withDetours(cost, &e, s, usual, now) * (1 + costJitter*b.rand.Float64())
 }
 
 // quality returns the part of the cost that does not depend on the load. overdue is the number of peers with an overdue
 // request.
 func (b *Balancer) quality(e *Endpoint, s *endpointState, overdue int, latency, usual, saved float64, now time.Time) float64 {
+	return b.withDetours(s.expected(e, overdue, latency, usual, saved, now), e, s, usual, now)
+}
+
+// expected returns the expected time at an endpoint without load, with the penalties for failures and overdue responses.
+func (s *endpointState) expected(e *Endpoint, overdue int, latency, usual, saved float64, now time.Time) float64 {
 	cost := latency*(1-saved) + failureCost*s.failureRate(now) + s.overdue(usual, now) +
 		peerOverduePenalty*float64(overdue)
 	if e.ColdRemaining > 0 {
 		cost *= coldFactor
 	}
+	return cost
+}
+
+// withDetours adds the penalties for other zones and backoff to a cost.
+func (b *Balancer) withDetours(cost float64, e *Endpoint, s *endpointState, usual float64, now time.Time) float64 {
 	if e.Zone != b.zone {
 		cost += usual * crossZonePenalty
 	}
--- a/internal/balance/peers.go
+++ b/internal/balance/peers.go
@@ -38,25 +38,37 @@
 func (b *Balancer) SetInstance(name string) { b.membership.name = name }
 
 func (m *membership) saw(name, zone string, now time.Time) {
+	if m.name == "" {
+		return // decisions are never spread
+	}
 	if m.members == nil {
 		m.members = make(map[string]member)
 	}
+	if _, known := m.members[name]; !known {
+		m.expire(now) // with few peers rank is not called
+	}
 	m.members[name] = member{zone: zone, seen: now}
 }
 
+// expire drops the members that have sent no report for memberTTL.
+func (m *membership) expire(now time.Time) {
+	for name, other := range m.members {
+		if now.Sub(other.seen) >= memberTTL {
+			delete(m.members, name)
+		}
+	}
+}
+
 // rank returns how many instances come before this one in the order of zone and name, and their total number.
 func (b *Balancer) rank(now time.Time) (rank, count int) {
 	m := &b.membership
 	if m.count > 0 && now.Sub(m.ranked) < rankInterval {
 		return m.rank, m.count
 	}
+	m.expire(now)
 	m.rank, m.count, m.ranked = 0, 1, now
 	for name, other := range m.members {
-		switch {
-		case now.Sub(other.seen) >= memberTTL:
-			delete(m.members, name)
-			continue
-		case other.zone < b.zone || other.zone == b.zone && name < m.name:
+		if other.zone < b.zone || other.zone == b.zone && name < m.name {
 			m.rank++
 		}
 		m.count++
--- a/internal/balance/speed.go
+++ b/internal/balance/speed.go
@@ -52,7 +52,8 @@
 	} else if now.Sub(s.sampled) >= s.memory/2 {
 		s.memory = min(2*s.memory, maxSlowMemory)
 	}
-	s.longTerm += (1 - math.Exp(-now.Sub(s.sampled).Seconds()/longTermTime.Seconds())) * (sample - s.longTerm)
+	// The weight is bounded so that one unusually short request after a pause does not make the endpoint fast.
+	s.longTerm += min(smoothing, 1-math.Exp(-now.Sub(s.sampled).Seconds()/longTermTime.Seconds())) * (sample - s.longTerm)
 	s.latency = estimate + smoothing*(bounded-estimate)
 	s.sampled = now
 }
--- a/internal/balance/speed_test.go
+++ b/internal/balance/speed_test.go
@@ -73,3 +73,16 @@
 	b.Sent("e0", at)
 	must.Greater(t, 0.2, b.states["e0"].presentLatency(0.1, true, at))
 }
+
+// One unusually short request after a pause does not make an endpoint seem far faster.
+func TestOneShortRequestDoesNotMislead(t *testing.T) {
+	b := crowd(12, nil)[0]
+	at := now
+	for range 40 {
+		turn(b, "e0", time.Second, at)
+		at = at.Add(50 * time.Millisecond)
+	}
+	at = at.Add(15 * time.Second)
+	b.Ended("e0", b.Sent("e0", at), Served, 100*time.Millisecond, at)
+	must.Greater(t, 0.8, b.states["e0"].presentLatency(1, false, at.Add(2*time.Second)))
+}
--- a/internal/balance/spread.go
+++ b/internal/balance/spread.go
@@ -64,7 +64,7 @@
 // spreading reports whether there are so many peers that decisions are spread. Without a name the instance does not
 // know which slots it owns.
 func (b *Balancer) spreading() bool {
-	return b.membership.name != "" && len(b.peers) >= spreadPeers && !b.leastCostOnly
+	return b.membership.name != "" && len(b.peers) >= spreadPeers
 }
 
 // pickSpread is Pick for many peers.
@@ -72,8 +72,9 @@
 	part := b.ownership(q.Candidates, now)
 	found := b.examine(q, part, false, now)
 	best, ask, leastCost := leastCosts(found)
-	if best < 0 && len(q.Candidates) > maxAllExamined {
-		// The examined candidates are full or closed to the request; others may not be.
+	bounded := q.MaxLoad > 0 && !q.AnySpeed
+	if len(q.Candidates) > maxAllExamined && (best < 0 || bounded && found[best].cost > maxCostRatio*leastCost) {
+		// The examined candidates are full, closed to the request or too slow; others may not be.
 		found = b.examine(q, part, true, now)
 		best, ask, leastCost = leastCosts(found)
 	}
@@ -84,7 +85,7 @@
 		return Endpoint{}, 0, false
 	}
 	limit := math.Inf(1)
-	if q.MaxLoad > 0 && !q.AnySpeed {
+	if bounded {
 		limit = maxCostRatio * leastCost
 	}
 	if found[best].cost > limit {
--- a/internal/balance/spread_test.go
+++ b/internal/balance/spread_test.go
@@ -70,7 +70,9 @@
 
 // With few peers, or without a name, the endpoint of least cost is chosen as before.
 func TestFewPeersUseTheLeastCost(t *testing.T) {
-	for _, b := range []*Balancer{crowd(spreadPeers, nil)[0], New("z", 1)} {
+	unnamed := crowd(12, nil)[0]
+	unnamed.SetInstance("")
+	for _, b := range []*Balancer{crowd(spreadPeers, nil)[0], unnamed} {
 		_, _, ok := b.Pick(Query{Candidates: numbered(3)}, now)
 		must.True(t, ok)
 		must.Eq(t, LeastCost, b.LastDecision().Rule)
@@ -264,3 +266,35 @@
 	}
 	must.Eq(t, 1, b.Stats().Overloaded)
 }
+
+// Names of peers are not kept after memberTTL: restarted instances have new names, and with few peers, or while
+// decisions are never spread, the rank is not computed.
+func TestMembersAreBounded(t *testing.T) {
+	for _, name := range []string{"", "i0"} {
+		b := New("z", 1)
+		b.SetInstance(name)
+		for i := range 100 {
+			b.SetPeerReport(fmt.Sprint("p", i), Report{}, now.Add(time.Duration(i)*time.Second))
+		}
+		must.LessEq(t, 4, len(b.membership.members))
+	}
+}
+
+// Load: most fast endpoints are full, and one that a decision rarely examines at first has room.
+func TestFastEndpointIsFoundAmongMany(t *testing.T) {
+	b, q := fleet(740, 410)
+	q.MaxLoad = 1
+	for i, e := range q.Candidates {
+		seconds := 0.5
+		if i%10 == 0 {
+			seconds = 0.05
+		}
+		b.endpointState(e.ID).speed = speed{latency: seconds, longTerm: seconds, sampled: now, memory: slowMemory}
+		if i%10 == 0 && i != 650 {
+			for range 6 {
+				b.Sent(e.ID, now)
+			}
+		}
+	}
+	must.Eq(t, map[string]int{"endpoint-650": 20}, counts(b, q, 20))
+}
--- a/internal/evenload/policy.go
+++ b/internal/evenload/policy.go
@@ -32,7 +32,7 @@
 // LeastCost returns the policy that the gateway uses with few peers.
 func LeastCost(s Scenario, instance int) Policy {
 	g := Gateway(s, instance).(*gateway)
-	g.b.SetLeastCostOnly(true)
+	g.b.SetInstance("") // without a name decisions are not spread
 	return g
 }
 
