--- a/internal/admission/share.go
+++ b/internal/admission/share.go
@@ -453,8 +453,7 @@
 	below := standing.Share / standing.Attained
 	perSecond := below * below * standing.Share / s.programService() / float64(a.peers.reporters+1)
 	if now.Sub(a.paced) >= paceMemory {
-		// A team that begins less often than once in paceMemory here is allowed what that time gives it.
-		a.allowed = min(1-s.rand.ExpFloat64()+paceMemory.Seconds()*perSecond, 1)
+		a.allowed = 1 - s.rand.ExpFloat64()
 	} else {
 		a.allowed = min(a.allowed+now.Sub(a.paced).Seconds()*perSecond, 1)
 	}
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -156,12 +156,17 @@
 // time. The caller holds the lock.
 func (c *callers) mostIdle() *callerConn {
 	var best *callerConn
+	var bestRank phase
 	for conn := range c.conns {
 		if conn.phase == phaseRequest || conn.phase == phaseHead && time.Since(conn.since) < slowHeadTime {
 			continue
 		}
-		if best == nil || conn.phase < best.phase || conn.phase == best.phase && conn.since.Before(best.since) {
-			best = conn
+		rank := conn.phase
+		if rank == phaseSilent && time.Since(conn.since) < slowHeadTime {
+			rank = phaseRequest // its request may be on the way
+		}
+		if best == nil || rank < bestRank || rank == bestRank && conn.since.Before(best.since) {
+			best, bestRank = conn, rank
 		}
 	}
 	return best
@@ -219,6 +224,7 @@
 func headRead(ctx context.Context) {
 	if conn, ok := ctx.Value(callerKey{}).(*callerConn); ok {
 		conn.set(phaseRequest)
+		conn.head.Keep(memory.Waiting)
 	}
 }
 
@@ -269,12 +275,13 @@
 	}
 	need := int64(n) * headCopies
 	if first {
+		c.head.Keep(memory.Heads)
 		need += headBytes
 	}
-	if !c.head.Try(need) && !c.callers.evictHeads(c, need) {
+	if !c.head.Try(need) && !c.callers.evictHeads(c, need) && !c.waitForHead(need) {
 		c.callers.metrics.connectionRefused("head_memory")
 		c.callers.log.WithField("bytes", need).Info("connection closed: no memory for the head of a request")
-		return 0, errHeadMemory
+		return 0, &net.OpError{Op: "read", Err: errHeadMemory} // the server answers other errors with status 400
 	}
 	return n, err
 }
@@ -328,3 +335,17 @@
 	}
 	return errors.ErrUnsupported
 }
+
+// waitForHead revokes bodies without progress and waits for their bytes for a moment.
+func (c *callerConn) waitForHead(need int64) bool {
+	wait := c.head.Grow(need, time.Now())
+	if wait == nil {
+		return true
+	}
+	select {
+	case <-wait.Granted():
+		return true
+	case <-time.After(memoryWait):
+		return !c.callers.account.Cancel(wait)
+	}
+}
--- a/internal/gateway/quota_test.go
+++ b/internal/gateway/quota_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -76,8 +77,10 @@
 	})
 }
 
+// freeAddr returns an address with a port that is free at the time of the call, on a loopback address of this test process
+// alone: on 127.0.0.1 any connection of another process may take the port before the instance listens there.
 func freeAddr(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.2:0", 1+os.Getpid()>>8&0x7f, os.Getpid()&0xff))
 	must.NoError(t, err)
 	defer l.Close()
 	return l.Addr().String()
--- a/internal/gateway/responses.go
+++ b/internal/gateway/responses.go
@@ -54,9 +54,10 @@
 			return nil
 		}
 		shared += n
-		if b.used.Add(n) > b.limit || !grant.Try(n) {
+		if b.used.Add(n) > b.limit {
 			return errResponseMemory
 		}
+		grant.Force(n) // bounded by the limit; unfinished bodies must not fail a request that has run
 		return nil
 	}
 	defer buf.free()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -173,7 +173,11 @@
 		if !known {
 			t.prefix = permit.Body
 		}
-		t.texts.Force(int64(len(t.prefix)))
+		if !t.texts.Try(2 * int64(len(t.prefix))) { // also for the copy that is sent
+			t.reportEnd()
+			q.reject(unavailable(reasonNoMemory, memoryRetryAfter))
+			return false
+		}
 		t.begun = t.begun || permit.Begun
 		return true
 	case (errors.Is(err, ledger.ErrUnknownTurn) || errors.Is(err, ledger.ErrOverBudget)) && !q.ownerProven():
@@ -238,8 +242,6 @@
 	body := q.body
 	if len(t.prefix) > 0 {
 		body = append(t.prefix[:len(t.prefix):len(t.prefix)], q.body...)
-		t.texts.Force(int64(cap(body)))
-		defer t.texts.Shrink(int64(cap(body)))
 	}
 	resp, reply, err := q.send(ctx, e, body, t.progress.LastID())
 	if err != nil {
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -16,12 +16,12 @@
 const (
 	// Grace is how long a body may take whatever its rate. It covers the pauses of a caller whose packets are lost or
 	// whose link is cut for some seconds.
-	Grace = 10 * time.Second
+	Grace = SilenceTime
 	// MinBytesPerSecond is the rate of a body, on average since its begin and after Grace, below which its caller is
 	// given up. A link of 1 Mbit/s carries 30 times as much.
 	MinBytesPerSecond = 4 << 10
-	// SilenceTime is how long a body may bring nothing at all. It is longer than Grace, since a caller whose link was cut for
-	// several seconds sends again only some time after that.
+	// SilenceTime is how long a body may bring nothing at all. A caller whose link was cut for several seconds sends again
+	// only some time after that: TCP tries after 6.2 s and then after 12.6 s.
 	SilenceTime = 20 * time.Second
 	// StallTime is the time without progress after which a grant may be revoked when memory is short.
 	StallTime = time.Second
@@ -32,8 +32,8 @@
 	reserveFraction = 8
 	// headsFraction is the fraction of the total that request heads may use.
 	headsFraction = 4
-	// historiesFraction is the fraction of the total beyond which histories leave no less for others. They are counted
-	// only when their requests have been admitted, and many of them must not refuse all bodies.
+	// historiesFraction is the fraction of the total that histories may use, and beyond which they leave no less for others:
+	// many of them must not refuse all bodies.
 	historiesFraction = 2
 )
 
@@ -109,6 +109,7 @@
 	begun      time.Time
 	progressAt time.Time
 	progress   int64
+	recent     int64 // bytes since progressAt
 	revoke     func()
 	revoked    bool
 }
@@ -137,6 +138,9 @@
 
 // fits reports whether a grant may have n more bytes. The caller holds the lock.
 func (a *Account) fits(g *Grant, n int64) bool {
+	if g.kind == Histories && a.used[Histories]+n > a.total/historiesFraction {
+		return false
+	}
 	limit := a.total
 	if g.kind != Responses && g.held+n > SmallBytes {
 		limit -= a.reserve
@@ -244,7 +248,11 @@
 	g.a.mu.Lock()
 	defer g.a.mu.Unlock()
 	g.progress += n
-	g.progressAt = now
+	// Single bytes are no progress, or a body that trickles would never count as stalled.
+	g.recent += n
+	if g.recent >= int64(MinBytesPerSecond*StallTime/time.Second) {
+		g.recent, g.progressAt = 0, now
+	}
 }
 
 // Shrink returns n bytes.
--- a/internal/memory/account_test.go
+++ b/internal/memory/account_test.go
@@ -56,7 +56,8 @@
 	slow.Progress(1, start)
 	fast.Progress(1<<18, start)
 	now := start.Add(2 * StallTime)
-	moving.Progress(1, now)
+	slow.Progress(1, now) // a byte at a time is no progress
+	moving.Progress(MinBytesPerSecond, now)
 
 	late := a.Open(Reading, now, func() {})
 	w := late.Grow(1<<18, now)
