review: case 6, turns are refused because another program's turn crashed servers

Cause: a turn is identified by its path and new input, without its caller and its conversation, so that others who say the same are quarantined with it. Change: a script in which one program's turn crashes three servers and eight other programs go on with the same words later.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Kills one instance after programs were told several times that their budget is spent.
+# Lets servers crash with a turn of one program; other programs say the same in their own conversations later.
 # Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 for program in target/ragwortstile target/review-standins-2; do
@@ -8,4 +8,4 @@
     exit 2
   fi
 done
-exec target/review-standins-2 return review/6
+exec target/review-standins-2 input review/6
--- a/review/standins2/caller.go
+++ b/review/standins2/caller.go
@@ -40,6 +40,8 @@
 	turns  atomic.Int64
 	mu     sync.Mutex
 	tokens int // of all events that were handed out, in all attempts
+	// continued holds the IDs of the attempts at turns that continue another one.
+	continued []string
 }
 
 // turn is what a program asks of a turn.
@@ -117,6 +119,9 @@
 	}
 	if t.previous != "" {
 		req.Header.Set(header("Previous-Turn"), t.previous)
+		a.mu.Lock()
+		a.continued = append(a.continued, r.id)
+		a.mu.Unlock()
 	}
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: connectTimeout}).DialContext}}
 	a.printf("%s: %s sends %s to %s, at most %d tokens, previous turn %q", a.id, name, r.id, in.name, t.maxTokens, t.previous)
--- a/review/standins2/main.go
+++ b/review/standins2/main.go
@@ -35,7 +35,7 @@
 	"outage":   outageCase,
 	"return":   returnCase,
 	"shared":   sharedPathCase,
-	"release":  releaseCase,
+	"input":    sameInputCase,
 }
 
 func main() {
