review: the records of the second review name what servers ran

Cause: the records had what callers sent and got, but not all that servers ran. Change: the stand-ins write each request that a server runs, and case 8 each one that callers send.

--- a/review/standins2/cluster.go
+++ b/review/standins2/cluster.go
@@ -125,6 +125,9 @@
 	return c, nil
 }
 
+// backgroundProgram begins the IDs of programs that are not recorded.
+const backgroundProgram = "background"
+
 // metricsPort is the fixed port of the metrics of a process.
 const metricsPort = 9464
 
@@ -246,6 +249,9 @@
 		started := make(chan struct{})
 		e, closeEndpoint := platformtest.ServeEndpoint(fmt.Sprintf("i-%s-%d", service, i), func(r platformtest.Run) platformtest.Behaviour {
 			<-started
+			if program := r.Header.Get(header("Program-Id")); !strings.HasPrefix(program, backgroundProgram) {
+				c.t.printf("server %s runs %s of %s", e.ID, r.ID, program)
+			}
 			return behave(e, r)
 		})
 		close(started)
--- a/review/standins2/deadly.go
+++ b/review/standins2/deadly.go
@@ -143,9 +143,6 @@
 		}
 		var after time.Duration
 		status, after = l.sendOnce(l.c.instances[(in+try)%len(l.c.instances)], what, left)
-		if what == l.deadly || status != http.StatusOK {
-			l.c.t.printf("%s gets %d for %s, Retry-After %s", what.program, status, what.path, after)
-		}
 		if status == http.StatusOK {
 			break
 		}
@@ -155,6 +152,9 @@
 }
 
 func (l *looks) sendOnce(in *instance, what look, left time.Duration) (status int, after time.Duration) {
+	id := nextID()
+	l.c.t.printf("%s sends %s to %s, path %s", what.program, id, in.name, what.path)
+	defer func() { l.c.t.printf("%s gets %d to %s, Retry-After %s", what.program, status, id, after) }()
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+in.front+what.path, nil)
@@ -162,7 +162,7 @@
 		panic(err) // the address is the case's own
 	}
 	req.Host = hostname
-	req.Header.Set(header("Request-Id"), nextID())
+	req.Header.Set(header("Request-Id"), id)
 	req.Header.Set(header("Program-Id"), what.program)
 	req.Header.Set(header("Session-Id"), what.program)
 	req.Header.Set(header("Deadline-Ms"), strconv.FormatInt(left.Milliseconds(), 10))
--- a/review/standins2/return.go
+++ b/review/standins2/return.go
@@ -93,7 +93,7 @@
 				return
 			case <-tick.C:
 			}
-			a := &agent{c: c, id: "other" + nextID(), budget: 100 * tokensPerEvent, quiet: true}
+			a := &agent{c: c, id: backgroundProgram + nextID(), budget: 100 * tokensPerEvent, quiet: true}
 			wg.Go(func() { a.run(a.id, turn{maxTokens: tokensPerEvent, hint: tokensPerEvent, input: "other;"}) })
 		}
 	})
