review: the case of the restart behind slow links is case 6

It becomes the first of the five: after it nothing is served any more.

The cases of overruns in an outage and by rounding give way to cases 6 and 7; their plays stay in review/standins2.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,3 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 go build -o target/review-standins-2 ./review/standins2
+go build -o target/review-standins-3 ./review/standins3
--- a/review/standins3/main.go
+++ b/review/standins3/main.go
@@ -22,7 +22,7 @@
 )
 
 func main() {
-	cases := map[string]func(*record, string, bool) (bool, error){"reload": reload, "survivors": survivors, "overrun": overrun}
+	cases := map[string]func(*record, string, bool) (bool, error){"reload": reload, "survivors": survivors}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standins3 CASE FOLDER")
 		os.Exit(exitNotRun)
