--- a/review/standins3/main.go
+++ b/review/standins3/main.go
@@ -43,9 +43,11 @@
 	}
 	if os.Getenv("KEEP") == "" {
 		defer os.RemoveAll(dir)
+	} else {
+		fmt.Println("logs in", dir) // not in the record, which names no path of a machine
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
-	rec.say("case with the disruption: %v, logs in %s", trouble, dir)
+	rec.say("case with the disruption: %v", trouble)
 	go endOnSignal()
 	broken, err := run(rec, dir, trouble)
 	switch {
