ledger: report claims of partitions that make no progress

A claim that keeps failing now writes one line every 2 s with the call that fails, its error and the offset that it has reached, and history_partitions_served counts the partitions that are claimed and loaded.

--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -74,6 +74,7 @@
 		}{
 			{"active_requests", float64(g.active.Load())},
 			{"history_partitions", float64(parts)},
+			{"history_partitions_served", float64(g.ledger.ServedCount())},
 			{"history_turns", float64(turns)},
 			{"configuration_version", float64(version)},
 			{"configuration_age_seconds", g.view.configAge().Seconds()},
--- a/internal/ledger/claim.go
+++ b/internal/ledger/claim.go
@@ -18,12 +18,22 @@
 func (ld *leader) claim(ctx context.Context) error {
 	start := time.Now()
 	from, records, used := int64(0), 0, int64(0)
+	reported := start
+	pause := func(call string, err error) error {
+		if now := time.Now(); now.Sub(reported) >= claimReportInterval {
+			reported = now
+			ld.logger.WithFields(logrus.Fields{
+				"name": call, "reason": err.Error(), "count": records, "offset": from, "took": now.Sub(start).Milliseconds(),
+			}).Warn("partition not claimed yet")
+		}
+		return ld.pause(ctx, call, err)
+	}
 	for tries := 0; ; {
 		end, n, err := ld.load(ctx, from)
 		records += n
 		from = end
 		if err != nil {
-			if err := ld.pause(ctx, "read", err); err != nil {
+			if err := pause("read", err); err != nil {
 				return err
 			}
 			continue
@@ -44,7 +54,7 @@
 			}
 			used = ld.epoch
 		default:
-			if err := ld.pause(ctx, "claim", err); err != nil {
+			if err := pause("claim", err); err != nil {
 				return err
 			}
 		}
@@ -56,6 +66,10 @@
 	return nil
 }
 
+// claimReportInterval is the time between log lines about a claim that fails repeatedly. Their offset tells whether its
+// reads get further.
+const claimReportInterval = 2 * time.Second
+
 // maxEpochTries limits the epochs that a claim tries. Each restart of an instance within a generation uses one.
 const maxEpochTries = 16
 
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -201,7 +201,19 @@
 	}
 }
 
-// HeldCounts returns the number of partitions that this instance holds, and the number of turns in them.
+// ServedCount returns the number of partitions that this instance has claimed and serves.
+func (l *Ledger) ServedCount() int {
+	served := 0
+	for _, ld := range l.allLeaders() {
+		if ld.isServing() {
+			served++
+		}
+	}
+	return served
+}
+
+// HeldCounts returns the number of partitions that this instance holds or is about to claim, and the number of turns in
+// them.
 func (l *Ledger) HeldCounts() (parts, turns int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
