ledger: load partitions over a slow link

Cause: a claim read its partition with calls of up to 1 MB that had to end within 1 s, and an instance read all of its partitions at once. Eight reads of 1 MB share 2.75 MB/s and take 3 s. Each was given up at 1 s, what it had brought was thrown away, and the next one began at the same offset. The group and its generation did not change, and no append of a claim was tried, which rules out lost memberships and fencing.

Neither the link nor the size of the history is assumed anywhere.

--- a/internal/ledger/leader.go
+++ b/internal/ledger/leader.go
@@ -35,8 +35,6 @@
 	lateCopyWindow    = 3 * time.Second
 	protectInterval   = 10 * time.Millisecond
 	protectRetryDelay = 100 * time.Millisecond
-	// maxReadBytes limits the size of a single read of a claim.
-	maxReadBytes = 1 << 20
 	// smoothing is the weight of the newest sample in an exponential moving average.
 	smoothing = 0.2
 	// trimInterval is the time between deletions of expired records from the store.
@@ -75,6 +73,7 @@
 	storeLog        store.Log
 	logger          logrus.FieldLogger
 	onResult        func(err error) // called with the result of each append
+	loads           chan struct{}   // of the instance: holds an element for each partition that is being loaded
 	// protect keeps records outside the partition while the store does not accept them. It returns the records
 	// that are safe.
 	protect func(ctx context.Context, ld *leader, entries []*entry) (safe []*entry)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -90,6 +90,7 @@
 	ttl    time.Duration
 	copies *copies
 	health storeHealth
+	loads  chan struct{} // holds an element for each partition that is being loaded
 
 	mu              sync.Mutex
 	leaders         map[int]*leader
@@ -113,7 +114,7 @@
 // New returns a Ledger that joins the group once Serve runs.
 func New(cfg Config) *Ledger {
 	l := &Ledger{
-		cfg: cfg, ttl: cfg.MinTTL, copies: newCopies(),
+		cfg: cfg, ttl: cfg.MinTTL, copies: newCopies(), loads: make(chan struct{}, maxLoads),
 		leaders: make(map[int]*leader), holders: make(map[int]string), claims: make(map[int]int64),
 		stoppingPeers:  make(map[string]id.Session),
 		refreshHolders: make(chan struct{}, 1), rejoin: make(chan struct{}, 1), stop: make(chan struct{}, 1), stopDecided: make(chan struct{}),
--- a/internal/store/progress.go
+++ b/internal/store/progress.go
@@ -2,37 +2,32 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 )
 
-type progressKey struct{}
+// ErrStalled means that nothing of a response has arrived for the time set by WithMaxStall.
+var ErrStalled = errors.New("response stalled")
 
-// WithProgress returns a context whose operations call f whenever a part of their response has arrived. An
-// implementation whose responses arrive at once need not call it.
-func WithProgress(ctx context.Context, f func()) context.Context {
-	return context.WithValue(ctx, progressKey{}, f)
-}
+type progressKey struct{}
 
-// Progress returns the function that WithProgress has set, or one that does nothing.
-func Progress(ctx context.Context) func() {
+// Progress returns a function that an implementation calls whenever a part of a response has arrived. An implementation
+// whose responses arrive at once need not call it.
+func Progress(ctx context.Context) (arrived func()) {
 	if f, ok := ctx.Value(progressKey{}).(func()); ok {
 		return f
 	}
 	return func() {}
 }
 
-// WithMaxStall returns a context that ends once no part of the response of an operation has arrived for limit. The
-// caller must call cancel once the operation has ended.
-func WithMaxStall(ctx context.Context, limit time.Duration) (stallCtx context.Context, cancel context.CancelFunc) {
-	ctx, cancel = context.WithCancel(ctx)
-	watch := time.AfterFunc(limit, cancel)
-	ctx = WithProgress(ctx, func() {
-		if ctx.Err() == nil {
-			watch.Reset(limit)
-		}
-	})
+// WithMaxStall returns a context that ends with the cause ErrStalled once no part of the response of an operation has
+// arrived for limit. cancel must be called when the operation has returned.
+func WithMaxStall(parent context.Context, limit time.Duration) (ctx context.Context, cancel context.CancelFunc) {
+	ctx, end := context.WithCancelCause(parent)
+	watch := time.AfterFunc(limit, func() { end(ErrStalled) })
+	ctx = context.WithValue(ctx, progressKey{}, func() { watch.Reset(limit) })
 	return ctx, func() {
 		watch.Stop()
-		cancel()
+		end(nil)
 	}
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -104,7 +104,8 @@
 	// Append appends all records of the request or none, and returns the offset after the last one.
 	Append(ctx context.Context, a AppendRequest) (end int64, err error)
 	// Read returns records from an offset on. If there is none yet, it waits for one, but no longer than
-	// wait.
+	// wait. If the response is cut short, also by the end of ctx, Read returns the records that have arrived whole, and
+	// fails only if there are none.
 	Read(ctx context.Context, p Partition, from int64, maxBytes int, wait time.Duration) (Batch, error)
 	// Trim deletes the records before the given offset.
 	Trim(ctx context.Context, p Partition, before int64) error
