ledger: appends that share a slow link get time for all of them

Cause: the time allowed for an append grew with its own size, at the rate that one append gets on a busy link. The appends of all partitions of an instance share that link. With 1 MB waiting in each of eight partitions each append gets 0.34 MB/s, is given up after about 2 s, and is sent again from its beginning.

The allowance now follows from the size of all appends in flight on the instance. The first ones may still be too short, since others join them; their repetitions are not.

Test: TestTurnsOfAnOutageAreStoredOverASlowLink.

--- a/internal/ledger/group.go
+++ b/internal/ledger/group.go
@@ -205,7 +205,7 @@
 func (l *Ledger) startLeader(ctx context.Context, part int, generation int64) *leader {
 	ld := newLeader(store.Partition{Topic: topic, Part: part}, generation, l.cfg.Instance, l.cfg.MaxCallBytes, l.MaxTurnBytes(),
 		l.cfg.Store, l.cfg.Log, l.cfg.OnStoreResult)
-	ld.recordRetention, ld.loads = l.cfg.RecordRetention, l.loads
+	ld.recordRetention, ld.loads, ld.uploads = l.cfg.RecordRetention, l.loads, &l.uploads
 	ld.protect, ld.collect, ld.announceClaim, ld.announceStored = l.protect, l.collect, l.announceClaim, l.announceStored
 	ld.retainCopies = func(part int, epoch int64, records [][]byte) { l.copies.put(part, epoch, records, time.Now()) }
 	lctx, cancel := context.WithCancel(ctx)
--- a/internal/ledger/leader.go
+++ b/internal/ledger/leader.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -74,6 +75,7 @@
 	logger          logrus.FieldLogger
 	onResult        func(err error) // called with the result of each append
 	loads           chan struct{}   // of the instance: holds an element for each partition that is being loaded
+	uploads         *atomic.Int64   // of the instance: size of the appends in flight
 	// protect keeps records outside the partition while the store does not accept them. It returns the records
 	// that are safe.
 	protect func(ctx context.Context, ld *leader, entries []*entry) (safe []*entry)
--- a/internal/ledger/leader_append.go
+++ b/internal/ledger/leader_append.go
@@ -154,8 +154,9 @@
 		records[i] = e.data
 	}
 	first := time.Now()
-	upload := maxUploadTime(batch)
+	size := uploadSize(batch)
 	for try := 0; ; try++ {
+		upload := maxUploadTime(ld.uploads.Add(size))
 		timeout := upload + min(max(appendTimeoutFactor*ld.avgAppendTime, minAppendTimeout)<<min(try, 4), maxAppendTimeout)
 		actx, cancel := context.WithTimeout(ctx, timeout)
 		start := time.Now()
@@ -163,6 +164,7 @@
 			Partition: ld.part, Records: records, Producer: producer, Epoch: ld.epoch, Sequence: ld.sequence, ExpectedEnd: -1,
 		})
 		cancel()
+		ld.uploads.Add(-size)
 		ld.onResult(err)
 		var sequence *store.SequenceError
 		switch {
@@ -193,18 +195,23 @@
 	}
 }
 
-// minUploadRate is the rate, in bytes per second, that an append still gets on a busy link of an instance: a
+// minUploadRate is the rate, in bytes per second, that the appends of an instance still get together on its busy link: a
 // third of 22 Mbit/s, the slowest link of the supported deployments.
 const minUploadRate = 900_000
 
-// maxUploadTime returns how long the records of an append may take on a slow link. A batch of collected copies
-// is far larger than a usual one.
-func maxUploadTime(batch []*entry) time.Duration {
+// maxUploadTime returns how long appends may take on a slow link that they share, given their size in bytes. After an
+// outage of the store, or with collected copies, they are far larger than usual.
+func maxUploadTime(size int64) time.Duration {
+	return time.Duration(size) * time.Second / minUploadRate
+}
+
+// uploadSize returns the size of an append in bytes.
+func uploadSize(batch []*entry) int64 {
 	size := 0
 	for _, e := range batch {
 		size += len(e.data) + recordPrefixBytes
 	}
-	return time.Duration(size) * time.Second / minUploadRate
+	return int64(size)
 }
 
 // markStalled records that the append in flight has failed.
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -13,6 +13,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -90,7 +91,10 @@
 	ttl    time.Duration
 	copies *copies
 	health storeHealth
-	loads  chan struct{} // holds an element for each partition that is being loaded
+	// loads holds an element for each partition that is being loaded, uploads is the size of the appends in flight: they
+	// share the link of the instance.
+	loads   chan struct{}
+	uploads atomic.Int64
 
 	mu              sync.Mutex
 	leaders         map[int]*leader
--- /dev/null
+++ b/internal/ledger/slow_link_test.go
@@ -0,0 +1,95 @@
+package ledger
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"ragwortstile/internal/history"
+	"ragwortstile/internal/standin/storestand"
+	"ragwortstile/internal/store"
+)
+
+// slowUplink is a store whose appends pass a link of limited bandwidth, which they share.
+type slowUplink struct {
+	*storestand.Store
+	bytesPerSecond float64
+	mu             *sync.Mutex
+	free           *time.Time // when the appends so far have passed
+}
+
+// segmentBytes is the part in which appends share a slowUplink.
+const segmentBytes = 4 << 10
+
+func (s slowUplink) Append(ctx context.Context, a store.AppendRequest) (int64, error) {
+	size := 0
+	for _, r := range a.Records {
+		size += len(r)
+	}
+	for ; size > 0; size -= segmentBytes {
+		s.mu.Lock()
+		if now := time.Now(); s.free.Before(now) {
+			*s.free = now
+		}
+		*s.free = s.free.Add(time.Duration(segmentBytes / s.bytesPerSecond * float64(time.Second)))
+		passed := time.After(time.Until(*s.free))
+		s.mu.Unlock()
+		select {
+		case <-passed:
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		}
+	}
+	return s.Store.Append(ctx, a)
+}
+
+// Guards against turns that are never stored after an outage of the store, because the appends of all partitions share a
+// slow link and each of them is given up and sent again before it has passed.
+func TestTurnsOfAnOutageAreStoredOverASlowLink(t *testing.T) {
+	const (
+		parts        = 8
+		turnsPerPart = 4
+		turnBytes    = 240 << 10
+		recoveryTime = 12 * time.Second
+	)
+	refused := atomic.Bool{}
+	s := storestand.New(parts)
+	s.SetFault(func(call string, _ store.Partition) storestand.Fault {
+		if call == "append" && refused.Load() {
+			return storestand.Refuse
+		}
+		return storestand.None
+	})
+	a := start(t, "a", parts, slowUplink{Store: s, bytesPerSecond: 22e6 / 8, mu: new(sync.Mutex), free: new(time.Time)})
+	ctx := within(t, 40*time.Second)
+	var turns []history.End
+	count := make([]int, parts)
+	for n := 0; len(turns) < parts*turnsPerPart; n++ {
+		e := history.End{
+			Program: fmt.Sprint("p", n), Turn: fmt.Sprint("t", n), Complete: true, Input: bytes.Repeat([]byte("x"), turnBytes), Tokens: 5,
+			Reserved: 10, Confirmed: true, Retention: testRetention,
+		}
+		if part := a.part(e.Program); count[part] < turnsPerPart {
+			count[part]++
+			turns = append(turns, e)
+			_, err := a.Begin(ctx, history.Begin{Program: e.Program, Turn: e.Turn, MaxTokens: 10, MaxDuration: time.Minute})
+			must.NoError(t, err)
+		}
+	}
+	refused.Store(true)
+	var ended sync.WaitGroup
+	for _, e := range turns {
+		ended.Go(func() { must.NoError(t, a.End(ctx, e)) })
+	}
+	time.Sleep(time.Second) // until all of them wait
+	refused.Store(false)
+	begun := time.Now()
+	ended.Wait()
+	must.Less(t, recoveryTime, time.Since(begun))
+}
