upstream: reject status lines that are not of a final response

An endpoint in trouble answered with status 000. On calls, lookups and turns, directly and through a peer, the handler panicked in WriteHeader ("invalid WriteHeader code 0") and the caller's connection ended without a response. Statuses from 600 to 999 and responses of HTTP/2.0, 0.9 or 9.9 reached the caller as answers.

Cause: http.ReadResponse takes any three characters that strconv.Atoi reads as a number of at least 0 for a status (000, 099, +20, -00), and any version of the form HTTP/d.d. Nothing else checked them.

Such a response is now no response: the outcome is unknown, a request that may be repeated or resumed is sent to another endpoint, and any other gets 502. An instance also checks the status that a peer passes on, since one of an earlier version does not.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -229,7 +229,8 @@
 		return nil, relayError(p, err)
 	}
 	head, ok := reply.(wire.EndpointResponse)
-	if !ok || !r.Matches(head.Status, head.Header, true) {
+	// A peer of an earlier version passes any status on.
+	if !ok || !upstream.ValidStatus(head.Status) || !r.Matches(head.Status, head.Header, true) {
 		finish()
 		return nil, fmt.Errorf("peer %s: reply %s does not answer the request: %w", p, reply.Kind(), errUnusable)
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -59,6 +59,7 @@
 	errForeign       = errors.New("responses to other requests on the connection")
 	errInformational = errors.New("too many informational responses")
 	errHeaderName    = errors.New("space in a header name")
+	errStatusLine    = errors.New("status line is not one of HTTP/1.x")
 	errNotWanted     = errors.New("the caller has left")
 )
 
@@ -366,7 +367,10 @@
 		if err != nil {
 			return nil, fmt.Errorf("response head: %w", shorten(err))
 		}
-		if resp.StatusCode/100 == 1 {
+		if resp.ProtoMajor != 1 || !ValidStatus(resp.StatusCode) && !isInformational(resp.StatusCode) {
+			return nil, fmt.Errorf("%w: HTTP/%d.%d, status %d", errStatusLine, resp.ProtoMajor, resp.ProtoMinor, resp.StatusCode)
+		}
+		if isInformational(resp.StatusCode) {
 			informational++
 			continue
 		}
@@ -392,6 +396,12 @@
 	return nil, errForeign
 }
 
+// ValidStatus reports whether a final response may have a status. http.ReadResponse accepts any number of three
+// characters, such as 000 or +20.
+func ValidStatus(status int) bool { return status >= 200 && status <= 599 }
+
+func isInformational(status int) bool { return status >= 100 && status <= 199 }
+
 // checkNames rejects header names that contain a space, which http.ReadResponse accepts but does not apply: with
 // "Content-Length : 9" a body would have no length.
 func checkNames(h http.Header) error {
