endpoint: an answer with an impossible status is no answer

A service of the project's own interface that answered with status 000, 099 or 101, or as HTTP/2.0, counted as having served the call: its bytes were recorded as the result, and the caller got them with status 200. Found while looking for the status 000 of the platform's endpoints on related paths.

Cause: net/http's client accepts these statuses, and every status under 300 counted as a success.

The client of endpoints now rejects such an answer, so the call has failed and may have run. Engines and control requests use the same client.

Test: TestBadStatusLineIsNoAnswer.

--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"ragwortstile/internal/sched"
+	"ragwortstile/internal/upstream"
 )
 
 const (
@@ -24,6 +25,9 @@
 	maxHeaderBytes = 64 << 10
 )
 
+// ErrStatusLine means that the status line of an answer is not one of HTTP/1.x.
+var ErrStatusLine = errors.New("answer has no valid status line")
+
 // ErrTooLarge means that an answer exceeds its size limit.
 var ErrTooLarge = errors.New("answer is too large")
 
@@ -88,6 +92,10 @@
 	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
 	resp, err = c.http.Do(req)
 	if err == nil {
+		if resp.ProtoMajor != 1 || !upstream.ValidStatus(resp.StatusCode) {
+			_ = resp.Body.Close() // the answer is not used
+			return nil, true, fmt.Errorf("%w: HTTP/%d.%d, status %d", ErrStatusLine, resp.ProtoMajor, resp.ProtoMinor, resp.StatusCode)
+		}
 		return resp, true, nil
 	}
 	sent = permit.close()
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
@@ -291,3 +292,22 @@
 		must.Eq(t, record.ExecutedUnknown, outcome.Executed)
 	}
 }
+
+// Guards against an answer with an impossible status that passes for the result of a call.
+func TestBadStatusLineIsNoAnswer(t *testing.T) {
+	checkGoroutines(t)
+	for _, line := range []string{"HTTP/1.1 000 ", "HTTP/1.1 099 Odd", "HTTP/1.1 +20 Odd", "HTTP/1.1 101 Odd", "HTTP/1.1 600 Odd", "HTTP/2.0 200 OK", "ICY 200 OK"} {
+		t.Run(line, func(t *testing.T) {
+			f := newFixture(t, service.Config{MaxAnswerBytes: 1 << 10}, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				c, _, err := http.NewResponseController(w).Hijack()
+				must.NoError(t, err)
+				_, _ = io.WriteString(c, line+"\r\nContent-Length: 2\r\n\r\n{}")
+				_ = c.Close()
+			}))
+			fin := f.Call(t.Context(), dispatch(1), nil)
+			must.Eq(t, sched.ResultFailed, fin.Result)
+			must.True(t, fin.Sent)
+			must.Eq(t, "", string(fin.Body))
+		})
+	}
+}
