gateway: a handler that panics leaves nothing behind

With the status 000 the handler of a request ended in a panic. What such a handler left behind, by reading: the caller's connection ended without a response; a panic between the choice of an endpoint and the end of the attempt left the endpoint busy by one request for good, the turn's tokens reserved until the deadline, and a peer counted as sending for this instance; and a panic of the handler that sends a request for a peer ended the whole instance. Memory and the quota's unit were returned already.

Now the balancer counts such an attempt as failed, the ledger is told of the end of the turn, the response of the endpoint is finished, the panic is logged with its stack and counted (handler_panics_total), and the caller gets 502 without a header of the endpoint's, or a broken connection where the response has begun. A panic of a peer's request is its error reply.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -223,17 +223,22 @@
 		g.relays.Ended(p)
 		g.mu.Unlock()
 	}
+	responding := false
+	defer func() {
+		if !responding {
+			finish()
+		}
+	}()
 	reply, err := x.Recv(ctx)
 	if err != nil {
-		finish()
 		return nil, relayError(p, err)
 	}
 	head, ok := reply.(wire.EndpointResponse)
 	// A peer of an earlier version passes any status on.
 	if !ok || !upstream.ValidStatus(head.Status) || !r.Matches(head.Status, head.Header, true) {
-		finish()
 		return nil, fmt.Errorf("peer %s: reply %s does not answer the request: %w", p, reply.Kind(), errUnusable)
 	}
+	responding = true
 	return upstream.NewResponse(head.Status, head.Header, &upstream.Relay{
 		Body: &relayedBody{ctx: ctx, exchange: x, peer: p}, Interrupt: cancel, Close: finish,
 	}), nil
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -51,6 +53,7 @@
 	reasonUnknownKey     = "unknown_api_key"
 	reasonUnconfirmed    = "api_key_not_confirmed"
 	reasonTeamChanged    = "team_changed"
+	reasonInternal       = "internal_error"
 )
 
 // request is a caller's request in progress. Its stages are: identify (route and limits), hold (the body in memory), the
@@ -88,13 +91,15 @@
 	sends      int             // attempts of which anything may have been sent to an endpoint
 	mayHaveRun bool            // an endpoint may have executed the request
 	viaPeer    bool            // the current attempt was sent through a peer
+	attempting bool            // the balancer counts an attempt as running
+	responded  bool            // the head of the response was written
 }
 
 // ServeHTTP implements http.Handler for requests of callers.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) { g.newRequest(w, r).serve() }
 
 func (g *Gateway) newRequest(w http.ResponseWriter, r *http.Request) *request {
-	return &request{g: g, w: w, r: r, meta: g.protocol.Decode(r.Header), start: time.Now()}
+	return &request{g: g, w: w, r: r, meta: g.protocol.Decode(r.Header), start: time.Now(), log: g.log}
 }
 
 // serve runs the stages of the request.
@@ -102,6 +107,7 @@
 	g, w := q.g, q.w
 	g.active.Add(1)
 	defer g.active.Add(-1)
+	defer q.recoverPanic()
 	headRead(q.r.Context())
 	if g.stopping.Load() || g.ledger.Isolated() {
 		w.Header().Set("Connection", "close")
@@ -125,6 +131,32 @@
 	}
 }
 
+// recoverPanic ends a request whose handler has panicked, other than to break the caller's connection off. The request may
+// have run, so the caller gets 502 if the response has not begun.
+func (q *request) recoverPanic() {
+	reason := recover()
+	if reason == nil {
+		return
+	}
+	if reason == http.ErrAbortHandler {
+		panic(reason)
+	}
+	q.g.metrics.set.GetOrCreateCounter("ragwortstile_handler_panics_total").Inc()
+	q.log.WithFields(logrus.Fields{"reason": fmt.Sprint(reason), "stack": string(debug.Stack())}).Error("handler panicked")
+	if q.responded {
+		q.logEnd(0, reasonInternal)
+		panic(http.ErrAbortHandler)
+	}
+	clear(q.w.Header()) // may hold those of an endpoint's response
+	q.refuse(http.StatusBadGateway, reasonInternal)
+}
+
+// respond writes the head of the response.
+func (q *request) respond(status int) {
+	q.w.WriteHeader(status)
+	q.responded = true
+}
+
 // rejection is the outcome of a stage that ends a request which has not been executed.
 type rejection struct {
 	status     int
@@ -178,7 +210,7 @@
 	h := q.w.Header()
 	q.g.protocol.EncodeRefusal(h, q.meta.ID, retryAfter)
 	h.Set("Content-Length", "0")
-	q.w.WriteHeader(status)
+	q.respond(status)
 	q.logEnd(status, reason)
 }
 
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -24,6 +24,7 @@
 
 // attemptEnded tells the balancer how an attempt ended.
 func (q *request) attemptEnded(e target, result balance.Result, took time.Duration) {
+	q.attempting = false
 	q.g.mu.Lock()
 	q.g.balancer.Ended(e.ID, e.number, result, took, time.Now())
 	q.g.mu.Unlock()
@@ -129,7 +130,7 @@
 		}
 		q.tried[e.ID] = true
 		before := q.sends
-		switch attempt(e) {
+		switch q.runAttempt(e, attempt) {
 		case served:
 			return true
 		case unknownOutcome:
@@ -145,6 +146,17 @@
 	return false
 }
 
+// runAttempt runs an attempt at an endpoint. If it panics, the balancer counts it as failed.
+func (q *request) runAttempt(e target, attempt func(target) attemptResult) attemptResult {
+	q.attempting = true
+	defer func() {
+		if q.attempting {
+			q.attemptEnded(e, balance.Failed, 0)
+		}
+	}()
+	return attempt(e)
+}
+
 // giveUp refuses a request that no endpoint has served, or aborts it if its caller has left.
 func (q *request) giveUp(ctx context.Context) {
 	switch {
@@ -174,6 +186,7 @@
 	if err != nil {
 		return q.attemptFailed(ctx, e, err)
 	}
+	defer resp.Discard()
 	if reply.NotExecuted {
 		return q.attemptRefused(e, resp, reply)
 	}
@@ -270,6 +283,6 @@
 	if status != http.StatusNoContent && status != http.StatusNotModified {
 		q.w.Header()["Content-Length"] = []string{itoa(len(body))}
 	}
-	q.w.WriteHeader(status)
+	q.respond(status)
 	return q.w.Write(body)
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -45,9 +45,9 @@
 	tokensPerEvent int64  // tokens that each event carries
 	progress       *resume.Stream
 	reserved       atomic.Bool // the holder has confirmed the reservation of the turn's tokens
-	responding     bool        // the response to the caller has begun
 	outlastGrace   func() bool // lets the turn go on to the very end of a stop; see untilGraceOver
 	begun          bool        // an earlier turn of the program was served
+	ended          bool        // the end of the turn was reported to the ledger
 	slot           *slot
 	texts          *memory.Grant // of the texts before this turn and of its output
 	unread         *memory.Grant // of the event that the caller is being sent
@@ -83,8 +83,15 @@
 			return
 		}
 	}
-	if t.inLedger() && !t.openTurn(ctx) {
-		return
+	if t.inLedger() {
+		if !t.openTurn(ctx) {
+			return
+		}
+		defer func() {
+			if !t.ended { // the handler panics
+				t.reportEnd()
+			}
+		}()
 	}
 	slot := t.takeSlot(ctx, service)
 	if slot == nil {
@@ -113,7 +120,7 @@
 		return
 	}
 	t.reportEnd()
-	if t.responding {
+	if t.responded {
 		t.breakOff(errNotResumed)
 	}
 	q.giveUp(ctx)
@@ -217,6 +224,7 @@
 
 // reportEnd reports to the ledger, in the background, that the attempt ended without a turn to keep.
 func (t *turn) reportEnd() {
+	t.ended = true
 	if !t.inLedger() {
 		return
 	}
@@ -247,10 +255,11 @@
 	if err != nil {
 		return q.attemptFailed(ctx, e, err)
 	}
+	defer resp.Discard()
 	if reply.NotExecuted {
 		return q.attemptRefused(e, resp, reply)
 	}
-	if !reply.FromEndpoint || resp.Header.Get("Content-Encoding") != "" || t.responding && resp.Status != http.StatusOK {
+	if !reply.FromEndpoint || resp.Header.Get("Content-Encoding") != "" || t.responded && resp.Status != http.StatusOK {
 		resp.Discard()
 		return q.attemptFailed(ctx, e, errUnusable)
 	}
@@ -264,7 +273,7 @@
 		return q.attemptFailed(ctx, e, errors.Join(errUnusable, err))
 	}
 	q.responseStarted(e)
-	if !t.responding {
+	if !t.responded {
 		select {
 		case err = <-confirmed:
 		case <-ctx.Done():
@@ -302,11 +311,10 @@
 	ctx context.Context, e target, resp *upstream.Response, reader *eventReader, first event, begun time.Time, sent int,
 ) attemptResult {
 	q := t.request
-	if !t.responding {
-		t.responding = true
+	if !t.responded {
 		t.outlastGrace() // an answer in its place is no longer possible
 		q.copyHeaders(resp)
-		q.w.WriteHeader(resp.Status)
+		q.respond(resp.Status)
 	}
 	firstAt, firstTook, before := time.Since(q.start), time.Since(begun), t.events
 	err := t.copyEvents(reader, resp, first, func() {
@@ -477,6 +485,7 @@
 // caller with a complete response can continue the turn.
 func (t *turn) recordTurn(ctx context.Context) error {
 	q := t.request
+	t.ended = true
 	err := q.g.ledger.End(ctx, history.End{
 		Program: t.begin.Program, Turn: t.begin.Turn, Previous: t.begin.Previous, Complete: true,
 		Input: q.body, Output: t.output, Tokens: t.events * t.tokensPerEvent, Reserved: q.meta.MaxTokensOut, Confirmed: true, Retention: q.route.Retention,
--- a/internal/peer/read.go
+++ b/internal/peer/read.go
@@ -7,8 +7,11 @@
 	"fmt"
 	"io"
 	"net"
+	"runtime/debug"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"ragwortstile/internal/wire"
 )
 
@@ -148,7 +151,19 @@
 	}
 	go func() {
 		defer cancel()
-		err := c.node.cfg.Handler.Serve(ctx, c.remote, e.Message, r)
-		r.finish(err)
+		r.finish(c.serve(ctx, e.Message, r))
+	}()
+}
+
+// serve has a request of the peer handled. A handler that panics must not end the instance.
+func (c *conn) serve(ctx context.Context, m wire.Message, r *Replier) (err error) {
+	defer func() {
+		if reason := recover(); reason != nil {
+			c.node.cfg.Log.WithFields(logrus.Fields{
+				"peer": string(c.remote.Session), "name": m.Kind().String(), "reason": fmt.Sprint(reason), "stack": string(debug.Stack()),
+			}).Error("handler of a peer's request panicked")
+			err = wire.Error{Code: wire.CodeInternal, Detail: "handler panicked"}
+		}
 	}()
+	return c.node.cfg.Handler.Serve(ctx, c.remote, m, r)
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -89,7 +89,8 @@
 	Responded()
 }
 
-// Response is the response of an endpoint. The user must finish it with exactly one call of Reuse or Discard.
+// Response is the response of an endpoint. The user must finish it with a call of Reuse or Discard; further calls have no
+// effect.
 type Response struct {
 	Status int
 	Header http.Header
@@ -100,6 +101,8 @@
 	stop    func() bool
 	pool    *Pool
 	closing bool // the endpoint closes the connection after the response
+
+	finished bool // by Reuse or Discard
 }
 
 // conn is a connection to an endpoint.
@@ -477,6 +480,10 @@
 
 // Discard closes the connection, which makes the endpoint cancel the request if it is still running.
 func (r *Response) Discard() {
+	if r.finished {
+		return
+	}
+	r.finished = true
 	if r.relay != nil {
 		r.relay.Close()
 		return
@@ -488,6 +495,10 @@
 // Reuse returns the connection to the pool if it is reusable, and closes it otherwise. The body must have been read
 // to its end.
 func (r *Response) Reuse() {
+	if r.finished {
+		return
+	}
+	r.finished = true
 	if r.relay != nil {
 		r.relay.Close()
 		return
