ledger: fetching many copies gets time for a slow link

The next holder of a partition fetches the copies that peers hold after an outage of the store. Each peer had 300 ms to send all that it was asked for, and is asked for a copy only once. Behind a link of 22 Mbit/s about 8,000 copies do not arrive in that time; their holder then knows nothing of them, and programs may exceed their budgets.

The time now grows with the number of copies, at the rate of appends on a busy link.

Test: TestCopiesAreCollectedOverASlowLink (12,000 copies). Before, none of them is collected; now all are.

--- a/internal/ledger/copies.go
+++ b/internal/ledger/copies.go
@@ -39,6 +39,8 @@
 	// storeAnswerTTL is how long the store counts as reachable after an answer, also if calls have failed since: the
 	// store may lose answers or be slow, and copies alone are lost with all instances.
 	storeAnswerTTL = 600 * time.Millisecond
+	// copyBytes is the size of a copy that the time for fetching it allows for. With IDs of 16 bytes it is about 100.
+	copyBytes = 256
 	// collectWait is how long a claim waits for connections to the other members.
 	collectWait = 300 * time.Millisecond
 )
@@ -549,9 +551,18 @@
 	return unanswered
 }
 
+// maxFetchTime returns how long copies may take over a slow link.
+func maxFetchTime(plan map[id.Session][]uint64) time.Duration {
+	count := 0
+	for _, sums := range plan {
+		count += len(sums)
+	}
+	return maxUploadTime(int64(count) * copyBytes)
+}
+
 // fetch fetches copies from peers according to a plan.
 func (l *Ledger) fetch(ctx context.Context, part int, plan map[id.Session][]uint64, f *fetch) [][]byte {
-	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout+maxFetchTime(plan))
 	defer cancel()
 	answers := make(chan [][]byte, len(plan))
 	for session, sums := range plan {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -69,6 +69,12 @@
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
+	return startAt(t, name, parts, s, recordRetention, l, l.Addr().String())
+}
+
+// startAt starts an instance that listens for peers, which reach it at an address.
+func startAt(t *testing.T, name string, parts int, s Store, recordRetention time.Duration, l net.Listener, peerAddr string) *instance {
+	t.Helper()
 	keys, err := peer.NewKeyring([]byte("a key of the instances of a test"))
 	must.NoError(t, err)
 	h := &handler{}
@@ -78,7 +84,7 @@
 	})
 	must.NoError(t, err)
 	h.ledger = New(Config{
-		Instance: name, PeerAddr: l.Addr().String(), Parts: parts, MaxCallBytes: 1 << 20, RecordBytes: 1 << 18, MinTTL: 200 * time.Millisecond,
+		Instance: name, PeerAddr: peerAddr, Parts: parts, MaxCallBytes: 1 << 20, RecordBytes: 1 << 18, MinTTL: 200 * time.Millisecond,
 		RecordRetention: recordRetention, Store: s, Node: node, Log: quietLog(), OnStoreResult: func(error) {},
 	})
 	h.ledger.SetRetention(testRetention)
--- a/internal/ledger/slow_link_test.go
+++ b/internal/ledger/slow_link_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -12,10 +13,14 @@
 	"github.com/shoenig/test/must"
 
 	"ragwortstile/internal/history"
+	"ragwortstile/internal/standin/linkstand"
 	"ragwortstile/internal/standin/storestand"
 	"ragwortstile/internal/store"
 )
 
+// slowestLinkMbps is the bandwidth of the slowest link of the supported deployments, in Mbit/s.
+const slowestLinkMbps = 22
+
 // slowUplink is a store whose appends pass a link of limited bandwidth, which they share.
 type slowUplink struct {
 	*storestand.Store
@@ -66,7 +71,7 @@
 		}
 		return storestand.None
 	})
-	a := start(t, "a", parts, slowUplink{Store: s, bytesPerSecond: 22e6 / 8, mu: new(sync.Mutex), free: new(time.Time)})
+	a := start(t, "a", parts, slowUplink{Store: s, bytesPerSecond: slowestLinkMbps * 1e6 / 8, mu: new(sync.Mutex), free: new(time.Time)})
 	ctx := within(t, 40*time.Second)
 	var turns []history.End
 	count := make([]int, parts)
@@ -93,3 +98,36 @@
 	ended.Wait()
 	must.Less(t, recoveryTime, time.Since(begun))
 }
+
+// startBehindLink starts an instance that peers reach over a slow link.
+func startBehindLink(t *testing.T, name string, s Store) *instance {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	return startAt(t, name, 1, s, 0, l, linkstand.New(t, l.Addr().String(), slowestLinkMbps).Addr)
+}
+
+// Guards against budgets that are exceeded after an outage of the store, because the next holder of a partition does not get
+// all copies over a slow link: a peer is asked for each copy only once.
+func TestCopiesAreCollectedOverASlowLink(t *testing.T) {
+	const copyCount = 12000
+	s := storestand.New(1)
+	a, b := startBehindLink(t, "a", s), startBehindLink(t, "b", s)
+	runTurn(t, a, "p", "t1", "") // until the partition has a holder
+	holder, other := a, b
+	if !a.Holds("p") {
+		holder, other = b, a
+	}
+	ld := holder.leader(0)
+	var records [][]byte
+	for n := range copyCount {
+		data, err := history.Record{
+			Kind: history.RecordEnd, At: time.Now().UnixMilli(), Program: fmt.Sprintf("program-%08d", n), Turn: fmt.Sprintf("turn-%016d", n), Tokens: 5, Spent: 5,
+		}.Encode()
+		must.NoError(t, err)
+		records = append(records, data)
+	}
+	must.True(t, other.copies.put(0, ld.epoch, records, time.Now()))
+	got := holder.collect(within(t, 10*time.Second), 0, ld.epoch, func(uint64) bool { return false })
+	must.Len(t, copyCount, got)
+}
--- a/platform/platformtest/link.go
+++ b/internal/standin/linkstand/link.go
@@ -1,4 +1,5 @@
-package platformtest
+// Package linkstand is a stand-in for a network link of limited bandwidth in tests.
+package linkstand
 
 import (
 	"net"
@@ -43,8 +44,8 @@
 	time.Sleep(time.Until(until))
 }
 
-// NewLink starts a link to a server and closes it at the end of the test.
-func NewLink(t testing.TB, target string, mbitPerSecond float64) *Link {
+// New starts a link to a server and closes it at the end of the test.
+func New(t testing.TB, target string, mbitPerSecond float64) *Link {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
