--- a/internal/ledger/slow_link_test.go
+++ b/internal/ledger/slow_link_test.go
@@ -54,6 +54,32 @@
 	return s.Store.Append(ctx, a)
 }
 
+// slowReads is a store whose reads take a while. It notes how many there were at a time.
+type slowReads struct {
+	*storestand.Store
+	inProgress, most atomic.Int32
+}
+
+func (s *slowReads) Read(ctx context.Context, p store.Partition, from int64, maxBytes int, wait time.Duration) (store.Batch, error) {
+	n := s.inProgress.Add(1)
+	defer s.inProgress.Add(-1)
+	for most := s.most.Load(); n > most && !s.most.CompareAndSwap(most, n); most = s.most.Load() {
+	}
+	time.Sleep(50 * time.Millisecond)
+	return s.Store.Read(ctx, p, from, maxBytes, wait)
+}
+
+// Guards against an instance that loads all of its partitions at once, so that none is ready before the last.
+func TestFewPartitionsAreLoadedAtATime(t *testing.T) {
+	const parts = 5 * maxLoads
+	s := &slowReads{Store: storestand.New(parts)}
+	a := start(t, "a", parts, s)
+	for deadline := time.Now().Add(5 * time.Second); a.ServedCount() < parts; time.Sleep(10 * time.Millisecond) {
+		must.True(t, time.Now().Before(deadline), must.Sprintf("%d partitions are served", a.ServedCount()))
+	}
+	must.LessEq(t, maxLoads, int(s.most.Load()))
+}
+
 // Guards against turns that are never stored after an outage of the store, because the appends of all partitions share a
 // slow link and each of them is given up and sent again before it has passed.
 func TestTurnsOfAnOutageAreStoredOverASlowLink(t *testing.T) {
