Names and comments after a reading of the diff

A limit that holds for fetched copies as well is no longer named after uploads. A response after a panic says that the connection ends while the instance stops, as any other does.

--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -81,7 +81,8 @@
 // Send writes a request once and returns the response when its header has arrived. A GET without a
 // body may be written again when a reused connection turns out to be closed. The check, if not nil,
 // runs immediately before the first byte is written; its error prevents the write and is returned in
-// a NotAllowedError. sent is false only when it is certain that no byte reached the endpoint.
+// a NotAllowedError. sent is false only when it is certain that no byte reached the endpoint. An answer without a valid
+// status line is an ErrStatusLine.
 func (c *Client) Send(req *http.Request, check func() error) (resp *http.Response, sent bool, err error) {
 	permit := &writePermit{check: check, mayRewrite: req.Method == http.MethodGet}
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -104,14 +104,12 @@
 
 // serve runs the stages of the request.
 func (q *request) serve() {
-	g, w := q.g, q.w
+	g := q.g
 	g.active.Add(1)
 	defer g.active.Add(-1)
 	defer q.recoverPanic()
 	headRead(q.r.Context())
-	if g.stopping.Load() || g.ledger.Isolated() {
-		w.Header().Set("Connection", "close")
-	}
+	q.closeIfLeaving()
 	q.log = g.log.WithField("call", q.meta.ID)
 	if q.meta.Program != "" {
 		q.log = q.log.WithField("program", q.meta.Program)
@@ -131,6 +129,13 @@
 	}
 }
 
+// closeIfLeaving makes the caller's connection end with the response if the instance stops or cannot serve its callers well.
+func (q *request) closeIfLeaving() {
+	if q.g.stopping.Load() || q.g.ledger.Isolated() {
+		q.w.Header().Set("Connection", "close")
+	}
+}
+
 // recoverPanic ends a request whose handler has panicked, other than to break the caller's connection off. The request may
 // have run, so the caller gets 502 if the response has not begun.
 func (q *request) recoverPanic() {
@@ -148,6 +153,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	clear(q.w.Header()) // may hold those of an endpoint's response
+	q.closeIfLeaving()
 	q.refuse(http.StatusBadGateway, reasonInternal)
 }
 
--- a/internal/ledger/copies.go
+++ b/internal/ledger/copies.go
@@ -551,13 +551,14 @@
 	return unanswered
 }
 
-// maxFetchTime returns how long copies may take over a slow link.
+// maxFetchTime returns how long copies may take over a slow link. A peer that falls silent ends its request earlier, since
+// its connection is closed.
 func maxFetchTime(plan map[id.Session][]uint64) time.Duration {
 	count := 0
 	for _, sums := range plan {
 		count += len(sums)
 	}
-	return maxUploadTime(int64(count) * copyBytes)
+	return maxTransferTime(int64(count) * copyBytes)
 }
 
 // fetch fetches copies from peers according to a plan.
--- a/internal/ledger/leader_append.go
+++ b/internal/ledger/leader_append.go
@@ -154,9 +154,9 @@
 		records[i] = e.data
 	}
 	first := time.Now()
-	size := uploadSize(batch)
+	size := batchSize(batch)
 	for try := 0; ; try++ {
-		upload := maxUploadTime(ld.uploads.Add(size))
+		upload := maxTransferTime(ld.uploads.Add(size))
 		timeout := upload + min(max(appendTimeoutFactor*ld.avgAppendTime, minAppendTimeout)<<min(try, 4), maxAppendTimeout)
 		actx, cancel := context.WithTimeout(ctx, timeout)
 		start := time.Now()
@@ -195,18 +195,18 @@
 	}
 }
 
-// minUploadRate is the rate, in bytes per second, that the appends of an instance still get together on its busy link: a
-// third of 22 Mbit/s, the slowest link of the supported deployments.
-const minUploadRate = 900_000
+// minTransferRate is the rate, in bytes per second, that large transfers of an instance still get together on its busy link:
+// a third of 22 Mbit/s, the slowest link of the supported deployments.
+const minTransferRate = 900_000
 
-// maxUploadTime returns how long appends may take on a slow link that they share, given their size in bytes. After an
-// outage of the store, or with collected copies, they are far larger than usual.
-func maxUploadTime(size int64) time.Duration {
-	return time.Duration(size) * time.Second / minUploadRate
+// maxTransferTime returns how long transfers may take on a slow link that they share, given their size in bytes. After an
+// outage of the store they are far larger than usual.
+func maxTransferTime(size int64) time.Duration {
+	return time.Duration(size) * time.Second / minTransferRate
 }
 
-// uploadSize returns the size of an append in bytes.
-func uploadSize(batch []*entry) int64 {
+// batchSize returns the size of an append of the records in bytes.
+func batchSize(batch []*entry) int64 {
 	size := 0
 	for _, e := range batch {
 		size += len(e.data) + recordPrefixBytes
