--- a/internal/ledger/slow_link_test.go
+++ b/internal/ledger/slow_link_test.go
@@ -80,6 +80,29 @@
 	must.LessEq(t, maxLoads, int(s.most.Load()))
 }
 
+// lateReads is a store that begins to answer a read only after some time.
+type lateReads struct {
+	*storestand.Store
+	delay time.Duration
+}
+
+func (s lateReads) Read(ctx context.Context, p store.Partition, from int64, maxBytes int, wait time.Duration) (store.Batch, error) {
+	select {
+	case <-time.After(s.delay):
+		return s.Store.Read(ctx, p, from, maxBytes, wait)
+	case <-ctx.Done():
+		return store.Batch{}, ctx.Err()
+	}
+}
+
+// Guards against a partition that is never claimed while the store takes longer to begin an answer than a read first waits.
+func TestReadsThatStallGetMoreTime(t *testing.T) {
+	a := start(t, "a", 1, lateReads{storestand.New(1), minReadStall * 3 / 2})
+	for deadline := time.Now().Add(12 * time.Second); a.ServedCount() < 1; time.Sleep(10 * time.Millisecond) {
+		must.True(t, time.Now().Before(deadline))
+	}
+}
+
 // Guards against turns that are never stored after an outage of the store, because the appends of all partitions share a
 // slow link and each of them is given up and sent again before it has passed.
 func TestTurnsOfAnOutageAreStoredOverASlowLink(t *testing.T) {
