--- a/review/standins4/budget.go
+++ b/review/standins4/budget.go
@@ -16,6 +16,8 @@
 	most   int // tokens of one turn
 	hint   int // tokens that the client expects; 0: not stated
 	handed atomic.Int64
+	// countLast counts the last event of the most of one turn in full, as the events that clients get are counted.
+	countLast bool
 }
 
 func (r *rig) agent(budget, most, hint int) *agent {
@@ -39,9 +41,12 @@
 
 // within reports whether the program has got no more than its budget and the most of one turn.
 func (g *agent) within() bool {
-	handed := int(g.handed.Load())
-	ok := handed <= g.budget+g.most
-	g.r.note("program %s got %d tokens; its budget is %d and the most of one turn %d: %s", g.id, handed, g.budget, g.most,
+	handed, most := int(g.handed.Load()), g.most
+	if g.countLast {
+		most = (most + tokensPerEvent - 1) / tokensPerEvent * tokensPerEvent
+	}
+	ok := handed <= g.budget+most
+	g.r.note("program %s got %d tokens; its budget is %d and the most of one turn %d: %s", g.id, handed, g.budget, most,
 		map[bool]string{true: "held", false: "BROKEN"}[ok])
 	return ok
 }
@@ -60,74 +65,48 @@
 }
 
 func init() {
-	cases["stopped-program-returns"] = stoppedProgramReturns
+	cases["fan-out-at-the-end"] = fanOutAtTheEnd
 	cases["fan-out-in-an-outage"] = fanOutInAnOutage
 }
 
-// stoppedProgramReturns: programs that loop are stopped by their budgets and come back within the retention, again and again. Then
-// one process is killed.
-func stoppedProgramReturns(r *rig, trouble bool) bool {
+// fanOutAtTheEnd: a program that loops starts ten sub-agents at once, with the budget that the most of their turns need. The most of a
+// turn is no multiple of the tokens of an event. Without the disruption the sub-agents run one after the other.
+func fanOutAtTheEnd(r *rig, trouble bool) bool {
 	const (
-		budget, most = 2312, 289
-		loops        = 24
-		retention    = 15 * time.Second
-		pause        = 10 * time.Second // between the returns of a program
-		killAt       = 74 * time.Second
-		end          = 92 * time.Second
+		most     = 69 // four events, and one token
+		width    = 10
+		budget   = width * most
+		programs = 6
 	)
-	r.publish(turnsRoute(retention))
+	r.publish(turnsRoute(60 * time.Second))
 	for n := range 9 {
-		r.server("i-model"+strconv.Itoa(n), "models", generate(15*time.Millisecond))
-	}
-	r.start(3)
-	var wg sync.WaitGroup
-	var stop atomic.Bool
-	// Other programs run all the time, two turns each.
-	for n := range 6 {
-		wg.Go(func() {
-			for k := n; !stop.Load(); k++ {
-				g := r.agent(budget, 85, 0)
-				first := g.turn(r.instances[k%3], g.id, "")
-				if first.complete && first.status == http.StatusOK {
-					g.turn(r.instances[(k+1)%3], g.id, first.id)
-				}
-				time.Sleep(400 * time.Millisecond)
-			}
+		r.server("i-model"+strconv.Itoa(n), "models", func(_ *server, q received) behaviour {
+			return behaviour{events: (q.tokens + tokensPerEvent - 1) / tokensPerEvent, pause: 20 * time.Millisecond}
 		})
 	}
+	r.start(3)
+	time.Sleep(stableWindow)
 	var agents []*agent
-	for n := range loops {
+	var wg sync.WaitGroup
+	for n := range programs {
 		g := r.agent(budget, most, 0)
+		g.countLast = true
 		agents = append(agents, g)
 		wg.Go(func() {
-			time.Sleep(time.Duration(n) * 150 * time.Millisecond)
-			for k := n; !stop.Load(); k++ {
-				previous, refused := "", 0
-				for refused < 3 && !stop.Load() { // a turn is sent twice more after 402
-					a := g.turn(r.instances[k%3], g.id, previous)
-					switch {
-					case a.status == http.StatusOK && a.complete:
-						previous = a.id
-					case a.status == http.StatusPaymentRequired:
-						refused++
-						time.Sleep(200 * time.Millisecond)
-					default:
-						previous = ""
-						time.Sleep(200 * time.Millisecond)
-					}
+			var together sync.WaitGroup
+			for sub := range 2 * width {
+				if !trouble {
+					g.turn(r.instances[(n+sub)%3], g.id+strconv.Itoa(sub), "")
+					continue
 				}
-				time.Sleep(pause)
+				if sub == width {
+					together.Wait()
+				}
+				together.Go(func() { g.turn(r.instances[(n+sub)%3], g.id+strconv.Itoa(sub), "") })
 			}
+			together.Wait()
 		})
 	}
-	r.at(killAt)
-	if trouble {
-		r.instances[1].kill()
-		time.Sleep(time.Second)
-		r.instances[1].start()
-	}
-	r.at(end)
-	stop.Store(true)
 	wg.Wait()
 	ok := true
 	for _, g := range agents {
