--- a/review/standins4/deadly.go
+++ b/review/standins4/deadly.go
@@ -54,12 +54,12 @@
 	return r.fewLate()
 }
 
-// fewLate reports whether the deadly request reached servers in no more late retries than are allowed.
+// fewLate reports whether the request that crashed servers reached them in no more late retries than are allowed.
 func (r *rig) fewLate() bool {
 	var runs []time.Time
 	for _, s := range r.servers {
 		for _, q := range s.ran() {
-			if q.body == deadly {
+			if q.crashed {
 				runs = append(runs, q.at)
 			}
 		}
@@ -109,5 +109,5 @@
 	r.at(end)
 	stop.Store(true)
 	wg.Wait()
-	return !trouble || r.fewLate()
+	return r.fewLate()
 }
--- a/review/standins4/main.go
+++ b/review/standins4/main.go
@@ -22,15 +22,15 @@
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standins4 CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: standins4 CASE RECORD")
 		os.Exit(failed)
 	}
 	os.Exit(run(os.Args[1], os.Args[2], os.Getenv("TROUBLE") != "0"))
 }
 
-// run runs a case whose record goes to a folder, and returns the exit status.
-func run(name, folder string, trouble bool) (status int) {
-	r, err := newRig(folder)
+// run runs a case, writes what was sent, answered and run into the file record, and returns the exit status.
+func run(name, record string, trouble bool) (status int) {
+	r, err := newRig(record)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return failed
--- a/review/standins4/rig.go
+++ b/review/standins4/rig.go
@@ -44,7 +44,7 @@
 	closed  bool
 }
 
-func newRig(folder string) (*rig, error) {
+func newRig(recordPath string) (*rig, error) {
 	if _, err := os.Stat(program); err != nil {
 		return nil, fmt.Errorf("build the deploy file first: %w", err)
 	}
@@ -52,7 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	record, err := os.Create(filepath.Join(folder, "record.txt"))
+	record, err := os.Create(recordPath)
 	if err != nil {
 		return nil, err
 	}
--- a/review/standins4/server.go
+++ b/review/standins4/server.go
@@ -60,6 +60,7 @@
 	id, path, body string
 	at             time.Time
 	tokens         int // most tokens out
+	crashed        bool
 }
 
 // behaviour is how the server runs a request.
@@ -170,6 +171,7 @@
 		q.tokens, _ = strconv.Atoi(out)
 	}
 	b := s.behave(s, q)
+	q.crashed = b.crash > 0
 	s.mu.Lock()
 	s.runs = append(s.runs, q)
 	s.mu.Unlock()
